--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -1,4 +1,4 @@
-"""Measure the slopes that docs/CAPACITY.md is worked out from.
+"""Measure the in-process slopes that docs/CAPACITY.md is worked out from.
 
 Run: ``.venv/bin/python bench/slopes.py``. Prints one line per slope:
 processor time per look-up and per steering choice as members and
@@ -6,13 +6,16 @@
 per client block.
 """
 
+import functools
 import json
 import time
 import tracemalloc
+from collections.abc import Callable
 from typing import Any
 
 from plantainloft_core.lookup import Member, answer_lookup
-from plantainloft_core.model import parse_configuration
+from plantainloft_core.model import Configuration, parse_configuration
+from plantainloft_core.outcomes import Invalid
 from plantainloft_core.steering import EndpointLoad, HeadroomPolicy
 
 CALLS = 20_000
@@ -42,7 +45,15 @@
     }
 
 
-def per_call_us(work: Any) -> float:
+def configuration(**sizes: int) -> Configuration:
+    """Return a checked configuration of the given size."""
+    checked = parse_configuration(document(**sizes), version=1)
+    if isinstance(checked, Invalid):
+        raise SystemExit(f'bench document invalid: {checked.problems}')
+    return checked
+
+
+def per_call_us(work: Callable[[], object]) -> float:
     """Return processor microseconds per call of ``work``."""
     started = time.process_time()
     for _ in range(CALLS):
@@ -50,35 +61,51 @@
     return (time.process_time() - started) / CALLS * US
 
 
-def main() -> None:
-    """Print every slope."""
+def lookup_slopes() -> None:
+    """Print look-up cost as the member count grows."""
+    config = configuration(regions=3, endpoints=12, blocks=100)
     for members in (12, 48, 192):
-        config = parse_configuration(document(regions=3, endpoints=12, blocks=100), version=1)
-        assert not isinstance(config, type(None))
-        roster = [Member(name=f'n{i}', zone=f'r{i % 3}-z0', address=f'a{i}', leaving=False) for i in range(members)]
-        cost = per_call_us(lambda: answer_lookup(config, roster, client_block='b7', ttl_s=30))  # type: ignore[arg-type]
-        print(f'lookup_us members={members} {cost:.1f}')
+        roster = [
+            Member(name=f'n{i}', zone=f'r{i % 3}-z0', address=f'a{i}', leaving=False)
+            for i in range(members)
+        ]
+        work = functools.partial(answer_lookup, config, roster, client_block='b7', ttl_s=30)
+        print(f'lookup_us members={members} {per_call_us(work):.1f}')
+
+
+def choice_slopes() -> None:
+    """Print steering cost as the endpoint count grows."""
+    policy = HeadroomPolicy()
     for endpoints in (12, 48, 192):
-        config = parse_configuration(document(regions=3, endpoints=endpoints, blocks=10), version=1)
-        loads = {
-            f'e{i}': EndpointLoad(local_inflight=0, reported_inflight=1, report_age_s=0.1, known_for_s=60)
-            for i in range(endpoints)
-        }
-        policy = HeadroomPolicy()
-        cost = per_call_us(
-            lambda: policy.choose(config, service='s', zone='r0-z0', loads_by_endpoint=loads),  # type: ignore[arg-type]
+        config = configuration(regions=3, endpoints=endpoints, blocks=10)
+        load = EndpointLoad(local_inflight=0, reported_inflight=1, report_age_s=0.1, known_for_s=60)
+        loads = {f'e{i}': load for i in range(endpoints)}
+        work = functools.partial(
+            policy.choose,
+            config,
+            service='s',
+            zone='r0-z0',
+            loads_by_endpoint=loads,
         )
-        print(f'choose_us endpoints={endpoints} {cost:.1f}')
+        print(f'choose_us endpoints={endpoints} {per_call_us(work):.1f}')
+
+
+def size_slopes() -> None:
+    """Print configuration size as JSON and in memory."""
     for endpoints, blocks in ((380, 0), (760, 0), (0, 13_000), (0, 26_000)):
         doc = document(regions=12, endpoints=endpoints, blocks=blocks)
-        size = len(json.dumps(doc))
         tracemalloc.start()
-        config = parse_configuration(doc, version=1)
+        checked = parse_configuration(doc, version=1)
         held = tracemalloc.get_traced_memory()[0]
         tracemalloc.stop()
-        del config
-        print(f'config endpoints={endpoints} blocks={blocks} json_bytes={size} typed_bytes={held}')
+        del checked
+        print(
+            f'config endpoints={endpoints} blocks={blocks} '
+            f'json_bytes={len(json.dumps(doc))} typed_bytes={held}',
+        )
 
 
 if __name__ == '__main__':
-    main()
+    lookup_slopes()
+    choice_slopes()
+    size_slopes()
