Slow start only for endpoints new to the configuration

Cause: LoadBook stamped an endpoint "first seen" when a request first viewed it, so a freshly started entry instance ramped every endpoint from a quarter of its slots.

Change: endpoints present in the first version a node sees are taken as warm (in service already); only endpoints added by later versions start cold and ramp over WARMUP_S.

Ruled out: the region cap (40 per region, far from reached) and stale reports (reports were 0.25 s old, inside STALE_AFTER_S).

--- a/packages/node/src/plantainloft_node/loads.py
+++ b/packages/node/src/plantainloft_node/loads.py
@@ -8,7 +8,7 @@
 import httpx
 
 from plantainloft_core.model import Configuration
-from plantainloft_core.steering import EndpointLoad
+from plantainloft_core.steering import WARMUP_S, EndpointLoad
 
 __all__ = ['LoadBook']
 
@@ -24,15 +24,24 @@
         self.local_by_endpoint: dict[str, int] = {}
         self.reports_by_endpoint: dict[str, tuple[int, float]] = {}
         self.first_seen_by_endpoint: dict[str, float] = {}
+        self._baseline_version: int | None = None
         self._http = http
         self._poll_s = poll_s
 
     def view(self, config: Configuration) -> dict[str, EndpointLoad]:
         """Return the loads of every endpoint in ``config``, as of now."""
         now = time.monotonic()
+        if self._baseline_version is None:
+            self._baseline_version = config.version
+        # Slow start is for endpoints new to the configuration. Endpoints
+        # already in the first version this node saw are in service and
+        # warm: a restarted node that ramped them all would refuse most
+        # traffic for its first seconds (seen as 'no headroom' refusals
+        # right after a node starts, with every endpoint idle).
+        start = now - WARMUP_S if config.version == self._baseline_version else now
         loads = {}
         for name in config.endpoints_by_name:
-            first = self.first_seen_by_endpoint.setdefault(name, now)
+            first = self.first_seen_by_endpoint.setdefault(name, start)
             report = self.reports_by_endpoint.get(name)
             loads[name] = EndpointLoad(
                 local_inflight=self.local_by_endpoint.get(name, 0),
