--- a/packages/node/src/plantainloft_node/logs.py
+++ b/packages/node/src/plantainloft_node/logs.py
@@ -29,3 +29,5 @@
     else:
         handler.setFormatter(logging.Formatter('%(asctime)s %(levelname)s %(message)s'))
     logging.basicConfig(level=level, handlers=[handler], force=True)
+    # httpx logs every request at INFO: the node's own sentences drown.
+    logging.getLogger('httpx').setLevel(logging.WARNING)
--- a/packages/node/src/plantainloft_node/membership.py
+++ b/packages/node/src/plantainloft_node/membership.py
@@ -22,6 +22,7 @@
 
 PREFIX = 'members/'
 RENEWALS_PER_LEASE = 3
+LEAVE_MARGIN = 1.5
 
 
 class Membership:
@@ -61,10 +62,16 @@
         }
 
     async def leave(self) -> None:
-        """Mark this node leaving, so look-ups stop naming it."""
+        """Mark this node leaving, then wait until the others have read it.
+
+        Callers must be steered away before the node stops accepting:
+        the others re-read membership once per renewal period, so after
+        one period (and a little) no look-up names this node any more.
+        """
         self._me = self._me._replace(leaving=True)
         await self._client.txn(conditions={}, writes={PREFIX + self._me.name: self._row()})
         log.info('Membership: %s is leaving.', self._me.name)
+        await anyio.sleep(self._lease_s / RENEWALS_PER_LEASE * LEAVE_MARGIN)
 
     async def run(self) -> None:
         """Renew the lease a few times per lease period, forever."""
--- a/packages/node/src/plantainloft_node/node.py
+++ b/packages/node/src/plantainloft_node/node.py
@@ -99,12 +99,20 @@
             tasks.start_soon(node.membership.run)
             tasks.start_soon(node.loads.run, lambda: node.follower.config)
             log.info('Node: %s serving on %s.', settings.name, settings.listen)
-            await serve_until_stopped(
-                make_app(node),
-                bind=settings.listen,
-                grace_s=settings.grace_s,
-                on_stop=node.membership.leave,
-            )
-            tasks.cancel_scope.cancel()
+
+            async def serve_then_stop() -> None:
+                # Run from the task group's host, hypercorn's shutdown and
+                # the cancel below ended every planned stop in a CancelledError
+                # escaping run_node (a traceback, exit status 1). Serving in a
+                # child task keeps the host out of it; the stop is clean.
+                await serve_until_stopped(
+                    make_app(node),
+                    bind=settings.listen,
+                    grace_s=settings.grace_s,
+                    on_stop=node.membership.leave,
+                )
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(serve_then_stop)
         await table.close()
         log.info('Node: %s stopped.', settings.name)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,7 +8,7 @@
 
 from plantainloft_core.table_client import TableClient
 from plantainloft_standins.cluster import Cluster, bring_up
-from plantainloft_standins.deployments import DEPLOYMENTS
+from plantainloft_standins.deployments import DEPLOYMENTS, Deployment, ServicePlan
 from plantainloft_standins.table import TableService, make_app
 
 
@@ -36,3 +36,19 @@
     cluster = bring_up(DEPLOYMENTS['karaduman'], work_dir=work_dir)
     yield cluster
     cluster.processes.stop_all()
+
+
+TINY = Deployment(
+    name='tiny',
+    regions=('ankara', 'izmir'),
+    services=(ServicePlan(name='case-desk', per_zone=1, slots=4, service_ms=200, slo_ms=1000),),
+    region_capacity=40,
+)
+
+
+@pytest.fixture
+def tiny(tmp_path: Path) -> Iterator[Cluster]:
+    """Two regions, four endpoints of 200 ms, four entry instances."""
+    cluster = bring_up(TINY, work_dir=tmp_path)
+    yield cluster
+    cluster.processes.stop_all()
