Draw the service-level burn as a PNG beside its text report

Ruled out: plotting from the OpenTelemetry exporter (needs a collector the operators would have to run).

--- a/packages/ctl/src/plantainloft_ctl/commands/burn.py
+++ b/packages/ctl/src/plantainloft_ctl/commands/burn.py
@@ -2,12 +2,14 @@
 
 import sys
 from dataclasses import dataclass
+from pathlib import Path
 from typing import Annotated
 
 import cappa
 import httpx
 
 from plantainloft_ctl.burn import burn_rows, format_burn
+from plantainloft_ctl.plot import plot_burn
 
 __all__ = ['Burn']
 
@@ -19,6 +21,7 @@
     """Ask entry instances for their counts and print the burn report."""
 
     nodes: Annotated[list[str], cappa.Arg(long=True)]
+    plot: Annotated[Path | None, cappa.Arg(long=True)] = None
 
     def __call__(self) -> None:
         statuses = []
@@ -30,4 +33,8 @@
                     f'burn: {address} did not answer ({type(exc).__name__})',
                     file=sys.stderr,
                 )
-        print(format_burn(burn_rows(statuses)))
+        rows = burn_rows(statuses)
+        print(format_burn(rows))
+        if self.plot is not None:
+            plot_burn(rows, self.plot)
+            print(f'burn: plot written to {self.plot}')
--- /dev/null
+++ b/tests/test_burn.py
@@ -0,0 +1,26 @@
+"""The burn report: counts summed over nodes, rate against the objective."""
+
+from pathlib import Path
+
+from plantainloft_ctl.burn import burn_rows, format_burn
+from plantainloft_ctl.plot import plot_burn
+
+PNG_MAGIC = b'\x89PNG'
+
+
+def _status(served: int, refused: int) -> dict[str, object]:
+    stats = {
+        'counts_by_outcome': {'served': served, 'refused': refused},
+        'p50_ms': 2.0,
+        'p99_ms': 9.0,
+    }
+    return {'stats': {'booking': stats}}
+
+
+def test_burn_sums_nodes_and_writes_a_plot(tmp_path: Path) -> None:
+    rows = burn_rows([_status(990, 5), _status(995, 10)])
+    assert [(row.requests, row.bad) for row in rows] == [(2000, 15)]
+    assert round(rows[0].burn_rate, 2) == 7.5
+    assert 'booking' in format_burn(rows)
+    plot_burn(rows, tmp_path / 'burn.png')
+    assert (tmp_path / 'burn.png').read_bytes()[:4] == PNG_MAGIC
