At most once within the write budget; refusals that are true; leaving endpoints heeded

Cause, four faults found by reading the path of a booking: 1. a claim was kept when the request was refused, so the caller, told "did not run, come back", came back to its own open key; 2. a claim whose answer was lost and which was not yet visible could still land after the refusal and keep the key open for good; 3. any 503 was read as the endpoint's refusal, also one made by something between after the request ran; 4. two writes a request, one call each: 12 nodes use up several hundred writes a second at about 15 bookings a second each. And an endpoint's own 'draining' in its load report was not read.

TxnBatcher sends waiting transactions as one, at most one per steering.claim_pace_ms (40 ms), and the record of an answer no longer delays it. LoadBook takes 'draining' from reports and refusals; the policy gives such endpoints no headroom. The endpoint stand-in leaves before it stops.

Ruled out: deleting claims on release (a version that starts again at 1 lets a paused claimant overwrite a later one); owners of key ranges by lease (needs fencing of its own, and the row condition already decides).

--- a/packages/core/src/plantainloft_core/steering.py
+++ b/packages/core/src/plantainloft_core/steering.py
@@ -38,12 +38,14 @@
     ``reported_inflight`` comes from the endpoint's own report, which is
     ``report_age_s`` old, or ``None`` when none has ever arrived.
     ``known_for_s`` is how long the endpoint has been in service here.
+    ``draining`` is the endpoint's own word that it is leaving.
     """
 
     local_inflight: int
     reported_inflight: int | None
     report_age_s: float
     known_for_s: float
+    draining: bool = False
 
 
 class Choice(NamedTuple):
@@ -138,6 +140,8 @@
 
 def headroom(endpoint: Endpoint, load: EndpointLoad) -> float:
     """Return free slots at ``endpoint`` as far as this node can tell."""
+    if load.draining:
+        return 0
     if load.reported_inflight is None or load.report_age_s > STALE_AFTER_S:
         # Unknown load: allow a single probe request in flight, no more.
         return 1.0 - load.local_inflight
--- a/packages/core/src/plantainloft_core/table_client.py
+++ b/packages/core/src/plantainloft_core/table_client.py
@@ -1,8 +1,8 @@
 """Client of the platform's transactional table service (JSON over HTTP).
 
 Every call returns a value: the rows asked for, or ``Unreachable``. A
-transaction whose answer is lost returns ``Unreachable`` with
-``maybe_applied`` set, since the write may have taken effect.
+transaction whose answer is lost returns ``LostAnswer``, a kind of
+``Unreachable``, since the write may have taken effect.
 """
 
 from typing import Any, NamedTuple
@@ -11,7 +11,7 @@
 
 from plantainloft_core.outcomes import Unreachable
 
-__all__ = ['Row', 'TableClient', 'TxnConflict', 'TxnDone']
+__all__ = ['LostAnswer', 'Row', 'TableClient', 'TxnConflict', 'TxnDone']
 
 _CONFLICT = 409
 _NOT_FOUND = 404
@@ -104,6 +104,9 @@
         }
         try:
             response = await self._http.post('/txn', json=body)
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
+            # Never sent: it cannot have taken effect.
+            return Unreachable(reason=f'txn: {type(exc).__name__}')
         except httpx.HTTPError as exc:
             return LostAnswer(reason=f'txn: {type(exc).__name__}')
         if response.status_code == _CONFLICT:
--- a/packages/node/src/plantainloft_node/config/settings.py
+++ b/packages/node/src/plantainloft_node/config/settings.py
@@ -21,6 +21,7 @@
 LOAD_POLL_MS = 250.0
 MEMBERSHIP_LEASE_S = 15.0
 REQUEST_TIMEOUT_MS = 2000.0
+CLAIM_PACE_MS = 40.0
 GRACE_S = 10.0
 _STEERING = 'steering'
 
@@ -41,6 +42,7 @@
     load_poll_s: float
     membership_lease_s: float
     request_timeout_s: float
+    claim_pace_s: float
     grace_s: float
     log_level: str
     log_format: str
@@ -60,6 +62,7 @@
     Option(_STEERING, 'load_poll_ms', positive, LOAD_POLL_MS),
     Option(_STEERING, 'membership_lease_s', positive, MEMBERSHIP_LEASE_S),
     Option(_STEERING, 'request_timeout_ms', positive, REQUEST_TIMEOUT_MS),
+    Option(_STEERING, 'claim_pace_ms', positive, CLAIM_PACE_MS),
     Option(_STEERING, 'grace_s', positive, GRACE_S),
     Option('log', 'level', choice('DEBUG', 'INFO', 'WARNING', 'ERROR'), 'INFO'),
     Option('log', 'format', choice('text', 'json'), 'text'),
@@ -102,6 +105,7 @@
         load_poll_s=values['steering.load_poll_ms'] / MS,
         membership_lease_s=values['steering.membership_lease_s'],
         request_timeout_s=values['steering.request_timeout_ms'] / MS,
+        claim_pace_s=values['steering.claim_pace_ms'] / MS,
         grace_s=values['steering.grace_s'],
         log_level=values['log.level'],
         log_format=values['log.format'],
--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -1,8 +1,9 @@
 """Forward one request: decide an endpoint, send it, tell the outcome.
 
-An endpoint's 503 or a refused connection means the request did not
-run, so another endpoint may be tried. Anything after the request was
-sent (a timeout, a cut connection) is ``Unknown``: it may have run.
+An endpoint's own refusal (a 503 that says so in its body) or a refused
+connection means the request did not run, so another endpoint may be
+tried. Anything after the request was sent (a timeout, a cut connection,
+a 503 from something between) is ``Unknown``: it may have run.
 """
 
 import logging
@@ -23,6 +24,7 @@
 MAX_TRIES = 2
 MS = 1000.0
 _UNAVAILABLE = 503
+_DRAINING = 'draining'
 _PASSED_HEADERS = ('content-type', 'idempotency-key')
 
 
@@ -90,7 +92,7 @@
                 content=request.body,
                 timeout=remaining,
             )
-        except httpx.ConnectError:
+        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
             # Never reached the endpoint: it did not run.
             return Refused(reason=f'{name} unreachable', retry_after_s=1)
         except httpx.HTTPError as exc:
@@ -98,10 +100,31 @@
         finally:
             self._loads.finished(name)
         if response.status_code == _UNAVAILABLE:
-            reason = response.json().get('reason', 'unavailable')
-            return Refused(reason=f'{name} {reason}', retry_after_s=1)
+            return self._unavailable(name, response)
         return Served(status=response.status_code, body=response.content, endpoint=name)
 
+    def _unavailable(self, name: str, response: httpx.Response) -> Refused | Unknown:
+        # A 503 is proof that nothing ran only when the endpoint itself
+        # says so. One made up by a broken endpoint or something between
+        # may follow a run; calling it a refusal would let the request run
+        # twice, which one would see as two runs of one key.
+        refusal = _endpoint_refusal(response)
+        if refusal is None:
+            return Unknown(reason=f'{name}: 503 without a refusal')
+        if refusal == _DRAINING:
+            self._loads.note_draining(name)
+        return Refused(reason=f'{name} {refusal}', retry_after_s=1)
+
+
+def _endpoint_refusal(response: httpx.Response) -> str | None:
+    try:
+        body = response.json()
+    except ValueError:
+        return None
+    if not isinstance(body, dict) or body.get('outcome') != 'refused':
+        return None
+    return str(body.get('reason', 'unavailable'))
+
 
 def _without(config: Configuration, names: set[str]) -> Configuration:
     if not names:
--- a/packages/node/src/plantainloft_node/loads.py
+++ b/packages/node/src/plantainloft_node/loads.py
@@ -3,6 +3,7 @@
 import logging
 import time
 from collections.abc import Callable
+from typing import Any
 
 import anyio
 import httpx
@@ -24,6 +25,7 @@
         self.local_by_endpoint: dict[str, int] = {}
         self.reports_by_endpoint: dict[str, tuple[int, float]] = {}
         self.first_seen_by_endpoint: dict[str, float] = {}
+        self.draining: set[str] = set()
         self._baseline_version: int | None = None
         self._http = http
         self._poll_s = poll_s
@@ -48,6 +50,7 @@
                 reported_inflight=None if report is None else report[0],
                 report_age_s=0.0 if report is None else now - report[1],
                 known_for_s=now - first,
+                draining=name in self.draining,
             )
         return loads
 
@@ -59,6 +62,17 @@
         """Count a request to endpoint ``name`` as ended."""
         self.local_by_endpoint[name] -= 1
 
+    def note_draining(self, name: str) -> None:
+        """Take endpoint ``name`` as leaving, as it said itself.
+
+        The operator's list of endpoints lags; the endpoint's own word is
+        the earliest there is. Without it, requests go on being sent to a
+        leaving endpoint and refused there until the list catches up.
+        """
+        if name not in self.draining:
+            self.draining.add(name)
+            log.info('Loads: endpoint %s is leaving.', name)
+
     async def poll(self, config: Configuration) -> None:
         """Ask every endpoint for its load report, all at once."""
         async with anyio.create_task_group() as tasks:
@@ -79,5 +93,11 @@
         except httpx.HTTPError:
             return
         if response.status_code == _OK:
-            inflight = int(response.json()['inflight'])
-            self.reports_by_endpoint[name] = (inflight, time.monotonic())
+            self._note_report(name, response.json())
+
+    def _note_report(self, name: str, report: dict[str, Any]) -> None:
+        self.reports_by_endpoint[name] = (int(report['inflight']), time.monotonic())
+        if report.get('draining'):
+            self.note_draining(name)
+        else:
+            self.draining.discard(name)
--- a/packages/node/src/plantainloft_node/node.py
+++ b/packages/node/src/plantainloft_node/node.py
@@ -19,6 +19,7 @@
     SteeringPolicy,
 )
 from plantainloft_core.table_client import TableClient
+from plantainloft_core.txn_batching import TxnBatcher
 from plantainloft_node.app import make_app
 from plantainloft_node.config import NodeSettings
 from plantainloft_node.follower import ConfigFollower
@@ -63,7 +64,8 @@
             address=settings.advertise,
             lease_s=settings.membership_lease_s,
         )
-        self.ledger = IdempotencyLedger(client=table, node=settings.name)
+        self.batcher = TxnBatcher(client=table, pace_s=settings.claim_pace_s)
+        self.ledger = IdempotencyLedger(client=table, batcher=self.batcher, node=settings.name)
         self._index_key = (-1, -1)
         self._index = LookupIndex(config=self.follower.config, members=[])
         self.forwarder = Forwarder(
@@ -95,7 +97,9 @@
             return claim
         outcome = await self.forwarder.forward(config, request)
         if isinstance(outcome, Served):
-            await self.ledger.record(claim, outcome)
+            self.ledger.record(claim, outcome)
+        elif isinstance(outcome, Refused):
+            await self.ledger.release(claim)
         return outcome
 
 
@@ -107,6 +111,7 @@
         node = Node(settings=settings, http=http, table=table)
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(node.follower.run)
+            tasks.start_soon(node.batcher.run)
             tasks.start_soon(node.membership.run)
             tasks.start_soon(node.loads.run, lambda: node.follower.config)
             log.info('Node: %s serving on %s.', settings.name, settings.listen)
@@ -122,6 +127,7 @@
                     grace_s=settings.grace_s,
                     on_stop=node.membership.leave,
                 )
+                await node.batcher.flush(within_s=settings.grace_s)
                 tasks.cancel_scope.cancel()
 
             tasks.start_soon(serve_then_stop)
--- a/packages/standins/src/plantainloft_standins/__main__.py
+++ b/packages/standins/src/plantainloft_standins/__main__.py
@@ -1,6 +1,7 @@
 """Run a stand-in as a process: ``python -m plantainloft_standins ...``."""
 
 import logging
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass
 from typing import Annotated
 
@@ -12,6 +13,7 @@
 from plantainloft_standins.demo import run_demo
 
 GRACE_S = 5.0
+DRAIN_S = 2.0
 
 
 @dataclass(kw_only=True)
@@ -47,11 +49,21 @@
             report_lag_s=self.report_lag_s,
         )
         state = endpoint.EndpointState(settings=settings)
-        anyio.run(_serve, endpoint.make_app(state), self.bind)
 
+        async def leave() -> None:
+            # A planned stop says so first: stopping to accept at once would
+            # cut keep-alive connections under requests just being sent,
+            # seen by callers as outcomes unknown.
+            state.drain.begin()
+            await anyio.sleep(DRAIN_S)
 
-async def _serve(app: object, bind: str) -> None:
-    await serve_until_stopped(app, bind=bind, grace_s=GRACE_S)
+        anyio.run(_serve, endpoint.make_app(state), self.bind, leave)
+
+
+async def _serve(
+    app: object, bind: str, on_stop: Callable[[], Awaitable[None]] | None = None
+) -> None:
+    await serve_until_stopped(app, bind=bind, grace_s=GRACE_S, on_stop=on_stop)
 
 
 @dataclass(kw_only=True)
--- a/packages/standins/src/plantainloft_standins/endpoint.py
+++ b/packages/standins/src/plantainloft_standins/endpoint.py
@@ -5,7 +5,8 @@
 run is counted by its ``Idempotency-Key`` so tests can see doubles.
 ``GET /load`` reports requests in flight, lagging by ``report_lag_s``
 and, when ``mislead`` is set, reporting zero. ``POST /drain`` makes it
-refuse new work. ``GET /executions`` lists runs by key.
+refuse new work. ``GET /executions`` lists runs by key and, while
+draining, how long new work was still being offered.
 """
 
 import collections
@@ -39,6 +40,29 @@
     report_lag_s: float
 
 
+class DrainRecord:
+    """Whether the endpoint is leaving, and what it was still offered."""
+
+    def __init__(self) -> None:
+        self.since: float | None = None
+        self.last_offer = 0.0
+        self.refused = 0
+
+    def begin(self) -> None:
+        """Take no new work from now on."""
+        self.since = time.monotonic()
+
+    def note_offered(self) -> None:
+        """Record that a request was offered, taken or not."""
+        self.last_offer = time.monotonic()
+        if self.since is not None:
+            self.refused += 1
+
+    def offered_for_s(self) -> float | None:
+        """Return how long after leaving the last offer came."""
+        return None if self.since is None else max(0.0, self.last_offer - self.since)
+
+
 class EndpointState:
     """What the endpoint is doing now."""
 
@@ -46,7 +70,7 @@
         self.settings = settings
         self.started_at = time.monotonic()
         self.inflight = 0
-        self.draining = False
+        self.drain = DrainRecord()
         self.mislead = False
         self.runs_by_key: collections.Counter[str] = collections.Counter()
         self.history: collections.deque[tuple[float, int]] = collections.deque(
@@ -90,7 +114,8 @@
     """Build the ASGI application of one endpoint stand-in."""
 
     async def work(request: Request) -> Response:
-        if state.draining:
+        state.drain.note_offered()
+        if state.drain.since is not None:
             return _refuse('draining')
         limit = state.settings.slots + state.settings.queue
         if state.inflight >= limit:
@@ -121,12 +146,12 @@
             {
                 'inflight': state.reported_load(),
                 'slots': state.settings.slots,
-                'draining': state.draining,
+                'draining': state.drain.since is not None,
             }
         )
 
     async def drain(request: Request) -> Response:
-        state.draining = True
+        state.drain.begin()
         log.info('Endpoint: %s is draining.', state.settings.name)
         return JSONResponse({'draining': True})
 
@@ -135,7 +160,13 @@
         return JSONResponse({'mislead': True})
 
     async def executions(request: Request) -> Response:
-        return JSONResponse({'runs_by_key': dict(state.runs_by_key)})
+        return JSONResponse(
+            {
+                'runs_by_key': dict(state.runs_by_key),
+                'refused_draining': state.drain.refused,
+                'offered_after_drain_s': state.drain.offered_for_s(),
+            }
+        )
 
     return Starlette(
         routes=[
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -144,6 +144,31 @@
     assert transcript == snapshot
 
 
+def test_endpoint_that_leaves_on_its_own_gets_no_new_work(
+    tiny: Cluster, snapshot: SnapshotAssertion
+) -> None:
+    """Symptom: an endpoint that is leaving is offered requests for seconds.
+
+    Sequence: an endpoint begins to drain without any change of the
+    configuration (the list of instances lags); callers keep sending
+    through the entry instance of its zone. Cause guarded: the endpoint's
+    own word (in its load report, in a refusal) not being heeded.
+    """
+    leaving = tiny.endpoints_by_name['case-desk-ankara-a-0']
+    entry = tiny.entries_by_name[VICTIM]
+    before = _call(entry, 'GET')
+    httpx.post(f'{leaving}/drain')
+    after = [_call(entry, 'GET') for _ in range(6)]
+    told = httpx.get(f'{leaving}/executions').json()
+    transcript = {
+        'before': before,
+        'after': after,
+        'offered_at_most_once': told['refused_draining'] <= 1,
+        'offered_after_a_second': told['offered_after_drain_s'] > 1,
+    }
+    assert transcript == snapshot
+
+
 def test_table_outage_keeps_serving_and_refuses_truthfully(
     tiny: Cluster, snapshot: SnapshotAssertion
 ) -> None:
