--- a/packages/core/src/plantainloft_core/model.py
+++ b/packages/core/src/plantainloft_core/model.py
@@ -24,6 +24,8 @@
 ENDPOINT_STATES = frozenset(('active', 'draining'))
 DEFAULT_SHIFT_CAP = 0.2
 DEFAULT_SLO_MS = 250
+DEFAULT_ENTRY_INSTANCES = 4
+MAX_ENTRY_INSTANCES = 10_000
 MAX_CAPACITY = 1_000_000_000
 MIN_SHIFT_CAP = 0.01
 MAX_SLO_MS = 60_000
@@ -34,13 +36,15 @@
     """A region with the slots it can carry in all (requests in flight).
 
     Nodes move traffic away from a region that is ``evacuating``, in steps
-    within each service's shift cap.
+    within each service's shift cap. ``entry_instances`` is how many are
+    planned to run there; the parts of capacity they may use depend on it.
     """
 
     name: str
     capacity: int
     zones: tuple[str, ...]
     evacuating: bool = False
+    entry_instances: int = DEFAULT_ENTRY_INSTANCES
 
 
 class Service(NamedTuple):
@@ -183,11 +187,18 @@
             low=1,
             high=MAX_CAPACITY,
         )
+        entry_instances = problems.number(
+            f'{path}.entry_instances',
+            raw.get('entry_instances', DEFAULT_ENTRY_INSTANCES),
+            low=0,
+            high=MAX_ENTRY_INSTANCES,
+        )
         by_name[name] = Region(
             name=name,
             capacity=int(capacity),
             zones=tuple(str(zone) for zone in zones),
             evacuating=problems.flag(f'{path}.evacuating', raw.get('evacuating', False)),
+            entry_instances=int(entry_instances),
         )
     return by_name
 
--- a/packages/core/src/plantainloft_core/roster.py
+++ b/packages/core/src/plantainloft_core/roster.py
@@ -54,6 +54,7 @@
     def __init__(self, *, me: Member, suspect_s: float, seed: int = 0) -> None:
         self.me = me
         self.generation = 0
+        self._changes: list[MemberEvent] = []
         self._suspect_s = suspect_s
         self._entry_by_name: dict[str, _Entry] = {}
         self._news = NewsQueue()
@@ -138,6 +139,12 @@
             events.append(MemberEvent(member=receiver.member, status=receiver.status))
         return events
 
+    def take_changes(self) -> list[MemberEvent]:
+        """Return what this node came to believe since the last call."""
+        taken = self._changes
+        self._changes = []
+        return taken
+
     def everyone(self) -> list[MemberEvent]:
         """Return news of every member, for a node that just started."""
         return [self._event(name) for name in (self.me.name, *self._entry_by_name)]
@@ -174,6 +181,7 @@
         if known is not None and (known.member, known.status) == event:
             return
         self._entry_by_name[event.member.name] = _Entry(event.member, event.status, now)
+        self._changes.append(event)
         self._news.add(event.member.name, nodes=len(self._entry_by_name) + 1)
         self.generation += 1
 
--- a/packages/node/src/plantainloft_node/app.py
+++ b/packages/node/src/plantainloft_node/app.py
@@ -111,6 +111,7 @@
                 'version': node.follower.config.version,
                 'members': sorted(member.name for member in node.roster.live()),
                 'stats': node.stats.snapshot(),
+                'peer_bytes': {'sent': node.traffic.sent, 'received': node.traffic.received},
                 'slo_ms_by_service': {
                     name: service.slo_ms
                     for name, service in node.follower.config.services_by_name.items()
--- a/packages/node/src/plantainloft_node/node.py
+++ b/packages/node/src/plantainloft_node/node.py
@@ -10,6 +10,7 @@
 
 import anyio
 import httpx
+from anyio.abc import TaskStatus
 
 from plantainloft_core.lookup import LookupIndex, Member
 from plantainloft_core.outcomes import Refused, Served, Unknown
@@ -29,7 +30,7 @@
 from plantainloft_node.idempotency import Claim, IdempotencyLedger
 from plantainloft_node.loads import LoadBook
 from plantainloft_node.membership import Membership
-from plantainloft_node.peering import Handler, Links, Mesh, serve_peers
+from plantainloft_node.peering import Handler, Links, Mesh, Traffic, serve_peers
 from plantainloft_node.sources import PeerSource
 from plantainloft_node.stats import StatsBook
 
@@ -71,8 +72,10 @@
         http: httpx.AsyncClient,
         table: TableClient,
         links: Links,
+        traffic: Traffic,
     ) -> None:
         self.settings = settings
+        self.traffic = traffic
         self.stats = StatsBook()
         self.roster = Roster(me=_myself(settings), suspect_s=SUSPECT_S)
         self.follower = ConfigFollower(
@@ -109,14 +112,20 @@
             zone=settings.zone,
         )
 
-    def peer_handlers(self) -> dict[str, Handler]:
-        """Return what answers each kind of message from peers."""
-        return {
+    async def listen(self, *, task_status: TaskStatus[None]) -> None:
+        """Answer the messages of peers."""
+        handler_by_kind: dict[str, Handler] = {
             'beat': self.mesh.handle_beat,
             'roster': self.mesh.handle_roster,
             'changes': self.follower.handle_changes,
             'snapshot': self.follower.handle_snapshot,
         }
+        await serve_peers(
+            self.settings.peer_listen,
+            handler_by_kind,
+            traffic=self.traffic,
+            task_status=task_status,
+        )
 
     def lookup_index(self) -> LookupIndex:
         """Return the look-up index for the configuration and members now."""
@@ -152,8 +161,15 @@
     async with httpx.AsyncClient(limits=limits) as http:
         table = TableClient(base_url=settings.table_url, timeout_s=settings.table_timeout_s)
         async with anyio.create_task_group() as tasks:
-            node = Node(settings=settings, http=http, table=table, links=Links(tasks=tasks))
-            await tasks.start(serve_peers, settings.peer_listen, node.peer_handlers())
+            traffic = Traffic()
+            node = Node(
+                settings=settings,
+                http=http,
+                table=table,
+                links=Links(tasks=tasks, traffic=traffic),
+                traffic=traffic,
+            )
+            await tasks.start(node.listen)
             tasks.start_soon(node.follower.run)
             tasks.start_soon(node.batcher.run)
             tasks.start_soon(node.membership.run)
--- a/packages/node/src/plantainloft_node/peering/links.py
+++ b/packages/node/src/plantainloft_node/peering/links.py
@@ -14,7 +14,7 @@
 from anyio.abc import TaskGroup
 
 from plantainloft_core.outcomes import Unreachable
-from plantainloft_node.peering.messages import STREAM_ERRORS, Frame, FrameStream
+from plantainloft_node.peering.messages import STREAM_ERRORS, Frame, FrameStream, Traffic
 
 __all__ = ['Links', 'PeerLink']
 
@@ -33,8 +33,8 @@
 class PeerLink:
     """One peer's connection, opened when first needed and after a loss."""
 
-    def __init__(self, *, address: str, tasks: TaskGroup) -> None:
-        self.bytes_sent = 0
+    def __init__(self, *, address: str, tasks: TaskGroup, traffic: Traffic) -> None:
+        self._traffic = traffic
         self._address = address
         self._tasks = tasks
         self._stream: FrameStream | None = None
@@ -77,7 +77,7 @@
             if self._stream is None:
                 host, _, port = self._address.rpartition(':')
                 raw = await anyio.connect_tcp(host, int(port))
-                self._stream = FrameStream(stream=raw)
+                self._stream = FrameStream(stream=raw, traffic=self._traffic)
                 self._tasks.start_soon(self._read, self._stream)
             return self._stream
 
@@ -96,7 +96,6 @@
         if stream is None or self._stream is not stream:
             return
         self._stream = None
-        self.bytes_sent += stream.bytes_sent
         for waiter in self._waiter_by_call.values():
             waiter.lost = True
             waiter.answered.set()
@@ -107,8 +106,9 @@
 class Links:
     """Links by peer address; the least recently used are closed."""
 
-    def __init__(self, *, tasks: TaskGroup) -> None:
+    def __init__(self, *, tasks: TaskGroup, traffic: Traffic) -> None:
         self._tasks = tasks
+        self._traffic = traffic
         self._link_by_address: dict[str, PeerLink] = {}
 
     async def call(
@@ -117,7 +117,7 @@
         """Ask the peer at ``address``."""
         link = self._link_by_address.pop(address, None)
         if link is None:
-            link = PeerLink(address=address, tasks=self._tasks)
+            link = PeerLink(address=address, tasks=self._tasks, traffic=self._traffic)
         self._link_by_address[address] = link
         while len(self._link_by_address) > MAX_LINKS:
             oldest = next(iter(self._link_by_address))
--- a/packages/node/src/plantainloft_node/peering/listener.py
+++ b/packages/node/src/plantainloft_node/peering/listener.py
@@ -12,7 +12,7 @@
 import anyio
 from anyio.abc import ByteStream, TaskStatus
 
-from plantainloft_node.peering.messages import REPLY, STREAM_ERRORS, Frame, FrameStream
+from plantainloft_node.peering.messages import REPLY, STREAM_ERRORS, Frame, FrameStream, Traffic
 
 __all__ = ['Handler', 'serve_peers']
 
@@ -28,6 +28,7 @@
     bind: str,
     handler_by_kind: Mapping[str, Handler],
     *,
+    traffic: Traffic,
     task_status: TaskStatus[None] = anyio.TASK_STATUS_IGNORED,
 ) -> None:
     """Listen on ``bind`` (``host:port``) and answer peers until cancelled."""
@@ -38,7 +39,7 @@
 
     async def serve_one(raw: ByteStream) -> None:
         async with raw:
-            await _serve_connection(FrameStream(stream=raw), handler_by_kind)
+            await _serve_connection(FrameStream(stream=raw, traffic=traffic), handler_by_kind)
 
     await listener.serve(serve_one)
 
--- a/packages/node/src/plantainloft_node/peering/mesh.py
+++ b/packages/node/src/plantainloft_node/peering/mesh.py
@@ -23,7 +23,7 @@
 log = logging.getLogger(__name__)
 
 ROUND_S = 0.5
-FANOUT = 11
+FANOUT = 5
 BEAT_TIMEOUT_S = 0.4
 
 
@@ -65,6 +65,7 @@
                 with anyio.move_on_after(ROUND_S):
                     await self._poked.wait()
                 self._poked = anyio.Event()
+                self._log_changes()
 
     async def handle_beat(self, beat: Beat) -> Beat:
         """Answer a peer's beat."""
@@ -76,6 +77,13 @@
         """Answer with news of every member this node knows."""
         return pack_events(self.roster.everyone())
 
+    def _log_changes(self) -> None:
+        for event in self.roster.take_changes():
+            leaving = ', leaving' if event.member.leaving else ''
+            log.info(
+                'Membership: %s is %s%s.', event.member.name, event.status.name.lower(), leaving
+            )
+
     def _next_targets(self) -> list[Member]:
         targets = self.roster.targets(FANOUT)
         return [member for member in targets if member.name not in self._probing]
--- a/packages/node/src/plantainloft_node/peering/messages.py
+++ b/packages/node/src/plantainloft_node/peering/messages.py
@@ -15,6 +15,7 @@
     'Beat',
     'Frame',
     'FrameStream',
+    'Traffic',
     'pack_events',
     'unpack_events',
     'unpack_member',
@@ -54,11 +55,19 @@
     events: list[Any]
 
 
+class Traffic:
+    """Bytes sent to and received from peers by this node."""
+
+    def __init__(self) -> None:
+        self.sent = 0
+        self.received = 0
+
+
 class FrameStream:
     """Sends and receives frames on one connection."""
 
-    def __init__(self, *, stream: ByteStream) -> None:
-        self.bytes_sent = 0
+    def __init__(self, *, stream: ByteStream, traffic: Traffic) -> None:
+        self._traffic = traffic
         self._stream = stream
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
         self._sending = anyio.Lock()
@@ -70,7 +79,7 @@
         # their bytes and garble both.
         async with self._sending:
             await self._stream.send(packed)
-        self.bytes_sent += len(packed)
+        self._traffic.sent += len(packed)
 
     async def receive(self) -> Frame:
         """Return the next frame; raises anyio's stream errors."""
@@ -78,7 +87,9 @@
             packed = next(self._unpacker, None)
             if packed is not None:
                 return Frame(kind=packed[0], call=packed[1], content=packed[2])
-            self._unpacker.feed(await self._stream.receive())
+            received = await self._stream.receive()
+            self._traffic.received += len(received)
+            self._unpacker.feed(received)
 
     async def close(self) -> None:
         """Close the connection at once."""
--- a/packages/standins/src/plantainloft_standins/cluster.py
+++ b/packages/standins/src/plantainloft_standins/cluster.py
@@ -63,7 +63,6 @@
             f'table_url = {table_url}',
             '[steering]',
             f'policy = {policy}',
-            'config_poll_ms = 200',
             '[peers]',
             f'listen = 127.0.0.1:{peer_port}',
             f'seeds = {",".join(seeds)}',
@@ -169,6 +168,20 @@
         wait_for_members(url, set(cluster.entries_by_name))
 
 
+def _start_all(
+    cluster: Cluster, deployment: Deployment, *, work_dir: Path, per_zone: int, policy: str
+) -> None:
+    cluster.processes.start(
+        'table',
+        ['plantainloft_standins', 'table', '--bind', cluster.table_url.removeprefix('http://')],
+        ready_url=f'{cluster.table_url}/stats',
+    )
+    _start_endpoints(cluster, deployment)
+    patch = initial_patch(deployment, endpoint_addresses=cluster.endpoints_by_name)
+    _commit_version_one(cluster.table_url, patch)
+    _start_entries(cluster, deployment, work_dir=work_dir, per_zone=per_zone, policy=policy)
+
+
 def bring_up(
     deployment: Deployment,
     *,
@@ -178,22 +191,13 @@
 ) -> Cluster:
     """Start ``deployment``; the caller stops it with ``stop_all``."""
     processes = Processes(log_dir=work_dir)
-    table_port = free_port()
-    table_url = f'http://127.0.0.1:{table_port}'
-    cluster = Cluster(processes=processes, table_url=table_url)
-    processes.start(
-        'table',
-        ['plantainloft_standins', 'table', '--bind', f'127.0.0.1:{table_port}'],
-        ready_url=f'{table_url}/stats',
-    )
-    _start_endpoints(cluster, deployment)
-    patch = initial_patch(deployment, endpoint_addresses=cluster.endpoints_by_name)
-    _commit_version_one(table_url, patch)
-    _start_entries(
-        cluster,
-        deployment,
-        work_dir=work_dir,
-        per_zone=entries_per_zone,
-        policy=policy,
-    )
+    table_address = f'127.0.0.1:{free_port()}'
+    cluster = Cluster(processes=processes, table_url=f'http://{table_address}')
+    try:
+        _start_all(cluster, deployment, work_dir=work_dir, per_zone=entries_per_zone, policy=policy)
+    except Exception:
+        # Half a deployment left running would load the machine under
+        # whatever is started next.
+        processes.stop_all()
+        raise
     return cluster
--- a/packages/standins/src/plantainloft_standins/launch.py
+++ b/packages/standins/src/plantainloft_standins/launch.py
@@ -4,6 +4,7 @@
 each process is started by the platform, and none starts another.
 """
 
+import itertools
 import os
 import signal
 import socket
@@ -19,13 +20,30 @@
 READY_TIMEOUT_S = 20.0
 READY_POLL_S = 0.05
 STOP_TIMEOUT_S = 15.0
+FIRST_PORT = 12_000
+LAST_PORT = 30_000
+
+
+_ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
+next(itertools.islice(_ports, os.getpid() % (LAST_PORT - FIRST_PORT), None))
 
 
 def free_port() -> int:
-    """Return a TCP port on loopback that is free now."""
-    with socket.socket() as probe:
-        probe.bind(('127.0.0.1', 0))
-        return int(probe.getsockname()[1])
+    """Return a TCP port on loopback that is free now.
+
+    From below the range that the kernel takes for outgoing connections:
+    a port from that range could be taken again, by anyone's connection,
+    before the process it is meant for has started (seen as a process
+    that exits early, with 96 nodes).
+    """
+    for port in _ports:
+        with socket.socket() as probe:
+            try:
+                probe.bind(('127.0.0.1', port))
+            except OSError:
+                continue
+            return port
+    raise RuntimeError('no free port')
 
 
 class Processes:
@@ -91,5 +109,9 @@
 
     def stop_all(self) -> None:
         """Stop every process, the entry instances first."""
-        for name in sorted(self.by_name, key=lambda name: not name.startswith('entry')):
+        names = sorted(self.by_name, key=lambda name: not name.startswith('entry'))
+        for name in names:
+            if self.by_name[name].poll() is None:
+                self.signal(name, signal.SIGTERM)
+        for name in names:
             self.stop(name)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 
 import httpx
+import hypothesis
 import pytest
 
 from plantainloft_core.table_client import TableClient
@@ -11,6 +12,10 @@
 from plantainloft_standins.deployments import DEPLOYMENTS, Deployment, ServicePlan
 from plantainloft_standins.table import TableService, make_app
 
+# The same examples every run: a verdict must not change by luck.
+hypothesis.settings.register_profile('same', derandomize=True, deadline=None)
+hypothesis.settings.load_profile('same')
+
 
 @pytest.fixture
 def anyio_backend() -> str:
--- a/tests/test_peering.py
+++ b/tests/test_peering.py
@@ -2,6 +2,7 @@
 
 import random
 from collections.abc import AsyncIterator, Awaitable, Callable
+from functools import partial
 from typing import Any
 
 import anyio
@@ -13,7 +14,7 @@
 from plantainloft_core.lookup import Member
 from plantainloft_core.outcomes import Unreachable
 from plantainloft_core.roster import Roster, Status
-from plantainloft_node.peering import PeerLink, serve_peers
+from plantainloft_node.peering import PeerLink, Traffic, serve_peers
 from plantainloft_standins.launch import free_port
 
 pytestmark = pytest.mark.anyio
@@ -38,8 +39,9 @@
     tasks: TaskGroup, serve: Callable[..., Awaitable[None]] = serve_peers
 ) -> PeerLink:
     address = f'127.0.0.1:{free_port()}'
-    await tasks.start(serve, address, {'echo': _echo_after})
-    return PeerLink(address=address, tasks=tasks)
+    traffic = Traffic()
+    await tasks.start(partial(serve, traffic=traffic), address, {'echo': _echo_after})
+    return PeerLink(address=address, tasks=tasks, traffic=traffic)
 
 
 async def test_each_call_gets_its_own_answer_out_of_order(tasks: TaskGroup) -> None:
@@ -75,7 +77,9 @@
     """
     accepted: list[SocketStream] = []
 
-    async def serve(address: str, _: object, *, task_status: TaskStatus[None]) -> None:
+    async def serve(
+        address: str, _: object, *, traffic: Traffic, task_status: TaskStatus[None]
+    ) -> None:
         host, _, port = address.rpartition(':')
         listener = await anyio.create_tcp_listener(local_host=host, local_port=int(port))
 
