Shift caps enforced: splits moved within their cap, claims wired into the choice

Cause: shift_cap was declared and read by nothing. A full or lost region spilled everything to the next one at once, and no node knew what the others sent to a region.

Change: SplitDecider keeps a share per region and service, moves it at most by the cap within any 10 s, counts spilled requests as moved, and lets a request into a region only within this node's claim. Regions can be set evacuating; a restarted node takes the splits of a peer of its region. The node's stages are apart now: deciding, forwarding, running. The burn report counts requests served past their objective as bad (it said so and did not). The demo runs 12 entry instances and prints headroom per region; OpenTelemetry metrics can be written out.

Ruled out: a split plan in the table (frozen while the table is down); only checking patches (does nothing for failovers).

--- a/packages/core/src/plantainloft_core/steering.py
+++ b/packages/core/src/plantainloft_core/steering.py
@@ -7,7 +7,7 @@
 
 import abc
 import itertools
-from collections.abc import Iterator, Mapping
+from collections.abc import Collection, Iterator, Mapping
 from typing import NamedTuple
 
 from plantainloft_core.model import Configuration, Endpoint
@@ -18,8 +18,12 @@
     'EndpointLoad',
     'HeadroomPolicy',
     'NearestRoundRobin',
+    'RegionLimits',
     'SteeringPolicy',
     'candidates_of',
+    'headroom',
+    'is_known',
+    'usable_slots',
 ]
 
 STALE_AFTER_S = 2.0
@@ -48,16 +52,33 @@
     draining: bool = False
 
 
+class RegionLimits(NamedTuple):
+    """How much of each region this node may use (requests in flight).
+
+    Only regions in ``allowed_by_region`` may be chosen.
+    """
+
+    own_by_region: Mapping[str, int]
+    allowed_by_region: Mapping[str, float]
+
+    def allows_one_more(self, region: str) -> bool:
+        """Say whether one more request may be sent to ``region``."""
+        allowed = self.allowed_by_region.get(region, 0.0)
+        return self.own_by_region.get(region, 0) + 1 <= allowed
+
+
 class Choice(NamedTuple):
     """The endpoint chosen for one request."""
 
     endpoint: Endpoint
 
 
-def candidates_of(config: Configuration, service: str) -> list[Endpoint]:
+def candidates_of(
+    config: Configuration, service: str, excluded: Collection[str] = ()
+) -> list[Endpoint]:
     """Return the endpoints of ``service`` that may take new work."""
     endpoints = config.endpoints_by_service.get(service, ())
-    return [endpoint for endpoint in endpoints if endpoint.state == 'active']
+    return [ep for ep in endpoints if ep.state == 'active' and ep.name not in excluded]
 
 
 def _tier(config: Configuration, endpoint: Endpoint, zone: str) -> int:
@@ -79,8 +100,13 @@
         service: str,
         zone: str,
         loads_by_endpoint: Mapping[str, EndpointLoad],
+        excluded: Collection[str] = (),
+        limits: RegionLimits | None = None,
     ) -> Choice | Refused:
-        """Choose an endpoint of ``service`` for a caller in ``zone``."""
+        """Choose an endpoint of ``service`` for a caller in ``zone``.
+
+        Endpoints named in ``excluded`` are left out.
+        """
 
 
 class NearestRoundRobin(SteeringPolicy):
@@ -99,9 +125,11 @@
         service: str,
         zone: str,
         loads_by_endpoint: Mapping[str, EndpointLoad],
+        excluded: Collection[str] = (),
+        limits: RegionLimits | None = None,
     ) -> Choice | Refused:
         """Choose round robin among the nearest endpoints."""
-        endpoints = candidates_of(config, service)
+        endpoints = candidates_of(config, service, excluded)
         if not endpoints:
             return Refused(reason='no endpoint', retry_after_s=RETRY_AFTER_S)
         best = min(_tier(config, endpoint, zone) for endpoint in endpoints)
@@ -112,6 +140,11 @@
         return Choice(endpoint=nearest[next(self._turns) % len(nearest)])
 
 
+def is_known(load: EndpointLoad) -> bool:
+    """Say whether the endpoint's load was reported lately enough."""
+    return load.reported_inflight is not None and load.report_age_s <= STALE_AFTER_S
+
+
 def usable_slots(endpoint: Endpoint, load: EndpointLoad) -> float:
     """Return how many requests ``endpoint`` may have in flight now.
 
@@ -133,7 +166,7 @@
     ``headroom``), which one would notice as a low share for that endpoint
     in the node's metrics.
     """
-    if load.reported_inflight is None or load.report_age_s > STALE_AFTER_S:
+    if load.reported_inflight is None or not is_known(load):
         return float(load.local_inflight)
     return float(max(load.reported_inflight, load.local_inflight))
 
@@ -142,7 +175,7 @@
     """Return free slots at ``endpoint`` as far as this node can tell."""
     if load.draining:
         return 0
-    if load.reported_inflight is None or load.report_age_s > STALE_AFTER_S:
+    if not is_known(load):
         # Unknown load: allow a single probe request in flight, no more.
         return 1.0 - load.local_inflight
     return usable_slots(endpoint, load) - estimated_inflight(load)
@@ -172,9 +205,11 @@
         service: str,
         zone: str,
         loads_by_endpoint: Mapping[str, EndpointLoad],
+        excluded: Collection[str] = (),
+        limits: RegionLimits | None = None,
     ) -> Choice | Refused:
         """Choose the endpoint with most headroom in the nearest tier."""
-        endpoints = candidates_of(config, service)
+        endpoints = candidates_of(config, service, excluded)
         if not endpoints:
             return Refused(reason='no endpoint', retry_after_s=RETRY_AFTER_S)
         region_load = _region_inflight(config, loads_by_endpoint)
@@ -191,6 +226,8 @@
             region = config.regions_by_name[endpoint.region]
             if headroom(endpoint, load) < 1:
                 continue
+            if limits is not None and not limits.allows_one_more(region.name):
+                continue
             if region_load.get(region.name, 0) + 1 > region.capacity:
                 continue
             return Choice(endpoint=endpoint)
--- a/packages/ctl/src/plantainloft_ctl/burn.py
+++ b/packages/ctl/src/plantainloft_ctl/burn.py
@@ -33,7 +33,7 @@
         for service, stats in status['stats'].items():
             counts = stats['counts_by_outcome']
             total = sum(counts.values())
-            bad = total - counts.get('served', 0)
+            bad = total - counts.get('served', 0) + stats.get('late', 0)
             row = totals.setdefault(service, [0, 0, 0.0, 0.0])
             row[0] += total
             row[1] += bad
--- a/packages/node/src/plantainloft_node/app.py
+++ b/packages/node/src/plantainloft_node/app.py
@@ -6,7 +6,6 @@
 """
 
 import time
-from typing import TYPE_CHECKING
 
 from starlette.applications import Starlette
 from starlette.requests import Request as HttpRequest
@@ -15,9 +14,7 @@
 
 from plantainloft_core.outcomes import Refused, Served, Unknown
 from plantainloft_node.forwarding import Request
-
-if TYPE_CHECKING:
-    from plantainloft_node.node import Node
+from plantainloft_node.node import Node
 
 __all__ = ['make_app']
 
@@ -57,7 +54,7 @@
     )
 
 
-def make_app(node: 'Node') -> Starlette:
+def make_app(node: Node) -> Starlette:
     """Build the ASGI application of one entry instance."""
 
     async def lookup(request: HttpRequest) -> Response:
@@ -101,6 +98,7 @@
             service,
             type(outcome).__name__.lower(),
             seconds=time.monotonic() - started,
+            objective_s=node.objective_s(service),
         )
         return outcome_response(outcome)
 
@@ -111,6 +109,8 @@
                 'version': node.follower.config.version,
                 'members': sorted(member.name for member in node.roster.live()),
                 'stats': node.stats.snapshot(),
+                'headroom_by_region': node.headroom_by_region(),
+                'shares_by_service': node.decider.shares(),
                 'peer_bytes': {'sent': node.traffic.sent, 'received': node.traffic.received},
                 'slo_ms_by_service': {
                     name: service.slo_ms
--- a/packages/node/src/plantainloft_node/commands/run.py
+++ b/packages/node/src/plantainloft_node/commands/run.py
@@ -15,7 +15,8 @@
     parse_settings,
 )
 from plantainloft_node.logs import setup_logging
-from plantainloft_node.node import run_node
+from plantainloft_node.running import run_node
+from plantainloft_node.telemetry import setup_metrics
 
 __all__ = ['Run']
 
@@ -39,4 +40,5 @@
                 print(f'settings: {problem}', file=sys.stderr)
             raise cappa.Exit(code=EXIT_BAD_SETTINGS)
         setup_logging(level=checked.log_level, fmt=checked.log_format)
+        setup_metrics(every_s=checked.metrics_every_s)
         anyio.run(run_node, checked)
--- a/packages/node/src/plantainloft_node/config/schema.py
+++ b/packages/node/src/plantainloft_node/config/schema.py
@@ -10,7 +10,7 @@
 
 from plantainloft_core.outcomes import Invalid
 
-__all__ = ['Option', 'addresses', 'check', 'choice', 'positive']
+__all__ = ['Option', 'addresses', 'check', 'choice', 'not_negative', 'positive']
 
 REQUIRED = object()
 
@@ -32,6 +32,14 @@
     return number
 
 
+def not_negative(raw: str) -> float:
+    """Convert to a number that is zero or more."""
+    number = float(raw)
+    if number < 0:
+        raise ValueError('must not be negative')
+    return number
+
+
 def addresses(raw: str) -> tuple[str, ...]:
     """Convert a comma-separated list of ``host:port``."""
     found = tuple(part.strip() for part in raw.split(',') if part.strip())
--- a/packages/node/src/plantainloft_node/config/settings.py
+++ b/packages/node/src/plantainloft_node/config/settings.py
@@ -5,7 +5,7 @@
 from typing import NamedTuple
 
 from plantainloft_core.outcomes import Invalid
-from plantainloft_node.config.schema import Option, addresses, check, choice, positive
+from plantainloft_node.config.schema import Option, addresses, check, choice, not_negative, positive
 
 __all__ = [
     'EMBEDDED_DEFAULT',
@@ -50,6 +50,7 @@
     peer_seeds: tuple[str, ...]
     log_level: str
     log_format: str
+    metrics_every_s: float
 
 
 OPTIONS = (
@@ -73,6 +74,7 @@
     Option('peers', 'seeds', addresses, ()),
     Option('log', 'level', choice('DEBUG', 'INFO', 'WARNING', 'ERROR'), 'INFO'),
     Option('log', 'format', choice('text', 'json'), 'text'),
+    Option('metrics', 'console_every_s', not_negative, 0.0),
 )
 
 EMBEDDED_DEFAULT = """
@@ -122,6 +124,7 @@
         peer_seeds=values['peers.seeds'],
         log_level=values['log.level'],
         log_format=values['log.format'],
+        metrics_every_s=values['metrics.console_every_s'],
     )
 
 
--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -12,9 +12,9 @@
 
 import httpx
 
-from plantainloft_core.model import Configuration, build_configuration
+from plantainloft_core.model import Configuration
 from plantainloft_core.outcomes import Refused, Served, Unknown
-from plantainloft_core.steering import SteeringPolicy
+from plantainloft_node.deciding import Decider
 from plantainloft_node.loads import LoadBook
 
 __all__ = ['Forwarder', 'Request']
@@ -46,36 +46,28 @@
         self,
         *,
         http: httpx.AsyncClient,
-        policy: SteeringPolicy,
+        decider: Decider,
         loads: LoadBook,
-        zone: str,
     ) -> None:
         self._http = http
-        self._policy = policy
+        self._decider = decider
         self._loads = loads
-        self._zone = zone
 
     async def forward(self, config: Configuration, request: Request) -> Served | Refused | Unknown:
         """Send ``request`` to an endpoint chosen for it."""
-        refusal = Refused(reason='no endpoint', retry_after_s=1)
+        refusal: Refused | None = None
         tried: set[str] = set()
         for _ in range(MAX_TRIES):
-            loads = self._loads.view(config)
-            untried = {name: load for name, load in loads.items() if name not in tried}
-            choice = self._policy.choose(
-                _without(config, tried),
-                service=request.service,
-                zone=self._zone,
-                loads_by_endpoint=untried,
-            )
+            choice = self._decider.decide(config, request.service, tried=tried)
             if isinstance(choice, Refused):
-                return refusal if tried else choice
+                return refusal or choice
             tried.add(choice.endpoint.name)
             outcome = await self._send(choice.endpoint.name, choice.endpoint.address, request)
             if not isinstance(outcome, Refused):
                 return outcome
+            self._decider.note_not_taken(choice.endpoint)
             refusal = outcome
-        return refusal
+        return refusal or Refused(reason='not tried', retry_after_s=1)
 
     async def _send(self, name: str, address: str, request: Request) -> Served | Refused | Unknown:
         remaining = request.deadline - time.time()
@@ -124,16 +116,3 @@
     if not isinstance(body, dict) or body.get('outcome') != 'refused':
         return None
     return str(body.get('reason', 'unavailable'))
-
-
-def _without(config: Configuration, names: set[str]) -> Configuration:
-    if not names:
-        return config
-    kept = {name: ep for name, ep in config.endpoints_by_name.items() if name not in names}
-    return build_configuration(
-        version=config.version,
-        regions_by_name=config.regions_by_name,
-        services_by_name=config.services_by_name,
-        endpoints_by_name=kept,
-        blocks_by_name=config.blocks_by_name,
-    )
--- a/packages/node/src/plantainloft_node/loads.py
+++ b/packages/node/src/plantainloft_node/loads.py
@@ -9,9 +9,9 @@
 import httpx
 
 from plantainloft_core.model import Configuration
-from plantainloft_core.steering import WARMUP_S, EndpointLoad
+from plantainloft_core.steering import WARMUP_S, EndpointLoad, headroom, is_known, usable_slots
 
-__all__ = ['LoadBook']
+__all__ = ['LoadBook', 'region_headroom']
 
 log = logging.getLogger(__name__)
 
@@ -30,8 +30,17 @@
         self._http = http
         self._poll_s = poll_s
 
-    def view(self, config: Configuration) -> dict[str, EndpointLoad]:
-        """Return the loads of every endpoint in ``config``, as of now."""
+    def own_by_region(self, config: Configuration) -> dict[str, int]:
+        """Return this node's own requests in flight, by region."""
+        by_region: dict[str, int] = {}
+        for name, count in self.local_by_endpoint.items():
+            endpoint = config.endpoints_by_name.get(name)
+            if endpoint is not None and count:
+                by_region[endpoint.region] = by_region.get(endpoint.region, 0) + count
+        return by_region
+
+    def view(self, config: Configuration, service: str) -> dict[str, EndpointLoad]:
+        """Return the loads of the endpoints of ``service``, as of now."""
         now = time.monotonic()
         if self._baseline_version is None:
             self._baseline_version = config.version
@@ -42,7 +51,8 @@
         # right after a node starts, with every endpoint idle).
         start = now - WARMUP_S if config.version == self._baseline_version else now
         loads = {}
-        for name in config.endpoints_by_name:
+        for endpoint in config.endpoints_by_service.get(service, ()):
+            name = endpoint.name
             first = self.first_seen_by_endpoint.setdefault(name, start)
             report = self.reports_by_endpoint.get(name)
             loads[name] = EndpointLoad(
@@ -101,3 +111,20 @@
             self.note_draining(name)
         else:
             self.draining.discard(name)
+
+
+def region_headroom(config: Configuration, loads: LoadBook) -> dict[str, float]:
+    """Return each region's share (0..1) of usable slots that is free.
+
+    Endpoints whose load is unknown count as having nothing free.
+    """
+    slots = dict.fromkeys(config.regions_by_name, 0.0)
+    free = dict.fromkeys(config.regions_by_name, 0.0)
+    for service, endpoints in config.endpoints_by_service.items():
+        load_by_endpoint = loads.view(config, service)
+        for endpoint in endpoints:
+            load = load_by_endpoint[endpoint.name]
+            slots[endpoint.region] += usable_slots(endpoint, load)
+            if is_known(load):
+                free[endpoint.region] += max(0.0, headroom(endpoint, load))
+    return {name: round(free[name] / total, 3) for name, total in slots.items() if total}
--- a/packages/node/src/plantainloft_node/node.py
+++ b/packages/node/src/plantainloft_node/node.py
@@ -5,41 +5,35 @@
 for non-idempotent requests.
 """
 
-import logging
+import math
 import time
 
 import anyio
 import httpx
 from anyio.abc import TaskStatus
 
+from plantainloft_core.allowances import ClaimBook
 from plantainloft_core.lookup import LookupIndex, Member
-from plantainloft_core.outcomes import Refused, Served, Unknown
+from plantainloft_core.outcomes import Refused, Served, Unknown, Unreachable
 from plantainloft_core.roster import Roster
-from plantainloft_core.serving import serve_until_stopped
-from plantainloft_core.steering import (
-    HeadroomPolicy,
-    NearestRoundRobin,
-    SteeringPolicy,
-)
 from plantainloft_core.table_client import TableClient
 from plantainloft_core.txn_batching import TxnBatcher
-from plantainloft_node.app import make_app
 from plantainloft_node.config import NodeSettings
+from plantainloft_node.deciding import TICK_S, Decider, NearestDecider, SplitDecider
 from plantainloft_node.follower import ConfigFollower
 from plantainloft_node.forwarding import Forwarder, Request
 from plantainloft_node.idempotency import Claim, IdempotencyLedger
-from plantainloft_node.loads import LoadBook
+from plantainloft_node.loads import LoadBook, region_headroom
 from plantainloft_node.membership import Membership
 from plantainloft_node.peering import Handler, Links, Mesh, Traffic, serve_peers
 from plantainloft_node.sources import PeerSource
 from plantainloft_node.stats import StatsBook
 
-__all__ = ['Node', 'run_node']
+__all__ = ['Node']
 
-log = logging.getLogger(__name__)
-
-MAX_CONNECTIONS = 400
 SUSPECT_S = 1.0
+ADOPT_WITHIN_S = 2.0
+ADOPT_RETRY_S = 0.05
 MS = 1000
 
 
@@ -55,11 +49,10 @@
     )
 
 
-def make_policy(name: str) -> SteeringPolicy:
-    """Return the steering policy named in the settings."""
-    if name == 'nearest':
-        return NearestRoundRobin()
-    return HeadroomPolicy()
+def _make_decider(settings: NodeSettings, *, loads: LoadBook, claims: ClaimBook) -> Decider:
+    if settings.policy == 'nearest':
+        return NearestDecider(loads=loads, zone=settings.zone)
+    return SplitDecider(loads=loads, claims=claims, region=settings.region, zone=settings.zone)
 
 
 class Node:
@@ -76,6 +69,7 @@
     ) -> None:
         self.settings = settings
         self.traffic = traffic
+        self._links = links
         self.stats = StatsBook()
         self.roster = Roster(me=_myself(settings), suspect_s=SUSPECT_S)
         self.follower = ConfigFollower(
@@ -83,8 +77,10 @@
             poll_s=settings.config_poll_s,
             node_count=lambda: len(self.roster.live()),
         )
+        claims = ClaimBook(home=settings.region)
         self.mesh = Mesh(
             roster=self.roster,
+            claims=claims,
             links=links,
             version=lambda: self.follower.config.version,
             on_newer=lambda version, address: self.follower.hint(
@@ -105,11 +101,11 @@
         self.ledger = IdempotencyLedger(client=table, batcher=self.batcher, node=settings.name)
         self._index_key = (-1, -1)
         self._index = LookupIndex(config=self.follower.config, members=[])
+        self.decider = _make_decider(settings, loads=self.loads, claims=claims)
         self.forwarder = Forwarder(
             http=http,
-            policy=make_policy(settings.policy),
+            decider=self.decider,
             loads=self.loads,
-            zone=settings.zone,
         )
 
     async def listen(self, *, task_status: TaskStatus[None]) -> None:
@@ -117,6 +113,7 @@
         handler_by_kind: dict[str, Handler] = {
             'beat': self.mesh.handle_beat,
             'roster': self.mesh.handle_roster,
+            'splits': self.handle_splits,
             'changes': self.follower.handle_changes,
             'snapshot': self.follower.handle_snapshot,
         }
@@ -127,6 +124,37 @@
             task_status=task_status,
         )
 
+    async def adopt_splits(self) -> None:
+        """Take the splits in force from a peer of this region, if there is one.
+
+        A node that restarts in the middle of a drain would otherwise send
+        all its traffic back to where it is being moved from.
+        """
+        with anyio.move_on_after(ADOPT_WITHIN_S):
+            while len(self.roster.live()) == 1 or not self.follower.config.version:
+                await anyio.sleep(ADOPT_RETRY_S)
+        config = self.follower.config
+        for peer in self.roster.live()[1:]:
+            if config.region_of_zone(peer.zone) == self.settings.region:
+                found = await self._links.call(
+                    peer.peer_address, 'splits', None, timeout_s=ADOPT_WITHIN_S
+                )
+                if not isinstance(found, Unreachable):
+                    self.decider.adopt(found)
+                    return
+
+    async def tick(self) -> None:
+        """Let the decisions follow what was observed, forever."""
+        await self.adopt_splits()
+        while True:
+            live = [member.name for member in self.roster.live()[1:]]
+            self.decider.tick(self.follower.config, live_peers=live)
+            await anyio.sleep(TICK_S)
+
+    async def handle_splits(self, content: object) -> dict[str, dict[str, float]]:
+        """Answer a peer with the splits in force here."""
+        return self.decider.shares()
+
     def lookup_index(self) -> LookupIndex:
         """Return the look-up index for the configuration and members now."""
         key = (self.follower.config.version, self.roster.generation)
@@ -135,6 +163,15 @@
             self._index_key = key
         return self._index
 
+    def headroom_by_region(self) -> dict[str, float]:
+        """Return each region's share (0..1) of usable slots that is free."""
+        return region_headroom(self.follower.config, self.loads)
+
+    def objective_s(self, service: str) -> float:
+        """Return the latency objective of ``service`` in seconds."""
+        declared = self.follower.config.services_by_name.get(service)
+        return math.inf if declared is None else declared.slo_ms / MS
+
     async def handle(
         self, request: Request, *, idempotency_key: str | None
     ) -> Served | Refused | Unknown:
@@ -153,44 +190,3 @@
         elif isinstance(outcome, Refused):
             await self.ledger.release(claim)
         return outcome
-
-
-async def run_node(settings: NodeSettings) -> None:
-    """Run an entry instance until SIGTERM, then stop gracefully."""
-    limits = httpx.Limits(max_connections=MAX_CONNECTIONS)
-    async with httpx.AsyncClient(limits=limits) as http:
-        table = TableClient(base_url=settings.table_url, timeout_s=settings.table_timeout_s)
-        async with anyio.create_task_group() as tasks:
-            traffic = Traffic()
-            node = Node(
-                settings=settings,
-                http=http,
-                table=table,
-                links=Links(tasks=tasks, traffic=traffic),
-                traffic=traffic,
-            )
-            await tasks.start(node.listen)
-            tasks.start_soon(node.follower.run)
-            tasks.start_soon(node.batcher.run)
-            tasks.start_soon(node.membership.run)
-            tasks.start_soon(node.mesh.run)
-            tasks.start_soon(node.loads.run, lambda: node.follower.config)
-            log.info('Node: %s serving on %s.', settings.name, settings.listen)
-
-            async def serve_then_stop() -> None:
-                # Run from the task group's host, hypercorn's shutdown and
-                # the cancel below ended every planned stop in a CancelledError
-                # escaping run_node (a traceback, exit status 1). Serving in a
-                # child task keeps the host out of it; the stop is clean.
-                await serve_until_stopped(
-                    make_app(node),
-                    bind=settings.listen,
-                    grace_s=settings.grace_s,
-                    on_stop=node.membership.leave,
-                )
-                await node.batcher.flush(within_s=settings.grace_s)
-                tasks.cancel_scope.cancel()
-
-            tasks.start_soon(serve_then_stop)
-        await table.close()
-        log.info('Node: %s stopped.', settings.name)
--- a/packages/node/src/plantainloft_node/peering/mesh.py
+++ b/packages/node/src/plantainloft_node/peering/mesh.py
@@ -12,6 +12,7 @@
 
 import anyio
 
+from plantainloft_core.allowances import ClaimBook
 from plantainloft_core.lookup import Member
 from plantainloft_core.outcomes import Unreachable
 from plantainloft_core.roster import Roster
@@ -34,13 +35,13 @@
         self,
         *,
         roster: Roster,
+        claims: ClaimBook,
         links: Links,
         version: Callable[[], int],
         on_newer: Callable[[int, str], None],
     ) -> None:
         self.roster = roster
-        self.claims_by_region: dict[str, int] = {}
-        self.on_claims: Callable[[str, dict[str, int]], None] | None = None
+        self._claims = claims
         self._links = links
         self._version = version
         self._on_newer = on_newer
@@ -100,11 +101,13 @@
             self.roster.miss(member.name, time.monotonic())
 
     async def _ask(self, member: Member) -> Beat | Unreachable:
+        revision = self._claims.revision
         answer: Beat | Unreachable = await self._links.call(
             member.peer_address, 'beat', self._beat(to=member.name), timeout_s=BEAT_TIMEOUT_S
         )
         if not isinstance(answer, Unreachable):
             self._take(unpack_member(answer['sender']), answer)
+            self._claims.confirm(member.name, revision)
         return answer
 
     def _take(self, sender: Member, beat: Beat) -> None:
@@ -113,8 +116,7 @@
         if sender.name != self.roster.me.name:
             self.roster.hear(sender, now)
         self.roster.merge(unpack_events(beat['events']), now)
-        if self.on_claims is not None:
-            self.on_claims(sender.name, beat['claims'])
+        self._claims.hear(sender.name, beat['claims'], now)
         if beat['version'] > self._version():
             self._on_newer(beat['version'], sender.peer_address)
         if self.roster.generation != before:
@@ -124,6 +126,6 @@
         return Beat(
             sender=list(self.roster.me),
             version=self._version(),
-            claims=self.claims_by_region,
+            claims=self._claims.extra_by_region,
             events=pack_events(self.roster.news(to=to)),
         )
--- a/packages/node/src/plantainloft_node/peering/messages.py
+++ b/packages/node/src/plantainloft_node/peering/messages.py
@@ -45,13 +45,13 @@
 class Beat(TypedDict):
     """A probe and its answer: who I am, what I run, what I heard.
 
-    ``claims`` is what the sender allows itself per region (requests in
-    flight, see ``core.allowances``).
+    ``claims`` is what the sender claims per region above its floors
+    (requests in flight, see ``core.allowances``).
     """
 
     sender: list[Any]
     version: int
-    claims: dict[str, int]
+    claims: dict[str, float]
     events: list[Any]
 
 
--- /dev/null
+++ b/packages/node/src/plantainloft_node/running.py
@@ -0,0 +1,61 @@
+"""Run one entry instance as a process, and stop it gracefully."""
+
+import logging
+
+import anyio
+import httpx
+
+from plantainloft_core.serving import serve_until_stopped
+from plantainloft_core.table_client import TableClient
+from plantainloft_node.app import make_app
+from plantainloft_node.config import NodeSettings
+from plantainloft_node.node import Node
+from plantainloft_node.peering import Links, Traffic
+
+__all__ = ['run_node']
+
+log = logging.getLogger(__name__)
+
+MAX_CONNECTIONS = 400
+
+
+async def run_node(settings: NodeSettings) -> None:
+    """Run an entry instance until SIGTERM, then stop gracefully."""
+    limits = httpx.Limits(max_connections=MAX_CONNECTIONS)
+    async with httpx.AsyncClient(limits=limits) as http:
+        table = TableClient(base_url=settings.table_url, timeout_s=settings.table_timeout_s)
+        async with anyio.create_task_group() as tasks:
+            traffic = Traffic()
+            node = Node(
+                settings=settings,
+                http=http,
+                table=table,
+                links=Links(tasks=tasks, traffic=traffic),
+                traffic=traffic,
+            )
+            await tasks.start(node.listen)
+            tasks.start_soon(node.follower.run)
+            tasks.start_soon(node.batcher.run)
+            tasks.start_soon(node.membership.run)
+            tasks.start_soon(node.mesh.run)
+            tasks.start_soon(node.tick)
+            tasks.start_soon(node.loads.run, lambda: node.follower.config)
+            log.info('Node: %s serving on %s.', settings.name, settings.listen)
+
+            async def serve_then_stop() -> None:
+                # Run from the task group's host, hypercorn's shutdown and
+                # the cancel below ended every planned stop in a CancelledError
+                # escaping run_node (a traceback, exit status 1). Serving in a
+                # child task keeps the host out of it; the stop is clean.
+                await serve_until_stopped(
+                    make_app(node),
+                    bind=settings.listen,
+                    grace_s=settings.grace_s,
+                    on_stop=node.membership.leave,
+                )
+                await node.batcher.flush(within_s=settings.grace_s)
+                tasks.cancel_scope.cancel()
+
+            tasks.start_soon(serve_then_stop)
+        await table.close()
+        log.info('Node: %s stopped.', settings.name)
--- a/packages/node/src/plantainloft_node/stats.py
+++ b/packages/node/src/plantainloft_node/stats.py
@@ -29,12 +29,14 @@
 
     def __init__(self) -> None:
         self.counts_by_outcome: dict[str, int] = {}
+        self.late = 0
         self.latency = HdrHistogram(1, MAX_LATENCY_US, SIGNIFICANT_FIGURES)
 
     def snapshot(self) -> dict[str, Any]:
         """Return counts and p50/p99 latency in ms."""
         return {
             'counts_by_outcome': dict(self.counts_by_outcome),
+            'late': self.late,
             'p50_ms': self.latency.get_value_at_percentile(MEDIAN) / US_PER_MS,
             'p99_ms': self.latency.get_value_at_percentile(TAIL) / US_PER_MS,
         }
@@ -46,10 +48,15 @@
     def __init__(self) -> None:
         self.by_service: dict[str, ServiceStats] = {}
 
-    def record(self, service: str, outcome: str, *, seconds: float) -> None:
-        """Count one request of ``service`` that ended as ``outcome``."""
+    def record(self, service: str, outcome: str, *, seconds: float, objective_s: float) -> None:
+        """Count one request of ``service`` that ended as ``outcome``.
+
+        One served after ``objective_s`` counts as late as well.
+        """
         stats = self.by_service.setdefault(service, ServiceStats())
         stats.counts_by_outcome[outcome] = stats.counts_by_outcome.get(outcome, 0) + 1
+        if outcome == 'served' and seconds > objective_s:
+            stats.late += 1
         stats.latency.record_value(max(1, int(seconds * US)))
         _outcomes.add(1, {'service': service, 'outcome': outcome})
 
--- a/packages/standins/src/plantainloft_standins/cluster.py
+++ b/packages/standins/src/plantainloft_standins/cluster.py
@@ -177,7 +177,11 @@
         ready_url=f'{cluster.table_url}/stats',
     )
     _start_endpoints(cluster, deployment)
-    patch = initial_patch(deployment, endpoint_addresses=cluster.endpoints_by_name)
+    patch = initial_patch(
+        deployment,
+        endpoint_addresses=cluster.endpoints_by_name,
+        entries_per_zone=per_zone,
+    )
     _commit_version_one(cluster.table_url, patch)
     _start_entries(cluster, deployment, work_dir=work_dir, per_zone=per_zone, policy=policy)
 
--- a/packages/standins/src/plantainloft_standins/demo.py
+++ b/packages/standins/src/plantainloft_standins/demo.py
@@ -42,6 +42,16 @@
     return lines
 
 
+def _headroom_lines(statuses: list[Status]) -> list[str]:
+    """Return each region's headroom as its most pessimistic node sees it."""
+    regions = sorted({region for status in statuses for region in status['headroom_by_region']})
+    lines = []
+    for region in regions:
+        least = min(status['headroom_by_region'].get(region, 0.0) for status in statuses)
+        lines.append(f'{region:<16}{least:>10.0%}')
+    return lines
+
+
 def _drive(
     cluster: Cluster,
     deployment: Deployment,
@@ -71,7 +81,7 @@
     """Run the demo of one deployment; return the report as text."""
     deployment = DEPLOYMENTS[deployment_name]
     work_dir = Path(tempfile.mkdtemp(prefix='plantainloft-demo-'))
-    cluster = bring_up(deployment, work_dir=work_dir)
+    cluster = bring_up(deployment, work_dir=work_dir, entries_per_zone=2)
     try:
         replies, statuses = _drive(cluster, deployment, count=count, concurrency=concurrency)
     finally:
@@ -82,6 +92,9 @@
         '',
         *_latency_lines(replies),
         '',
+        f'{"region":<16}{"headroom":>10}',
+        *_headroom_lines(statuses),
+        '',
         'service-level burn (objective: 99.9 % served):',
         format_burn(burn_rows(statuses)),
     ]
--- a/packages/standins/src/plantainloft_standins/deployments.py
+++ b/packages/standins/src/plantainloft_standins/deployments.py
@@ -7,7 +7,7 @@
 from types import MappingProxyType
 from typing import Any, NamedTuple
 
-__all__ = ['DEPLOYMENTS', 'Deployment', 'ServicePlan', 'initial_patch']
+__all__ = ['DEPLOYMENTS', 'FULL_DEPLOYMENTS', 'Deployment', 'ServicePlan', 'initial_patch']
 
 
 class ServicePlan(NamedTuple):
@@ -63,10 +63,31 @@
 )
 
 
+def _full(name: str, *, per_zone: tuple[int, int], service_ms: float, capacity: int) -> Deployment:
+    """Return deployment ``name`` with the brief's number of endpoints."""
+    small = DEPLOYMENTS[name]
+    services = tuple(
+        plan._replace(per_zone=count, service_ms=service_ms)
+        for plan, count in zip(small.services, per_zone, strict=True)
+    )
+    return small._replace(services=services, region_capacity=capacity)
+
+
+# About 30 and a dozen endpoints; requests of 150 ms keep slots busy at a
+# rate that one machine can send.
+FULL_DEPLOYMENTS = MappingProxyType(
+    {
+        'karaduman': _full('karaduman', per_zone=(5, 2), service_ms=150, capacity=60),
+        'spotterline': _full('spotterline', per_zone=(5, 2), service_ms=150, capacity=48),
+    }
+)
+
+
 def initial_patch(
     deployment: Deployment,
     *,
     endpoint_addresses: dict[str, str],
+    entries_per_zone: int,
 ) -> list[dict[str, Any]]:
     """Return the JSON Patch making version 1 of ``deployment``."""
     endpoints = {}
@@ -85,6 +106,7 @@
         'regions': {
             region: {
                 'capacity': deployment.region_capacity,
+                'entry_instances': entries_per_zone * len(deployment.zones(region)),
                 'zones': list(deployment.zones(region)),
             }
             for region in deployment.regions
--- a/packages/standins/src/plantainloft_standins/endpoint.py
+++ b/packages/standins/src/plantainloft_standins/endpoint.py
@@ -163,6 +163,8 @@
         return JSONResponse(
             {
                 'runs_by_key': dict(state.runs_by_key),
+                'inflight': state.inflight,
+                'slots': state.settings.slots,
                 'refused_draining': state.drain.refused,
                 'offered_after_drain_s': state.drain.offered_for_s(),
             }
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -8,15 +8,26 @@
 PNG_MAGIC = b'\x89PNG'
 
 
-def _status(served: int, refused: int) -> dict[str, object]:
+def _status(served: int, refused: int, *, late: int = 0) -> dict[str, object]:
     stats = {
         'counts_by_outcome': {'served': served, 'refused': refused},
+        'late': late,
         'p50_ms': 2.0,
         'p99_ms': 9.0,
     }
     return {'stats': {'booking': stats}}
 
 
+def test_requests_served_late_spend_the_budget() -> None:
+    """Symptom: a service that answers everything too late shows no burn.
+
+    Sequence: 1,000 served, 3 of them past the objective. Cause: only
+    requests that were not served counted as bad.
+    """
+    (row,) = burn_rows([_status(1000, 0, late=3)])
+    assert (row.bad, round(row.burn_rate, 2)) == (3, 3.0)
+
+
 def test_burn_sums_nodes_and_writes_a_plot(tmp_path: Path) -> None:
     rows = burn_rows([_status(990, 5), _status(995, 10)])
     assert [(row.requests, row.bad) for row in rows] == [(2000, 15)]
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -142,6 +142,6 @@
     """
     async with httpx.AsyncClient(transport=httpx.MockTransport(answer)) as http:
         loads = LoadBook(http=http, poll_s=1)
-        forwarder = Forwarder(http=http, policy=None, loads=loads, zone='z')  # type: ignore[arg-type]
+        forwarder = Forwarder(http=http, decider=None, loads=loads)  # type: ignore[arg-type]
         request = Request('booking', 'POST', 'x', {}, b'', deadline=4e9)
         assert isinstance(await forwarder._send('e0', 'http://e0', request), kind)
--- /dev/null
+++ b/tests/test_region_loss.py
@@ -0,0 +1,49 @@
+"""A region's endpoints are lost: traffic moves within the cap, no more."""
+
+import collections
+import signal
+import time
+
+import httpx
+from syrupy.assertion import SnapshotAssertion
+
+from plantainloft_standins.cluster import Cluster
+
+REQUESTS = 60
+PAUSE_S = 0.1
+CAP = 0.2
+ENTRY = 'entry-ankara-a-0'
+LOST = ('case-desk-ankara-a-0', 'case-desk-ankara-b-0')
+
+
+def test_lost_region_moves_within_the_cap_and_refuses_the_rest_at_once(
+    tiny: Cluster, snapshot: SnapshotAssertion
+) -> None:
+    """Symptom: a region's loss lands all its traffic on the others' cold
+    caches, or its requests hang until their deadline.
+
+    Sequence: both endpoints of one region are killed; its entry instance
+    goes on getting requests for six seconds. Cause guarded: failover
+    without a cap; refusals held back instead of said at once.
+    """
+    url = f'{tiny.entries_by_name[ENTRY]}/v1/forward/case-desk/item'
+    for name in LOST:
+        tiny.processes.signal(name, signal.SIGKILL)
+        tiny.processes.by_name[name].wait()
+    outcomes: collections.Counter[str] = collections.Counter()
+    refusals = []
+    with httpx.Client(timeout=10) as http:
+        for _ in range(REQUESTS):
+            answer = http.get(url)
+            outcomes[answer.headers['x-plantainloft-outcome']] += 1
+            if answer.status_code == httpx.codes.SERVICE_UNAVAILABLE:
+                refusals.append(answer)
+            time.sleep(PAUSE_S)
+    transcript = {
+        'outcomes': sorted(outcomes),
+        'some_served_elsewhere': outcomes['served'] > 0,
+        'moved_within_the_cap': outcomes['served'] <= CAP * REQUESTS + 1,
+        'every_refusal_says_not_run': all(not answer.json()['ran'] for answer in refusals),
+        'every_refusal_says_when': all(answer.headers['Retry-After'] for answer in refusals),
+    }
+    assert transcript == snapshot
