--- a/packages/core/src/plantainloft_core/steering.py
+++ b/packages/core/src/plantainloft_core/steering.py
@@ -26,7 +26,7 @@
     'usable_slots',
 ]
 
-STALE_AFTER_S = 2.0
+STALE_AFTER_S = 4.0
 WARMUP_S = 10.0
 WARM_START_SHARE = 0.25
 RETRY_AFTER_S = 1
--- a/packages/node/src/plantainloft_node/deciding.py
+++ b/packages/node/src/plantainloft_node/deciding.py
@@ -8,7 +8,7 @@
 import abc
 import logging
 import time
-from collections.abc import Collection, Mapping
+from collections.abc import Collection, Mapping, Sequence
 
 from plantainloft_core.allowances import ClaimBook
 from plantainloft_core.model import Configuration, Endpoint
@@ -39,9 +39,12 @@
 
     @abc.abstractmethod
     def decide(
-        self, config: Configuration, service: str, *, tried: Collection[str]
+        self, config: Configuration, service: str, *, tried: Sequence[Endpoint]
     ) -> Choice | Refused:
-        """Choose an endpoint of ``service``, none of those ``tried``."""
+        """Choose an endpoint of ``service``, none of those ``tried``.
+
+        ``tried`` are those that did not take this request, in order.
+        """
 
     @abc.abstractmethod
     def note_not_taken(self, endpoint: Endpoint) -> None:
@@ -69,7 +72,7 @@
         self._zone = zone
 
     def decide(
-        self, config: Configuration, service: str, *, tried: Collection[str]
+        self, config: Configuration, service: str, *, tried: Sequence[Endpoint]
     ) -> Choice | Refused:
         """Choose round robin among the nearest endpoints."""
         return self._policy.choose(
@@ -77,7 +80,7 @@
             service=service,
             zone=self._zone,
             loads_by_endpoint=self._loads.view(config, service),
-            excluded=tried,
+            excluded=[endpoint.name for endpoint in tried],
         )
 
     def note_not_taken(self, endpoint: Endpoint) -> None:
@@ -116,20 +119,25 @@
         self._most_by_region: dict[str, float] = {}
 
     def decide(
-        self, config: Configuration, service: str, *, tried: Collection[str]
+        self, config: Configuration, service: str, *, tried: Sequence[Endpoint]
     ) -> Choice | Refused:
         """Choose by the split; elsewhere only as far as the cap allows."""
+        excluded = [endpoint.name for endpoint in tried]
         declared = config.services_by_name.get(service)
         if declared is None:
             return Refused(reason='no such service', retry_after_s=1)
         now = time.monotonic()
         split = self._split(config, service, now)
-        region = split.pick(now)
+        # A retry stays where its request was sent. Picking anew would give
+        # each request two chances to leave a lost region: at a cap of 20 %
+        # 36 % of the traffic would move.
+        region = tried[0].region if tried else split.pick(now)
         if region is None:
             return Refused(reason='no endpoint', retry_after_s=1)
-        choice = self._choose(config, service, regions=(region,), excluded=tried)
+        choice = self._choose(config, service, regions=(region,), excluded=excluded)
         tally = self._tally(service, region)
-        tally.sent += 1
+        if not tried:
+            tally.sent += 1
         if isinstance(choice, Choice):
             return choice
         tally.not_taken += 1
@@ -138,7 +146,7 @@
             for name, place in config.regions_by_name.items()
             if name != region and not place.evacuating
         ]
-        elsewhere = self._choose(config, service, regions=others, excluded=tried)
+        elsewhere = self._choose(config, service, regions=others, excluded=excluded)
         if isinstance(elsewhere, Choice) and split.try_spill(cap=declared.shift_cap, now=now):
             return elsewhere
         return choice
--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -12,7 +12,7 @@
 
 import httpx
 
-from plantainloft_core.model import Configuration
+from plantainloft_core.model import Configuration, Endpoint
 from plantainloft_core.outcomes import Refused, Served, Unknown
 from plantainloft_node.deciding import Decider
 from plantainloft_node.loads import LoadBook
@@ -56,12 +56,12 @@
     async def forward(self, config: Configuration, request: Request) -> Served | Refused | Unknown:
         """Send ``request`` to an endpoint chosen for it."""
         refusal: Refused | None = None
-        tried: set[str] = set()
+        tried: list[Endpoint] = []
         for _ in range(MAX_TRIES):
             choice = self._decider.decide(config, request.service, tried=tried)
             if isinstance(choice, Refused):
                 return refusal or choice
-            tried.add(choice.endpoint.name)
+            tried.append(choice.endpoint)
             outcome = await self._send(choice.endpoint.name, choice.endpoint.address, request)
             if not isinstance(outcome, Refused):
                 return outcome
--- a/packages/node/src/plantainloft_node/loads.py
+++ b/packages/node/src/plantainloft_node/loads.py
@@ -1,5 +1,6 @@
 """Observe endpoint loads: their own lagging reports and our own counts."""
 
+import itertools
 import logging
 import time
 from collections.abc import Callable
@@ -15,6 +16,7 @@
 
 log = logging.getLogger(__name__)
 
+AWAY_EVERY = 2
 _OK = 200
 
 
@@ -83,17 +85,25 @@
             self.draining.add(name)
             log.info('Loads: endpoint %s is leaving.', name)
 
-    async def poll(self, config: Configuration) -> None:
-        """Ask every endpoint for its load report, all at once."""
-        async with anyio.create_task_group() as tasks:
-            for endpoint in config.endpoints_by_name.values():
-                tasks.start_soon(self._poll_one, endpoint.name, endpoint.address)
-
-    async def run(self, current: Callable[[], Configuration]) -> None:
-        """Poll forever."""
-        while True:
-            await self.poll(current())
-            await anyio.sleep(self._poll_s)
+    async def run(self, current: Callable[[], Configuration], *, home: str) -> None:
+        """Poll the endpoints forever, those outside ``home`` every second time.
+
+        The polls of one period are spread over it: all at once, they would
+        hold up the requests being forwarded meanwhile.
+        """
+        for turn in itertools.count():
+            config = current()
+            due = [
+                endpoint
+                for index, endpoint in enumerate(config.endpoints_by_name.values())
+                if endpoint.region == home or (index + turn) % AWAY_EVERY == 0
+            ]
+            async with anyio.create_task_group() as tasks:
+                for endpoint in due:
+                    tasks.start_soon(self._poll_one, endpoint.name, endpoint.address)
+                    await anyio.sleep(self._poll_s / len(due))
+            if not due:
+                await anyio.sleep(self._poll_s)
 
     async def _poll_one(self, name: str, address: str) -> None:
         # A report that does not come leaves the old one to age: the
--- a/packages/node/src/plantainloft_node/node.py
+++ b/packages/node/src/plantainloft_node/node.py
@@ -143,6 +143,10 @@
                     self.decider.adopt(found)
                     return
 
+    async def poll_loads(self) -> None:
+        """Observe the endpoints' load reports, forever."""
+        await self.loads.run(lambda: self.follower.config, home=self.settings.region)
+
     async def tick(self) -> None:
         """Let the decisions follow what was observed, forever."""
         await self.adopt_splits()
--- a/packages/node/src/plantainloft_node/running.py
+++ b/packages/node/src/plantainloft_node/running.py
@@ -39,7 +39,7 @@
             tasks.start_soon(node.membership.run)
             tasks.start_soon(node.mesh.run)
             tasks.start_soon(node.tick)
-            tasks.start_soon(node.loads.run, lambda: node.follower.config)
+            tasks.start_soon(node.poll_loads)
             log.info('Node: %s serving on %s.', settings.name, settings.listen)
 
             async def serve_then_stop() -> None:
