--- a/bench/slopes.py
+++ b/bench/slopes.py
@@ -8,6 +8,7 @@
 
 import functools
 import json
+import random
 import time
 import tracemalloc
 from collections.abc import Callable
@@ -85,7 +86,7 @@
 
 def choice_slopes() -> None:
     """Print steering cost as the endpoint count grows."""
-    policy = HeadroomPolicy()
+    policy = HeadroomPolicy(rng=random.Random(1))
     for endpoints in (12, 48, 192):
         config = configuration(regions=3, endpoints=endpoints, blocks=10)
         load = EndpointLoad(local_inflight=0, reported_inflight=1, report_age_s=0.1, known_for_s=60)
--- a/packages/node/src/plantainloft_node/deciding.py
+++ b/packages/node/src/plantainloft_node/deciding.py
@@ -7,6 +7,7 @@
 
 import abc
 import logging
+import random
 import time
 from collections.abc import Collection, Mapping, Sequence
 
@@ -109,7 +110,7 @@
     """Splits each service over regions within its cap, then by headroom."""
 
     def __init__(self, *, loads: LoadBook, claims: ClaimBook, region: str, zone: str) -> None:
-        self._policy = HeadroomPolicy()
+        self._policy = HeadroomPolicy(rng=random.Random())
         self._loads = loads
         self._claims = claims
         self._home = region
