New endpoints are polled at once, on every change of the configuration

Polls had become one a second, spread over the period, starting a second after a node that has no configuration yet; until an endpoint's first report it gets one request at a time, so a restarted node refused traffic in its first second.

Change: endpoints that never reported are polled at once and first, and a new version wakes the poller. The others stay spread over the period.

Ruled out: the floors of the claims (exactly the 8 needed: 40 slots x 0.5 x 0.8 / 2 instances); the drawn choice (both endpoints had 4 slots).

--- a/packages/node/src/plantainloft_node/loads.py
+++ b/packages/node/src/plantainloft_node/loads.py
@@ -8,8 +8,9 @@
 
 import anyio
 import httpx
+from anyio.abc import TaskGroup
 
-from plantainloft_core.model import Configuration
+from plantainloft_core.model import Configuration, Endpoint
 from plantainloft_core.steering import WARMUP_S, EndpointLoad, headroom, is_known, usable_slots
 
 __all__ = ['LoadBook', 'region_headroom']
@@ -28,6 +29,7 @@
         self.reports_by_endpoint: dict[str, tuple[int, float]] = {}
         self.first_seen_by_endpoint: dict[str, float] = {}
         self.draining: set[str] = set()
+        self._poked = anyio.Event()
         self._baseline_version: int | None = None
         self._http = http
         self._poll_s = poll_s
@@ -85,25 +87,44 @@
             self.draining.add(name)
             log.info('Loads: endpoint %s is leaving.', name)
 
+    def poke(self) -> None:
+        """Poll now: the configuration changed, endpoints may be new."""
+        self._poked.set()
+
     async def run(self, current: Callable[[], Configuration], *, home: str) -> None:
         """Poll the endpoints forever, those outside ``home`` every second time.
 
         The polls of one period are spread over it: all at once, they would
-        hold up the requests being forwarded meanwhile.
+        hold up the requests being forwarded meanwhile. Endpoints that never
+        reported are asked at once: until they do they get one request at a
+        time, seen as refusals in a restarted node's first second.
         """
-        for turn in itertools.count():
-            config = current()
-            due = [
-                endpoint
-                for index, endpoint in enumerate(config.endpoints_by_name.values())
-                if endpoint.region == home or (index + turn) % AWAY_EVERY == 0
-            ]
-            async with anyio.create_task_group() as tasks:
-                for endpoint in due:
-                    tasks.start_soon(self._poll_one, endpoint.name, endpoint.address)
-                    await anyio.sleep(self._poll_s / len(due))
-            if not due:
-                await anyio.sleep(self._poll_s)
+        async with anyio.create_task_group() as tasks:
+            for turn in itertools.count():
+                self._poked = anyio.Event()
+                await self._poll_all(tasks, self._due(current(), home=home, turn=turn))
+
+    async def _poll_all(self, tasks: TaskGroup, due: list[Endpoint]) -> None:
+        gap_s = self._poll_s / (len(due) + 1)
+        for endpoint in due:
+            tasks.start_soon(self._poll_one, endpoint.name, endpoint.address)
+            if endpoint.name in self.reports_by_endpoint:
+                await self._pause(gap_s)
+        await self._pause(gap_s)
+
+    def _due(self, config: Configuration, *, home: str, turn: int) -> list[Endpoint]:
+        new = []
+        known = []
+        for index, endpoint in enumerate(config.endpoints_by_name.values()):
+            if endpoint.name not in self.reports_by_endpoint:
+                new.append(endpoint)
+            elif endpoint.region == home or (index + turn) % AWAY_EVERY == 0:
+                known.append(endpoint)
+        return new + known
+
+    async def _pause(self, seconds: float) -> None:
+        with anyio.move_on_after(seconds):
+            await self._poked.wait()
 
     async def _poll_one(self, name: str, address: str) -> None:
         # A report that does not come leaves the old one to age: the
--- a/packages/node/src/plantainloft_node/node.py
+++ b/packages/node/src/plantainloft_node/node.py
@@ -87,7 +87,7 @@
                 version, PeerSource(links=links, address=address)
             ),
         )
-        self.follower.on_change = self.mesh.poke
+        self.follower.on_change = self._on_change
         self.membership = Membership(
             client=table,
             mesh=self.mesh,
@@ -194,3 +194,7 @@
         elif isinstance(outcome, Refused):
             await self.ledger.release(claim)
         return outcome
+
+    def _on_change(self) -> None:
+        self.mesh.poke()
+        self.loads.poke()
