Say once what stood twice; drop the look-up that nothing calls

Cause: reading the change as a whole showed the same logic written again: four HTTP calls of the table client, the errors that prove a request was never sent, reading a run of changes, the shift window (10 s, in two modules that must agree), releasing a claim's row, writing the membership row, installing and announcing a version, processor time in two benches. And LookupIndex had left answer_lookup and LookupAnswer without a caller.

Change: one piece for each (TableClient._call, NEVER_SENT, read_changes, SHIFT_WINDOW_S, _move_on, _write_row, _put_in_force, bench/processes.py); the dead look-up is gone; a threshold for logging a move has a name. Behaviour is meant to be unchanged; no test was touched.

Ruled out: joining region_headroom and view_regions (one counts every endpoint for the operator, the other only those that traffic may be moved to); the constructors of Mesh and Membership, alike in shape only.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -10,7 +10,6 @@
 """
 
 import datetime
-import os
 import re
 import signal
 import statistics
@@ -21,6 +20,7 @@
 
 import anyio
 import httpx
+from processes import cpu_seconds, resident_mb
 
 from plantainloft_core.committing import commit_patch
 from plantainloft_core.outcomes import Committed
@@ -31,22 +31,9 @@
 SETTLE_S = 8.0
 WINDOW_S = 15.0
 COMMITS = 5
-TICKS = os.sysconf('SC_CLK_TCK')
 FLEET = Deployment(name='fleet', regions=('ankara', 'izmir'), services=(), region_capacity=100)
 
 
-def cpu_seconds(pid: int) -> float:
-    """Return user plus system processor seconds of process ``pid``."""
-    fields = Path(f'/proc/{pid}/stat').read_text(encoding='utf-8').rsplit(')', 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
-
-
-def resident_mb(pid: int) -> float:
-    """Return the resident memory of process ``pid`` in MB."""
-    pages = int(Path(f'/proc/{pid}/statm').read_text(encoding='utf-8').split()[1])
-    return pages * os.sysconf('SC_PAGE_SIZE') / 1e6
-
-
 def peer_bytes(cluster: Cluster) -> int:
     """Return bytes sent and received by the first node so far."""
     url = next(iter(cluster.entries_by_name.values()))
--- a/bench/forwarding.py
+++ b/bench/forwarding.py
@@ -7,13 +7,13 @@
 through the entry instance, one at a time. Prints p50 and p99 in ms.
 """
 
-import os
 import tempfile
 import time
 from pathlib import Path
 
 import httpx
 from hdrh.histogram import HdrHistogram
+from processes import cpu_seconds
 
 from plantainloft_standins.cluster import bring_up
 from plantainloft_standins.deployments import DEPLOYMENTS
@@ -22,13 +22,6 @@
 REQUESTS = 1000
 US = 1_000_000
 MAX_US = 10 * US
-TICKS = os.sysconf('SC_CLK_TCK')
-
-
-def cpu_seconds(pid: int) -> float:
-    """Return user plus system processor seconds of process ``pid``."""
-    fields = Path(f'/proc/{pid}/stat').read_text(encoding='utf-8').rsplit(')', 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / TICKS
 
 
 def timed(http: httpx.Client, url: str, *, count: int) -> HdrHistogram:
--- a/packages/core/src/plantainloft_core/committing.py
+++ b/packages/core/src/plantainloft_core/committing.py
@@ -16,6 +16,7 @@
 from plantainloft_core.outcomes import Committed, Conflict, Invalid, Unreachable
 from plantainloft_core.patching import apply_patch
 from plantainloft_core.shift_check import check_shift
+from plantainloft_core.shifting import SHIFT_WINDOW_S
 from plantainloft_core.table_client import LostAnswer, TableClient, TxnConflict
 from plantainloft_core.versions import (
     HEAD_KEY,
@@ -33,7 +34,6 @@
 
 log = logging.getLogger(__name__)
 
-SHIFT_WINDOW_S = 10.0
 MAX_WINDOW_CHANGES = 20
 
 
--- a/packages/core/src/plantainloft_core/lookup.py
+++ b/packages/core/src/plantainloft_core/lookup.py
@@ -1,6 +1,6 @@
 """The look-up: which entry instances a caller should use.
 
-Callers cache the answer for ``ttl_s`` seconds. The answer names only
+Callers cache the answer for the time they are told. The answer names only
 live members, nearest availability zone first, each tier's members in a
 per-block rendezvous order so a block's callers spread evenly and move
 little when one member leaves.
@@ -13,7 +13,7 @@
 
 from plantainloft_core.model import Configuration
 
-__all__ = ['LookupAnswer', 'LookupIndex', 'Member', 'answer_lookup']
+__all__ = ['LookupIndex', 'Member']
 
 ANSWER_SIZE = 3
 MAX_CACHED_ANSWERS = 200_000
@@ -35,14 +35,6 @@
     incarnation: int = 0
 
 
-class LookupAnswer(NamedTuple):
-    """The look-up's answer: addresses to try in order, and for how long."""
-
-    version: int
-    addresses: tuple[str, ...]
-    ttl_s: int
-
-
 def _weight(client_block: str, member: Member) -> bytes:
     key = f'{client_block}/{member.name}'.encode()
     return hashlib.blake2b(key, digest_size=8).digest()
@@ -100,21 +92,3 @@
             if len(chosen) >= ANSWER_SIZE:
                 break
         return tuple(member.address for member in chosen)
-
-
-def answer_lookup(
-    config: Configuration,
-    members: Iterable[Member],
-    *,
-    client_block: str,
-    ttl_s: int,
-) -> LookupAnswer:
-    """Answer one look-up for ``client_block`` from staying members.
-
-    An unknown block is answered from all members in rendezvous order.
-    Builds an index for the one call; a node keeps a ``LookupIndex``.
-    """
-    index = LookupIndex(config=config, members=members)
-    return LookupAnswer(
-        version=config.version, addresses=index.addresses(client_block), ttl_s=ttl_s
-    )
--- a/packages/core/src/plantainloft_core/table_client.py
+++ b/packages/core/src/plantainloft_core/table_client.py
@@ -9,6 +9,7 @@
 
 import httpx
 
+from plantainloft_core.http_errors import NEVER_SENT
 from plantainloft_core.outcomes import Unreachable
 
 __all__ = ['LostAnswer', 'Row', 'TableClient', 'TxnConflict', 'TxnDone']
@@ -64,25 +65,21 @@
 
     async def get(self, key: str) -> Row | Unreachable | None:
         """Return the row at ``key``, ``None`` when absent."""
-        try:
-            response = await self._http.get(f'/rows/{key}')
-        except httpx.HTTPError as exc:
-            return Unreachable(reason=f'get {key}: {type(exc).__name__}')
-        if response.status_code == _NOT_FOUND:
-            return None
-        if response.status_code != _OK:
-            return Unreachable(reason=f'get {key}: status {response.status_code}')
+        response = await self._call('GET', f'/rows/{key}', what=f'get {key}')
+        if response is None or isinstance(response, Unreachable):
+            return response
         body = response.json()
         return Row(key=key, version=body['version'], value=body['value'])
 
     async def scan(self, prefix: str) -> list[Row] | Unreachable:
         """Return every row whose key starts with ``prefix``, by key."""
-        try:
-            response = await self._http.get('/rows', params={'prefix': prefix})
-        except httpx.HTTPError as exc:
-            return Unreachable(reason=f'scan {prefix}: {type(exc).__name__}')
-        if response.status_code != _OK:
-            return Unreachable(reason=f'scan {prefix}: status {response.status_code}')
+        response = await self._call(
+            'GET', '/rows', what=f'scan {prefix}', params={'prefix': prefix}
+        )
+        if response is None:
+            return Unreachable(reason=f'scan {prefix}: status {_NOT_FOUND}')
+        if isinstance(response, Unreachable):
+            return response
         return [
             Row(key=row['key'], version=row['version'], value=row['value'])
             for row in response.json()['rows']
@@ -90,25 +87,17 @@
 
     async def get_object(self, key: str) -> bytes | Unreachable | None:
         """Return the object at ``key`` of the object store, if any."""
-        try:
-            response = await self._http.get(f'/objects/{key}')
-        except httpx.HTTPError as exc:
-            return Unreachable(reason=f'object {key}: {type(exc).__name__}')
-        if response.status_code == _NOT_FOUND:
-            return None
-        if response.status_code != _OK:
-            return Unreachable(reason=f'object {key}: status {response.status_code}')
+        response = await self._call('GET', f'/objects/{key}', what=f'object {key}')
+        if response is None or isinstance(response, Unreachable):
+            return response
         return response.content
 
     async def put_object(self, key: str, content: bytes) -> Unreachable | None:
         """Store ``content`` as the object at ``key``."""
-        try:
-            response = await self._http.put(f'/objects/{key}', content=content)
-        except httpx.HTTPError as exc:
-            return Unreachable(reason=f'object {key}: {type(exc).__name__}')
-        if response.status_code != _OK:
-            return Unreachable(reason=f'object {key}: status {response.status_code}')
-        return None
+        response = await self._call('PUT', f'/objects/{key}', what=f'object {key}', content=content)
+        if response is None:
+            return Unreachable(reason=f'object {key}: status {_NOT_FOUND}')
+        return response if isinstance(response, Unreachable) else None
 
     async def txn(
         self,
@@ -126,8 +115,7 @@
         }
         try:
             response = await self._http.post('/txn', json=body)
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout) as exc:
-            # Never sent: it cannot have taken effect.
+        except NEVER_SENT as exc:
             return Unreachable(reason=f'txn: {type(exc).__name__}')
         except httpx.HTTPError as exc:
             return LostAnswer(reason=f'txn: {type(exc).__name__}')
@@ -138,3 +126,17 @@
         if response.status_code != _OK:
             return LostAnswer(reason=f'txn: status {response.status_code}')
         return TxnDone(versions_by_key=response.json()['versions'])
+
+    async def _call(
+        self, method: str, path: str, *, what: str, **extra: Any
+    ) -> httpx.Response | Unreachable | None:
+        """Return a good answer, ``None`` for one that says not found."""
+        try:
+            response = await self._http.request(method, path, **extra)
+        except httpx.HTTPError as exc:
+            return Unreachable(reason=f'{what}: {type(exc).__name__}')
+        if response.status_code == _NOT_FOUND:
+            return None
+        if response.status_code != _OK:
+            return Unreachable(reason=f'{what}: status {response.status_code}')
+        return response
--- a/packages/core/src/plantainloft_core/txn_batching.py
+++ b/packages/core/src/plantainloft_core/txn_batching.py
@@ -18,7 +18,7 @@
 from plantainloft_core.outcomes import Unreachable
 from plantainloft_core.table_client import TableClient, TxnConflict, TxnDone
 
-__all__ = ['TxnBatcher']
+__all__ = ['TxnBatcher', 'TxnOutcome']
 
 MAX_ROWS = 100
 POST_ATTEMPTS = 3
--- a/packages/core/src/plantainloft_core/versions.py
+++ b/packages/core/src/plantainloft_core/versions.py
@@ -25,6 +25,7 @@
     'Snapshot',
     'Version',
     'read_change',
+    'read_changes',
     'read_head',
     'read_snapshot',
     'read_version',
@@ -92,6 +93,19 @@
     return Change(number=number, **row.value)
 
 
+async def read_changes(
+    client: TableClient, *, after: int, upto: int
+) -> list[Change] | Unreachable | Invalid:
+    """Return the changes that lead from version ``after`` to ``upto``."""
+    changes = []
+    for number in range(after + 1, upto + 1):
+        change = await read_change(client, number)
+        if isinstance(change, Unreachable | Invalid):
+            return change
+        changes.append(change)
+    return changes
+
+
 async def read_snapshot(client: TableClient, *, at_most: int) -> Snapshot | Unreachable:
     """Return the newest stored document not above version ``at_most``."""
     number = at_most - at_most % SNAPSHOT_EVERY
@@ -112,12 +126,9 @@
     snapshot = await read_snapshot(client, at_most=number)
     if isinstance(snapshot, Unreachable):
         return snapshot
-    changes = []
-    for step in range(snapshot.number + 1, number + 1):
-        change = await read_change(client, step)
-        if isinstance(change, Unreachable | Invalid):
-            return change
-        changes.append(change)
+    changes = await read_changes(client, after=snapshot.number, upto=number)
+    if isinstance(changes, Unreachable | Invalid):
+        return changes
     document = replay(snapshot.document, [change.patch for change in changes])
     if isinstance(document, Invalid):
         return document
--- a/packages/node/src/plantainloft_node/deciding.py
+++ b/packages/node/src/plantainloft_node/deciding.py
@@ -33,6 +33,7 @@
 log = logging.getLogger(__name__)
 
 TICK_S = 0.5
+LOGGED_MOVE = 0.005
 
 
 class Decider(abc.ABC):
@@ -165,7 +166,7 @@
                 split.shares_by_region, self._views(config, service.name), home=self._home
             )
             moved = split.retarget(desired, cap=service.shift_cap, now=now)
-            if moved > TICK_S / 100:
+            if moved > LOGGED_MOVE:
                 log.info('Split: moved %.1f %% of %s.', moved * 100, service.name)
         self._claims.adjust(
             config, needed_by_region=self._needed(config), live_peers=live_peers, now=now
--- a/packages/node/src/plantainloft_node/follower.py
+++ b/packages/node/src/plantainloft_node/follower.py
@@ -140,9 +140,8 @@
             if isinstance(patched, Invalid):
                 log.error('Config: version %s does not apply.', change.number)
                 return
-            self._install(*patched)
             self._kept.append(change)
-            self._announce()
+            self._put_in_force(*patched)
 
     def _replace(self, snapshot: Snapshot) -> bool:
         if snapshot.number <= self.config.version:
@@ -151,17 +150,14 @@
         if isinstance(config, Invalid):
             log.error('Config: version %s invalid, kept %s.', snapshot.number, self.config.version)
             return False
-        self._install(snapshot.document, config)
         # Changes kept from before the gap would not join up with later ones.
         self._kept.clear()
-        self._announce()
+        self._put_in_force(snapshot.document, config)
         return True
 
-    def _install(self, document: dict[str, Any], config: Configuration) -> None:
+    def _put_in_force(self, document: dict[str, Any], config: Configuration) -> None:
         self.document = document
         self.config = config
-
-    def _announce(self) -> None:
         log.info('Config: version %s in force.', self.config.version)
         self.on_change()
 
--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -12,6 +12,7 @@
 
 import httpx
 
+from plantainloft_core.http_errors import NEVER_SENT
 from plantainloft_core.model import Configuration, Endpoint
 from plantainloft_core.outcomes import Refused, Served, Unknown
 from plantainloft_node.deciding import Decider
@@ -84,8 +85,7 @@
                 content=request.body,
                 timeout=remaining,
             )
-        except (httpx.ConnectError, httpx.ConnectTimeout, httpx.PoolTimeout):
-            # Never reached the endpoint: it did not run.
+        except NEVER_SENT:
             return Refused(reason=f'{name} unreachable', retry_after_s=1)
         except httpx.HTTPError as exc:
             return Unknown(reason=f'{name}: {type(exc).__name__}')
--- a/packages/node/src/plantainloft_node/idempotency.py
+++ b/packages/node/src/plantainloft_node/idempotency.py
@@ -18,7 +18,7 @@
 
 from plantainloft_core.outcomes import Refused, Served, Unknown, Unreachable
 from plantainloft_core.table_client import LostAnswer, Row, TableClient, TxnConflict
-from plantainloft_core.txn_batching import TxnBatcher
+from plantainloft_core.txn_batching import TxnBatcher, TxnOutcome
 
 __all__ = ['Claim', 'IdempotencyLedger']
 
@@ -77,9 +77,7 @@
         told "did not run, come back", comes back, and finds its own key
         open, with an outcome nobody will ever know.
         """
-        await self._batcher.submit(
-            conditions={claim.key: claim.version}, writes={claim.key: {'state': _RELEASED}}
-        )
+        await self._move_on(claim.key, version=claim.version)
 
     async def _insert(self, row_key: str, *, version: int) -> Claim | Refused | Row:
         """Claim the row at ``version``; return the row if it is taken."""
@@ -103,9 +101,7 @@
             # refused, it would leave an open claim that no node works on,
             # and retries would be told Unknown for good. Moving the row
             # past the version it is conditioned on makes it fail.
-            fence = await self._batcher.submit(
-                conditions={row_key: version}, writes={row_key: {'state': _RELEASED}}
-            )
+            fence = await self._move_on(row_key, version=version)
             if not isinstance(fence, TxnConflict):
                 return _not_run('claim not recorded')
             row = await self._client.get(row_key)
@@ -115,6 +111,12 @@
             return Claim(key=row_key, version=row.version)
         return row
 
+    async def _move_on(self, row_key: str, *, version: int) -> TxnOutcome:
+        """Release the row if it is at ``version``, moving it past that."""
+        return await self._batcher.submit(
+            conditions={row_key: version}, writes={row_key: {'state': _RELEASED}}
+        )
+
     async def _settled(self, row: Row) -> Served | Unknown | Refused:
         """Return the outcome another claimant recorded, or will shortly."""
         found: Row | Unreachable | None = row
--- a/packages/node/src/plantainloft_node/membership.py
+++ b/packages/node/src/plantainloft_node/membership.py
@@ -9,7 +9,6 @@
 
 import logging
 import time
-from typing import Any
 
 import anyio
 
@@ -55,7 +54,7 @@
         while not (await self._read_rows() or await self._ask_seeds()):
             await anyio.sleep(JOIN_RETRY_S)
         while True:
-            await self._client.txn(conditions={}, writes={self._key(): self._row()})
+            await self._write_row()
             self._mesh.poke()
             await anyio.sleep(self._lease_s / RENEWALS_PER_LEASE)
             await self._read_rows()
@@ -71,12 +70,17 @@
         self._mesh.poke()
         log.info('Membership: %s is leaving.', self._mesh.roster.me.name)
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(self._write_leaving_row)
+            tasks.start_soon(self._write_row)
             await anyio.sleep(self._leave_s)
             tasks.cancel_scope.cancel()
 
-    async def _write_leaving_row(self) -> None:
-        await self._client.txn(conditions={}, writes={self._key(): self._row()})
+    async def _write_row(self) -> None:
+        row = {
+            'member': self._mesh.roster.me._asdict(),
+            'expires_at': time.time() + self._lease_s,
+        }
+        key = PREFIX + self._mesh.roster.me.name
+        await self._client.txn(conditions={}, writes={key: row})
 
     async def _read_rows(self) -> bool:
         rows = await self._client.scan(PREFIX)
@@ -101,12 +105,3 @@
                 self._mesh.roster.merge(unpack_events(known), time.monotonic())
                 return True
         return False
-
-    def _key(self) -> str:
-        return PREFIX + self._mesh.roster.me.name
-
-    def _row(self) -> dict[str, Any]:
-        return {
-            'member': self._mesh.roster.me._asdict(),
-            'expires_at': time.time() + self._lease_s,
-        }
--- a/packages/node/src/plantainloft_node/sources.py
+++ b/packages/node/src/plantainloft_node/sources.py
@@ -4,7 +4,7 @@
 
 from plantainloft_core.outcomes import Invalid, Unreachable
 from plantainloft_core.table_client import TableClient
-from plantainloft_core.versions import Change, Snapshot, read_change, read_version
+from plantainloft_core.versions import Change, Snapshot, read_changes, read_version
 from plantainloft_node.peering import Links
 
 __all__ = ['ChangeSource', 'PeerSource', 'TableSource']
@@ -32,13 +32,7 @@
 
     async def changes(self, *, after: int, upto: int) -> list[Change] | Unreachable | Invalid:
         """Read the change rows one by one."""
-        found = []
-        for number in range(after + 1, upto + 1):
-            change = await read_change(self._client, number)
-            if isinstance(change, Unreachable | Invalid):
-                return change
-            found.append(change)
-        return found
+        return await read_changes(self._client, after=after, upto=upto)
 
     async def snapshot(self, number: int) -> Snapshot | Unreachable | Invalid:
         """Read the newest snapshot and replay the changes after it."""
