--- /dev/null
+++ b/packages/node/src/plantainloft_node/engine/__init__.py
@@ -0,0 +1,1 @@
+"""The forwarding engine: callers' connections, endpoints' connections."""
--- /dev/null
+++ b/packages/node/src/plantainloft_node/engine/dialect.py
@@ -0,0 +1,32 @@
+"""Names of the headers that the engine reads and sets.
+
+The engine decides; how a deployment spells the headers is given to it.
+The defaults are the product's own names.
+"""
+
+from typing import NamedTuple
+
+__all__ = ['HeaderNames']
+
+
+class HeaderNames(NamedTuple):
+    """Header names in lower case, as bytes.
+
+    ``deadline`` carries milliseconds left; ``affinity_cookie`` names the
+    cookie whose value tells which object a request is about; ``target``
+    carries the endpoint incarnation that must run the request, ``instance``
+    the one that answered; ``not_run`` is an endpoint's word that it did
+    not run the request; ``signature`` is borne by each answer of an
+    endpoint's own (``None``: answers bear none); ``load`` carries requests
+    running, waiting, and slots.
+    """
+
+    request_id: bytes = b'x-request-id'
+    deadline: bytes = b'x-request-timeout-ms'
+    affinity_cookie: bytes = b'affinity'
+    target: bytes = b'x-target-endpoint'
+    instance: bytes = b'x-endpoint'
+    not_run: bytes = b'x-not-run'
+    signature: bytes | None = None
+    load: bytes = b'x-load'
+    cold: bytes = b'x-cold-ms'
--- /dev/null
+++ b/packages/node/src/plantainloft_node/engine/front.py
@@ -0,0 +1,256 @@
+"""The entry of callers' requests: route, place, send, answer.
+
+What may be answered follows from what was sent. A refusal (503 with
+``Retry-After``) says that the request did not run and never will; it is
+given only while nothing was sent or endpoints said so themselves. After
+that, only the endpoint's own answer, 502 or 504 are true.
+"""
+
+import logging
+import random
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import NamedTuple
+
+import anyio
+
+from plantainloft_core.routes import CallerLimits, Route, RouteTable
+from plantainloft_node.engine.attempts import Answered, Attempts, Failed, NotRun, NotSent, Refusal
+from plantainloft_node.engine.bodies import BodyTooLargeError
+from plantainloft_node.engine.callers import Exchange, Handler
+from plantainloft_node.engine.dialect import HeaderNames
+from plantainloft_node.engine.endpoint_link import OutgoingRequest
+from plantainloft_node.engine.heads import Headers, find_cookie, passed_on
+from plantainloft_node.engine.replies import OUT_OF_TIME, Replies, request_id
+from plantainloft_node.engine.sender import Sender, Sending
+from plantainloft_node.placing.budget import RetryBudget
+from plantainloft_node.placing.placement import Chosen, NoRoom, Placement, Wanted
+from plantainloft_node.placing.splitting import SplitTurns
+
+__all__ = ['Front', 'RetryTerms']
+
+log = logging.getLogger(__name__)
+
+MS = 1000.0
+# Endpoints that could not be connected to before the request is refused.
+MAX_UNSENT = 3
+MAX_MISDIRECTED = 2
+# A refused caller comes back after about the time in which endpoints
+# finish a round of requests, spread so that not all come at once.
+RETRY_MIN_S = 0.15
+RETRY_SPREAD_S = 0.35
+DEFAULT_DEADLINE_S = 30.0
+# Without a configuration: the first rows come within one or two beats.
+NO_TABLE_RETRY_S = 0.5
+
+
+class RetryTerms(NamedTuple):
+    """Bounds on repeats to one service, over all instances."""
+
+    ratio: float
+    extra: float
+    window_s: float
+
+
+class Judged(NamedTuple):
+    """A request with its route and the moment it must be answered by."""
+
+    exchange: Exchange
+    route: Route
+    key: str
+    cutoff: float
+    body: bytes
+    whole: bool
+
+
+class Front(Handler):
+    """Answers callers by forwarding to endpoints."""
+
+    def __init__(
+        self,
+        *,
+        names: HeaderNames,
+        placement: Placement,
+        sender: Sender,
+        retries: RetryTerms,
+        table: Callable[[], RouteTable],
+        observe: Callable[[str, str, float], None],
+    ) -> None:
+        self._names = names
+        self._placement = placement
+        self._sender = sender
+        self._retries = retries
+        self._table = table
+        self._replies = Replies(names=names, observe=observe)
+        self._budget_by_service: dict[str, RetryBudget] = {}
+        self._turns_by_route: dict[str, SplitTurns] = {}
+        self.in_progress = 0
+
+    def limits(self) -> CallerLimits:
+        """Return the limits of the configuration in force."""
+        return self._table().limits
+
+    async def handle(self, exchange: Exchange) -> None:
+        """Answer one request of a caller."""
+        table = self._table()
+        if not table.version:
+            no_table = Refusal(reason='no configuration', retry_after_s=NO_TABLE_RETRY_S)
+            await self._replies.refuse(exchange, no_table)
+            return
+        host = (exchange.header(b'host') or b'').decode('latin-1').partition(':')[0]
+        route = table.match(host.lower(), exchange.path)
+        if route is None:
+            await self._replies.no_route(exchange, version=table.version, host=host)
+            return
+        self.in_progress += 1
+        try:
+            await self._serve(exchange, route, table)
+        except BodyTooLargeError:
+            await self._replies.too_large(exchange)
+        finally:
+            self.in_progress -= 1
+
+    async def _serve(self, exchange: Exchange, route: Route, table: RouteTable) -> None:
+        cutoff = exchange.received_at + min(self._patience(exchange), route.timeout_s)
+        attempts = Attempts()
+        outcome: Answered | Refusal | Failed | None = None
+        with anyio.move_on_at(cutoff):
+            body, whole = await exchange.body.prefetch()
+            judged = Judged(exchange, route, self._key(exchange), cutoff, body, whole)
+            outcome = await self._obtain(judged, table, attempts)
+        if outcome is None:
+            outcome = _out_of_time(attempts)
+        await self._replies.reply(exchange, route, outcome, attempts)
+
+    def _patience(self, exchange: Exchange) -> float:
+        raw = exchange.header(self._names.deadline)
+        if raw is None or not raw.strip().isdigit():
+            return DEFAULT_DEADLINE_S
+        return int(raw) / MS
+
+    def _key(self, exchange: Exchange) -> str:
+        return find_cookie(exchange.headers, self._names.affinity_cookie)
+
+    async def _obtain(
+        self, judged: Judged, table: RouteTable, attempts: Attempts
+    ) -> Answered | Refusal | Failed:
+        route = judged.route
+        turns = self._turns_by_route.setdefault(route.name, SplitTurns())
+        service = turns.next(route.shares)
+        budget = self._budget(service)
+        budget.note_request(anyio.current_time())
+        while True:
+            outcome = await self._try(judged, service, table, attempts)
+            if isinstance(outcome, Refusal):
+                return _after_refusal(outcome, attempts)
+            if isinstance(outcome, Answered | Failed):
+                if _is_final(outcome) or not self._again(judged, budget, attempts):
+                    return outcome
+            elif not self._another(judged, budget, attempts, outcome):
+                return _after_refusal(_come_back('; '.join(attempts.why())), attempts)
+
+    async def _try(
+        self, judged: Judged, service: str, table: RouteTable, attempts: Attempts
+    ) -> Answered | NotSent | NotRun | Failed | Refusal:
+        now = anyio.current_time()
+        wanted = Wanted(judged.route, service, judged.key, frozenset(attempts.tried))
+        choice = self._placement.choose(wanted, table.services_by_name[service], now)
+        if isinstance(choice, NoRoom):
+            return _come_back(choice.reason)
+        self._placement.note_sent(choice.endpoint, now)
+        sending = self._sending(judged, choice, now)
+        ran_before = attempts.may_have_run
+        attempts.may_have_run = True
+        outcome = await self._sender.send(choice.endpoint, sending)
+        attempts.note(choice.endpoint.record.id, outcome, ran_before=ran_before)
+        if not isinstance(outcome, Answered):
+            log.info(
+                'Front: a try failed.',
+                extra={
+                    'kind': 'try',
+                    'fields': {
+                        'request': request_id(judged.exchange, self._names),
+                        'endpoint': choice.endpoint.record.id,
+                        'load': round(choice.load, 1),
+                        'outcome': type(outcome).__name__,
+                        'reason': outcome.reason,
+                    },
+                },
+            )
+        return outcome
+
+    def _again(self, judged: Judged, budget: RetryBudget, attempts: Attempts) -> bool:
+        """Return whether a request that may have run may be sent again."""
+        if not judged.route.idempotent or not judged.whole:
+            return False
+        return self._allowed(judged, budget, attempts)
+
+    def _another(
+        self,
+        judged: Judged,
+        budget: RetryBudget,
+        attempts: Attempts,
+        outcome: NotSent | NotRun,
+    ) -> bool:
+        """Return whether a request that did not run may be sent on."""
+        if isinstance(outcome, NotSent):
+            return attempts.unsent < MAX_UNSENT
+        return judged.whole and self._allowed(judged, budget, attempts)
+
+    def _allowed(self, judged: Judged, budget: RetryBudget, attempts: Attempts) -> bool:
+        if attempts.sent >= judged.route.max_attempts or attempts.misdirected > MAX_MISDIRECTED:
+            return False
+        now = anyio.current_time()
+        if now >= judged.cutoff:
+            return False
+        return budget.take(now, instances=len(self._placement.instances))
+
+    def _sending(self, judged: Judged, choice: Chosen, now: float) -> Sending:
+        names = self._names
+        exchange = judged.exchange
+        own = frozenset((names.deadline, names.target))
+        if judged.whole and exchange.header(b'transfer-encoding'):
+            own |= {b'content-length'}
+        headers: Headers = passed_on(exchange.headers, without=own)
+        left_ms = max(1, int((judged.cutoff - now) * MS))
+        headers.append((names.deadline, str(left_ms).encode()))
+        headers.append((names.target, choice.endpoint.record.id.encode()))
+        if exchange.header(b'transfer-encoding'):
+            headers.append((b'transfer-encoding', b'chunked'))
+        request = OutgoingRequest(
+            method=exchange.method,
+            target=exchange.target,
+            headers=headers,
+            body=judged.body,
+            whole=judged.whole,
+            request_id=exchange.header(names.request_id) or b'',
+        )
+        return Sending(request=request, rest=None if judged.whole else exchange.body)
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            terms = self._retries
+            budget = RetryBudget(ratio=terms.ratio, extra=terms.extra, window_s=terms.window_s)
+            self._budget_by_service[service] = budget
+        return budget
+
+
+def _is_final(outcome: Answered | Failed) -> bool:
+    return isinstance(outcome, Answered) and (
+        outcome.head.status < HTTPStatus.INTERNAL_SERVER_ERROR
+    )
+
+
+def _come_back(reason: str) -> Refusal:
+    return Refusal(reason=reason, retry_after_s=RETRY_MIN_S + random.random() * RETRY_SPREAD_S)
+
+
+def _after_refusal(refusal: Refusal, attempts: Attempts) -> Refusal | Failed:
+    return Failed(reason=refusal.reason) if attempts.may_have_run else refusal
+
+
+def _out_of_time(attempts: Attempts) -> Refusal | Failed:
+    if attempts.may_have_run:
+        return Failed(reason=OUT_OF_TIME)
+    return _come_back(OUT_OF_TIME)
--- /dev/null
+++ b/packages/node/src/plantainloft_node/engine/replies.py
@@ -0,0 +1,120 @@
+"""Answers to callers: endpoints' own, refusals and failures."""
+
+import logging
+from collections.abc import Callable
+from http import HTTPStatus
+from types import MappingProxyType
+
+import anyio
+
+from plantainloft_core.routes import Route
+from plantainloft_node.engine.attempts import Answered, Attempts, Failed, Refusal
+from plantainloft_node.engine.callers import Exchange
+from plantainloft_node.engine.dialect import HeaderNames
+from plantainloft_node.engine.endpoint_link import BrokenAnswerError, EndpointLink
+from plantainloft_node.engine.heads import Headers, passed_on
+
+__all__ = ['OUT_OF_TIME', 'Replies', 'request_id']
+
+log = logging.getLogger(__name__)
+
+MS = 1000.0
+OUT_OF_TIME = 'out of time'
+_FAILURE_STATUS = MappingProxyType({OUT_OF_TIME: HTTPStatus.GATEWAY_TIMEOUT})
+
+
+def request_id(exchange: Exchange, names: HeaderNames) -> str:
+    """Return the id that the caller gave its request, or an empty string."""
+    return (exchange.header(names.request_id) or b'').decode('latin-1')
+
+
+class Replies:
+    """Sends answers, and logs and counts how each request ended."""
+
+    def __init__(self, *, names: HeaderNames, observe: Callable[[str, str, float], None]) -> None:
+        self._names = names
+        self._observe = observe
+
+    async def no_route(self, exchange: Exchange, *, version: int, host: str) -> None:
+        """Answer that no route of configuration ``version`` matches."""
+        self._log_end(exchange, 'no_route', {'version': version, 'host': host})
+        await self._say(exchange, HTTPStatus.NOT_FOUND)
+
+    async def too_large(self, exchange: Exchange) -> None:
+        """Answer that the body is longer than callers may send."""
+        self._log_end(exchange, 'too_large', {})
+        await self._say(exchange, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+
+    async def reply(
+        self,
+        exchange: Exchange,
+        route: Route,
+        outcome: Answered | Refusal | Failed,
+        attempts: Attempts,
+    ) -> None:
+        took_s = anyio.current_time() - exchange.received_at
+        fields = {'route': route.name, 'ms': round(took_s * MS), 'tries': attempts.why()}
+        if isinstance(outcome, Answered):
+            fields['endpoint'] = outcome.endpoint_id
+            fields['status'] = outcome.head.status
+            self._observe(route.name, 'answered', took_s)
+            self._log_end(exchange, 'answered', fields)
+            await self._relay(exchange, outcome)
+        elif isinstance(outcome, Refusal):
+            self._observe(route.name, 'refused', took_s)
+            fields['reason'] = outcome.reason
+            self._log_end(exchange, 'refused', fields)
+            await self.refuse(exchange, outcome)
+        else:
+            self._observe(route.name, 'failed', took_s)
+            fields['reason'] = outcome.reason
+            self._log_end(exchange, 'failed', fields)
+            await self._say(exchange, _FAILURE_STATUS.get(outcome.reason, HTTPStatus.BAD_GATEWAY))
+
+    async def refuse(self, exchange: Exchange, refusal: Refusal) -> None:
+        """Answer that the request did not run, and when to come back."""
+        after = f'{refusal.retry_after_s:.2f}'.encode()
+        await exchange.answer(
+            HTTPStatus.SERVICE_UNAVAILABLE, [*self._own(exchange), (b'retry-after', after)]
+        )
+
+    async def _relay(self, exchange: Exchange, outcome: Answered) -> None:
+        head = outcome.head
+        if outcome.rest is None:
+            headers = passed_on(head.headers, without=frozenset((b'content-length',)))
+            await exchange.answer(head.status, headers, outcome.body)
+            return
+        try:
+            await self._stream(exchange, outcome, outcome.rest)
+        except BrokenAnswerError as exc:
+            # Ended like a whole answer, the rest that is missing would go
+            # unnoticed; the caller's connection is cut instead.
+            raise anyio.BrokenResourceError from exc
+        finally:
+            await outcome.rest.close()
+
+    async def _stream(self, exchange: Exchange, outcome: Answered, link: EndpointLink) -> None:
+        head = outcome.head
+        await exchange.start(head.status, passed_on(head.headers, without=frozenset()))
+        piece = outcome.body
+        while piece:
+            await exchange.write(piece)
+            piece = await link.answer_piece()
+        await exchange.finish()
+
+    async def _say(self, exchange: Exchange, status: int) -> None:
+        await exchange.answer(status, self._own(exchange))
+
+    def _own(self, exchange: Exchange) -> Headers:
+        request_id = exchange.header(self._names.request_id)
+        return [(self._names.request_id, request_id)] if request_id else []
+
+    def _log_end(self, exchange: Exchange, kind: str, fields: dict[str, object]) -> None:
+        log.info(
+            'Front: request %s.',
+            kind,
+            extra={
+                'kind': kind,
+                'fields': {'request': request_id(exchange, self._names), **fields},
+            },
+        )
--- /dev/null
+++ b/packages/node/src/plantainloft_node/entry/__init__.py
@@ -0,0 +1,1 @@
+"""The entry process: everything an entry instance runs, wired together."""
--- /dev/null
+++ b/packages/node/src/plantainloft_node/entry/settings.py
@@ -0,0 +1,130 @@
+"""The settings of an entry process, read from INI."""
+
+import configparser
+from typing import NamedTuple
+
+from plantainloft_core.outcomes import Invalid
+from plantainloft_node.config.schema import Option, addresses, check, choice, positive
+
+__all__ = ['EntrySettings', 'parse_entry_settings']
+
+MS = 1000.0
+# Where the settings say nothing: bounds of today's deployments.
+GRACE_S = 6.0
+RETRY_RATIO = 0.2
+RETRY_EXTRA = 64.0
+RETRY_WINDOW_S = 10.0
+COLD_OVER = 1.5
+COLD_SLACK = 5.0
+_BOUNDS = 'bounds'
+_LISTEN = 'listen'
+
+
+def duration(raw: str) -> float:
+    """Convert ``250ms`` or ``1.5s`` to seconds."""
+    if raw.endswith('ms'):
+        return positive(raw.removesuffix('ms')) / MS
+    if raw.endswith('s'):
+        return positive(raw.removesuffix('s'))
+    raise ValueError('must be a time such as 250ms or 1.5s')
+
+
+def pairs(raw: str) -> dict[str, str]:
+    """Convert ``a=b, c=d`` to a mapping."""
+    found = {}
+    for part in raw.split(','):
+        name, equals, content = part.strip().partition('=')
+        if not name or not equals or not content:
+            raise ValueError(f'{part.strip()!r} is not name=text')
+        found[name] = content
+    return found
+
+
+class EntrySettings(NamedTuple):
+    """Typed settings; times in seconds, addresses ``host:port``."""
+
+    name: str
+    zone: str
+    region_by_zone: dict[str, str]
+    front: str
+    ready: str
+    directory: str
+    control: str
+    peer_port: int
+    seeds: tuple[str, ...]
+    store: str
+    lookup_ttl_s: float
+    grace_s: float
+    retry_ratio: float
+    retry_extra: float
+    retry_window_s: float
+    cold_over: float
+    cold_slack: float
+    log_level: str
+
+    @property
+    def region(self) -> str:
+        """The region of this instance's availability zone."""
+        return self.region_by_zone.get(self.zone, '')
+
+    @property
+    def peer(self) -> str:
+        """The address for beats."""
+        return f'{self.front.rpartition(":")[0]}:{self.peer_port}'
+
+
+OPTIONS = (
+    Option('instance', 'name', str),
+    Option('instance', 'zone', str),
+    Option('instance', 'zones', pairs),
+    Option(_LISTEN, 'front', str),
+    Option(_LISTEN, 'ready', str),
+    Option(_LISTEN, 'directory', str),
+    Option(_LISTEN, 'control', str),
+    Option('peers', 'port', positive),
+    Option('peers', 'seeds', addresses, ()),
+    Option('store', 'address', str),
+    Option('lookup', 'ttl', duration, 1.0),
+    Option(_BOUNDS, 'grace', duration, GRACE_S),
+    Option(_BOUNDS, 'retry_ratio', positive, RETRY_RATIO),
+    Option(_BOUNDS, 'retry_extra', positive, RETRY_EXTRA),
+    Option(_BOUNDS, 'retry_window', duration, RETRY_WINDOW_S),
+    Option(_BOUNDS, 'cold_over', positive, COLD_OVER),
+    Option(_BOUNDS, 'cold_slack', positive, COLD_SLACK),
+    Option('log', 'level', choice('DEBUG', 'INFO', 'WARNING', 'ERROR'), 'INFO'),
+)
+
+
+def parse_entry_settings(text: str) -> EntrySettings | Invalid:
+    """Check INI ``text`` into settings, or list every problem."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text)
+    except configparser.Error as exc:
+        return Invalid(problems=(f'syntax: {exc}',))
+    found = check(parser, OPTIONS)
+    if isinstance(found, Invalid):
+        return found
+    zone = found['instance.zone']
+    if zone not in found['instance.zones']:
+        return Invalid(problems=(f'[instance] zone: {zone!r} is not among zones',))
+    return EntrySettings(
+        name=found['instance.name'],
+        zone=zone,
+        region_by_zone=found['instance.zones'],
+        front=found['listen.front'],
+        ready=found['listen.ready'],
+        directory=found['listen.directory'],
+        control=found['listen.control'],
+        peer_port=int(found['peers.port']),
+        seeds=found['peers.seeds'],
+        store=found['store.address'],
+        lookup_ttl_s=found['lookup.ttl'],
+        grace_s=found['bounds.grace'],
+        retry_ratio=found['bounds.retry_ratio'],
+        retry_extra=found['bounds.retry_extra'],
+        retry_window_s=found['bounds.retry_window'],
+        cold_over=found['bounds.cold_over'],
+        cold_slack=found['bounds.cold_slack'],
+        log_level=found['log.level'],
+    )
--- /dev/null
+++ b/packages/node/src/plantainloft_node/entry/sharing.py
@@ -0,0 +1,155 @@
+"""News between entry instances, for when the store serves some of them.
+
+Beats tell which rows an instance knows. One that lags asks the sender
+for what it lacks: while the store refuses this instance, forgets its
+history or is down at a start, its peers are the way to the news.
+"""
+
+import logging
+from typing import Any
+
+import anyio
+import msgpack
+from anyio.abc import TaskGroup
+
+from plantainloft_core.outcomes import Unreachable
+from plantainloft_node.entry.settings import EntrySettings
+from plantainloft_node.fleet.members import Beat, FleetMember, MemberBook
+from plantainloft_node.peering.links import Links
+from plantainloft_node.peering.listener import serve_peers
+from plantainloft_node.peering.messages import Traffic
+from plantainloft_node.replica.beliefs import Beliefs
+from plantainloft_node.replica.follower import TableFollower
+from plantainloft_node.replica.news import INSTANCES, NewsRow, NewsStore
+from plantainloft_node.replica.rows import RowCopy
+
+__all__ = ['NewsSharing']
+
+log = logging.getLogger(__name__)
+
+# The own poll of the store usually brings a change within a few
+# milliseconds; only what is still missing after this is asked of a peer.
+LAG_S = 0.35
+CALL_S = 1.5
+NEWS_CALL = 'news'
+# The list of instances in the store is read anew this often; those that
+# run make themselves known by their beats.
+LIST_EVERY_S = 30.0
+LIST_RETRY_S = 1.0
+
+
+class NewsSharing:
+    """Asks peers for rows, answers theirs, and keeps the list of instances."""
+
+    def __init__(
+        self,
+        *,
+        settings: EntrySettings,
+        members: MemberBook,
+        rows: RowCopy,
+        beliefs: Beliefs,
+        followers: dict[str, TableFollower],
+        store: NewsStore,
+        tasks: TaskGroup,
+    ) -> None:
+        self._settings = settings
+        self._members = members
+        self._rows = rows
+        self._beliefs = beliefs
+        self._followers = followers
+        self._store = store
+        self._tasks = tasks
+        self._traffic = Traffic()
+        self._links = Links(tasks=tasks, traffic=self._traffic)
+        self._asking = False
+
+    def seed_peers(self) -> tuple[str, ...]:
+        """Return the addresses for beats of the instances in the settings."""
+        port = self._settings.peer_port
+        hosts = (seed.rpartition(':')[0] for seed in self._settings.seeds)
+        return tuple(f'{host}:{port}' for host in hosts)
+
+    async def run(self) -> None:
+        """Serve peers and keep the list of instances until cancelled."""
+        self._tasks.start_soon(self._serve)
+        await self._register()
+        while True:
+            listed = await self._store.list_rows(INSTANCES)
+            if isinstance(listed, Unreachable):
+                await anyio.sleep(LIST_RETRY_S)
+                continue
+            for row in listed.rows:
+                member = _member(row)
+                if member is not None:
+                    self._members.learn(member)
+            await anyio.sleep(LIST_EVERY_S)
+
+    def on_beat(self, beat: Beat) -> None:
+        """Look whether the sender knows rows that are missing here."""
+        if not self._asking and self._lags(beat):
+            self._asking = True
+            self._tasks.start_soon(self._catch_up, beat)
+
+    def _lags(self, beat: Beat) -> bool:
+        mine = self._rows.newest_by_table
+        return any(version > mine.get(table, 0) for table, version in beat.newest_by_table.items())
+
+    async def _catch_up(self, beat: Beat) -> None:
+        await anyio.sleep(LAG_S)
+        if self._lags(beat):
+            await self._ask(beat.member)
+        self._asking = False
+
+    async def _ask(self, member: FleetMember) -> None:
+        answer = await self._links.call(
+            self._call_address(member),
+            NEWS_CALL,
+            self._rows.newest_by_table,
+            timeout_s=CALL_S,
+        )
+        if isinstance(answer, Unreachable):
+            log.info(
+                'Fleet: no news from %s.',
+                member.name,
+                extra={'kind': 'news', 'fields': {'reason': answer.reason}},
+            )
+            return
+        fresh = self._rows.merge(NewsRow(*row) for row in answer['rows'])
+        self._beliefs.take(fresh, anyio.current_time(), source=member.name)
+        for raw in answer['members']:
+            self._members.learn(FleetMember(*raw))
+        changed = {row.table for row in fresh}
+        for table in changed:
+            self._followers[table].poke()
+
+    def _call_address(self, member: FleetMember) -> str:
+        host = member.front.rpartition(':')[0]
+        return f'{host}:{self._settings.control.rpartition(":")[2]}'
+
+    async def _serve(self) -> None:
+        await serve_peers(self._settings.control, {NEWS_CALL: self._tell}, traffic=self._traffic)
+
+    async def _tell(self, newest_by_table: Any) -> Any:
+        everyone = [*self._members.everyone(), self._members.me]
+        return {
+            'rows': [list(row) for row in self._rows.since(newest_by_table)],
+            'members': [list(member) for member in everyone],
+        }
+
+    async def _register(self) -> None:
+        content: bytes = msgpack.packb(list(self._members.me))
+        while True:
+            outcome = await self._store.put_row(INSTANCES, self._members.me.front, content)
+            if outcome is None:
+                return
+            await anyio.sleep(LIST_RETRY_S)
+
+
+def _member(row: NewsRow) -> FleetMember | None:
+    if row.content is None:
+        return None
+    try:
+        return FleetMember(*msgpack.unpackb(row.content))
+    except (ValueError, TypeError, msgpack.UnpackException):
+        log.warning('Fleet: row %s is no instance.', row.key, extra={'kind': 'bad_row'})
+        return None
--- /dev/null
+++ b/packages/node/src/plantainloft_node/fleet/__init__.py
@@ -0,0 +1,1 @@
+"""The other entry instances: who is there, what they know."""
--- /dev/null
+++ b/packages/node/src/plantainloft_node/fleet/members.py
@@ -0,0 +1,110 @@
+"""Which entry instances there are, by the beats they send."""
+
+from typing import NamedTuple
+
+__all__ = ['Beat', 'FleetMember', 'MemberBook']
+
+# Beats come twice a second and some are lost: an instance is taken as
+# down when three in a row are missing. Callers that are sent to one that
+# is down wait a whole second for a connection.
+DOWN_AFTER_S = 1.8
+# One that was not heard for so long no longer counts for shared limits.
+FORGET_AFTER_S = 60.0
+
+
+class FleetMember(NamedTuple):
+    """An entry instance: where it is, and its start (``incarnation``).
+
+    ``front`` is the address callers use, ``peer`` the one for beats and
+    calls between instances; both ``host:port``.
+    """
+
+    name: str
+    incarnation: int
+    region: str
+    zone: str
+    front: str
+    peer: str
+
+
+class Beat(NamedTuple):
+    """What an instance says of itself twice a second.
+
+    ``newest_by_table`` are the newest row versions that it knows.
+    """
+
+    member: FleetMember
+    ready: bool
+    leaving: bool
+    newest_by_table: dict[str, int]
+
+
+class _Heard(NamedTuple):
+    beat: Beat
+    at: float
+
+
+class MemberBook:
+    """All instances known, and when each was heard."""
+
+    def __init__(self, *, me: FleetMember) -> None:
+        self.me = me
+        self._heard_by_name: dict[str, _Heard] = {}
+        self._known_by_name: dict[str, FleetMember] = {}
+
+    def learn(self, member: FleetMember) -> bool:
+        """Add an instance that others told of; return whether it is new."""
+        if member.name == self.me.name:
+            return False
+        known = self._known_by_name.get(member.name)
+        if known is not None and known.incarnation >= member.incarnation:
+            return False
+        self._known_by_name[member.name] = member
+        return known is None
+
+    def hear(self, beat: Beat, now: float) -> bool:
+        """Take a beat; return whether its sender was unknown or down."""
+        name = beat.member.name
+        if name == self.me.name:
+            return False
+        known = self._known_by_name.get(name)
+        if known is not None and known.incarnation > beat.member.incarnation:
+            return False
+        fresh = not self.is_up(name, now)
+        self._known_by_name[name] = beat.member
+        self._heard_by_name[name] = _Heard(beat=beat, at=now)
+        return fresh
+
+    def is_up(self, name: str, now: float) -> bool:
+        """Return whether ``name`` was heard lately."""
+        heard = self._heard_by_name.get(name)
+        return heard is not None and now - heard.at < DOWN_AFTER_S
+
+    def everyone(self) -> list[FleetMember]:
+        """Return every instance known but this one."""
+        return list(self._known_by_name.values())
+
+    def serving(self, now: float) -> list[FleetMember]:
+        """Return the others that are up, ready and not leaving."""
+        return [
+            heard.beat.member
+            for heard in self._heard_by_name.values()
+            if now - heard.at < DOWN_AFTER_S and heard.beat.ready and not heard.beat.leaving
+        ]
+
+    def sharing(self, now: float) -> tuple[str, ...]:
+        """Return the names among which limits are shared out, this one too.
+
+        Those that were cut off a moment ago still count: they may go on
+        sending.
+        """
+        names = [
+            name
+            for name, heard in self._heard_by_name.items()
+            if now - heard.at < FORGET_AFTER_S and not _gone(heard, now)
+        ]
+        return tuple(sorted((*names, self.me.name)))
+
+
+def _gone(heard: _Heard, now: float) -> bool:
+    return heard.beat.leaving and now - heard.at >= DOWN_AFTER_S
--- /dev/null
+++ b/packages/node/src/plantainloft_node/placing/__init__.py
@@ -0,0 +1,1 @@
+"""Decisions on where a request goes, testable without a network."""
--- /dev/null
+++ b/packages/node/src/plantainloft_node/placing/endpoints.py
@@ -0,0 +1,102 @@
+"""What this instance believes of each endpoint, and how it came to."""
+
+from plantainloft_core.discovery import EndpointRecord
+from plantainloft_node.placing.cold import ColdGate
+from plantainloft_node.placing.health import EndpointHealth
+
+__all__ = ['EndpointBook', 'EndpointState']
+
+# Load that others put on an endpoint is believed whole for the first part
+# of this time and then fades: requests last a few tenths of a second, so
+# an older report says little about now.
+REPORT_FADES_S = 1.5
+# An endpoint that no report told of yet is taken as one with this share
+# of its slots in use.
+UNKNOWN_LOAD = 0.3
+
+
+class EndpointState:
+    """One endpoint incarnation: its record, load, warmth and health."""
+
+    def __init__(self, *, record: EndpointRecord, region: str, now: float) -> None:
+        self.record = record
+        self.region = region
+        self.in_flight = 0
+        self.health = EndpointHealth()
+        self.cold_gate = ColdGate()
+        self.cold_until = now + record.cold_s
+        self._others = record.slots * UNKNOWN_LOAD
+        self._reported_at = now
+
+    def take_record(self, record: EndpointRecord, now: float) -> None:
+        """Take a newer row of the same incarnation."""
+        self.record = record
+        if record.cold_s > 0:
+            self.note_cold(now + record.cold_s)
+
+    def note_cold(self, until: float) -> None:
+        """Treat the endpoint as cold until ``until`` at least."""
+        self.cold_until = max(self.cold_until, until)
+
+    def note_report(self, *, busy: int, now: float) -> None:
+        """Take the endpoint's own count of requests running and waiting."""
+        self._others = max(0.0, busy - self.in_flight)
+        self._reported_at = now
+
+    def load(self, now: float) -> float:
+        """Estimate the requests it holds now, ours and those of others."""
+        age = now - self._reported_at
+        faded = max(0.0, 1 - age / REPORT_FADES_S)
+        return self.in_flight + self._others * faded
+
+    def is_cold(self, now: float) -> bool:
+        """Return whether it must be sent no more than its cold rate."""
+        return now < self.cold_until
+
+
+class EndpointBook:
+    """All endpoints known, by id and by service."""
+
+    def __init__(self, *, region_by_zone: dict[str, str]) -> None:
+        self._region_by_zone = region_by_zone
+        self.by_id: dict[str, EndpointState] = {}
+        self.ids_by_service: dict[str, set[str]] = {}
+        self.evacuated_zones: frozenset[str] = frozenset()
+        # Counts changes to who is listed, for caches of rankings.
+        self.generation = 0
+
+    def put(self, record: EndpointRecord, now: float) -> None:
+        """Add an incarnation, or take a newer row of one."""
+        known = self.by_id.get(record.id)
+        if known is not None:
+            known.take_record(record, now)
+            return
+        region = self._region_by_zone.get(record.zone, '')
+        self.by_id[record.id] = EndpointState(record=record, region=region, now=now)
+        self.ids_by_service.setdefault(record.service, set()).add(record.id)
+        self.generation += 1
+
+    def drop(self, endpoint_id: str) -> None:
+        """Forget an incarnation that is gone."""
+        state = self.by_id.pop(endpoint_id, None)
+        if state is None:
+            return
+        self.ids_by_service[state.record.service].discard(endpoint_id)
+        self.generation += 1
+
+    def of_service(self, service: str) -> list[EndpointState]:
+        """Return the endpoints of ``service``."""
+        return [self.by_id[name] for name in self.ids_by_service.get(service, ())]
+
+    def set_evacuated(self, zones: frozenset[str], *, warmup_s: float, now: float) -> None:
+        """Take the zones that must get nothing.
+
+        Endpoints of a zone that is taken back may have lost their caches
+        meanwhile without a word. Sent their full share at once they crash,
+        so they count as cold for a whole warm-up.
+        """
+        returned = self.evacuated_zones - zones
+        self.evacuated_zones = zones
+        for state in self.by_id.values():
+            if state.record.zone in returned:
+                state.note_cold(now + warmup_s)
--- /dev/null
+++ b/packages/node/src/plantainloft_node/replica/__init__.py
@@ -0,0 +1,1 @@
+"""This instance's copy of the platform's news: declarations and endpoints."""
--- /dev/null
+++ b/packages/node/src/plantainloft_node/replica/beliefs.py
@@ -0,0 +1,107 @@
+"""What this instance believes, kept up to date from rows."""
+
+import logging
+from collections.abc import Callable, Iterable
+
+from plantainloft_core.outcomes import Invalid
+from plantainloft_core.routes import NO_ROUTES, RouteTable
+from plantainloft_node.placing.endpoints import EndpointBook
+from plantainloft_node.replica.news import (
+    Change,
+    EndpointGone,
+    EndpointListed,
+    NewsRow,
+    RoutesDeclared,
+    ZoneEvacuation,
+)
+
+__all__ = ['Beliefs']
+
+log = logging.getLogger(__name__)
+
+# Rows of endpoints lapse while the store is in trouble, though the
+# endpoints live; they are back about 2 s after its return. One that
+# vanishes within this time of trouble is used on for as long.
+LAPSE_GRACE_S = 2.3
+DEFAULT_WARMUP_S = 3.0
+
+
+class Beliefs:
+    """Routes, endpoints and evacuations in force at this instance."""
+
+    def __init__(
+        self,
+        *,
+        book: EndpointBook,
+        decode: Callable[[NewsRow], Change | Invalid | None],
+    ) -> None:
+        self._book = book
+        self._decode = decode
+        self._evacuated: frozenset[str] = frozenset()
+        self._drop_at_by_id: dict[str, float] = {}
+        self._troubled_until = 0.0
+        self.table: RouteTable = NO_ROUTES
+        self.table_since = 0.0
+
+    def note_trouble(self, now: float) -> None:
+        """The store failed to answer just now."""
+        self._troubled_until = now + LAPSE_GRACE_S
+
+    def take(self, rows: Iterable[NewsRow], now: float, *, source: str) -> None:
+        """Take rows that are news."""
+        for row in rows:
+            change = self._decode(row)
+            if isinstance(change, Invalid):
+                log.error(
+                    'Replica: row %s is not understood and left out.',
+                    row.key,
+                    extra={'kind': 'bad_row', 'fields': {'problems': change.problems}},
+                )
+            elif change is not None:
+                self._apply(change, row, now, source)
+
+    def tick(self, now: float) -> None:
+        """Drop the endpoints whose time of grace has passed."""
+        for endpoint_id, due in list(self._drop_at_by_id.items()):
+            if now >= due:
+                self._drop_at_by_id.pop(endpoint_id)
+                self._book.drop(endpoint_id)
+
+    def _apply(self, change: Change, row: NewsRow, now: float, source: str) -> None:
+        fields: dict[str, object] = {'row': row.key, 'row_version': row.version, 'source': source}
+        if isinstance(change, RoutesDeclared):
+            if change.table.version < self.table.version:
+                return
+            self.table = change.table
+            self.table_since = now
+            fields['version'] = change.table.version
+        elif isinstance(change, ZoneEvacuation):
+            self._evacuate(change, now)
+            fields['evacuated'] = change.evacuated
+        elif isinstance(change, EndpointListed):
+            self._drop_at_by_id.pop(change.record.id, None)
+            self._book.put(change.record, now)
+            fields['draining'] = change.record.draining
+            fields['cold_s'] = change.record.cold_s
+        else:
+            self._forget(change, now)
+        log.info(
+            'Replica: %s.',
+            type(change).__name__,
+            extra={'kind': 'belief', 'fields': fields},
+        )
+
+    def _evacuate(self, change: ZoneEvacuation, now: float) -> None:
+        changed = frozenset((change.zone,))
+        zones = self._evacuated | changed if change.evacuated else self._evacuated - changed
+        self._evacuated = zones
+        warmups = [spec.warmup_s for spec in self.table.services_by_name.values()]
+        warmup_s = max(warmups, default=DEFAULT_WARMUP_S)
+        self._book.set_evacuated(zones, warmup_s=warmup_s, now=now)
+
+    def _forget(self, change: EndpointGone, now: float) -> None:
+        state = self._book.by_id.get(change.endpoint_id)
+        if state is not None and not state.record.draining and now < self._troubled_until:
+            self._drop_at_by_id[change.endpoint_id] = now + LAPSE_GRACE_S
+            return
+        self._book.drop(change.endpoint_id)
--- /dev/null
+++ b/packages/node/src/plantainloft_node/replica/follower.py
@@ -0,0 +1,113 @@
+"""Follow one table of the store by long polls."""
+
+import logging
+import random
+
+import anyio
+
+from plantainloft_core.outcomes import Unreachable
+from plantainloft_node.replica.beliefs import Beliefs
+from plantainloft_node.replica.news import HistoryLost, News, NewsStore
+from plantainloft_node.replica.rows import RowCopy
+
+__all__ = ['TableFollower']
+
+log = logging.getLogger(__name__)
+
+# A poll waits this long for a change. Every call is paid for, and a
+# connection that went silent is noticed only when the poll is overdue.
+WAIT_S = 6.0
+# Changes come in bursts (a release, a zone that restarts): a pause after
+# each answer takes several with the next one.
+PAUSE_S = 0.25
+BACKOFF_MIN_S = 0.2
+BACKOFF_MAX_S = 1.0
+
+
+class TableFollower:
+    """Keeps the copy of one table up to date."""
+
+    def __init__(
+        self,
+        *,
+        table: str,
+        store: NewsStore,
+        rows: RowCopy,
+        beliefs: Beliefs,
+    ) -> None:
+        self._table = table
+        self._store = store
+        self._rows = rows
+        self._beliefs = beliefs
+        self._after: int | None = None
+        self._backoff_s = BACKOFF_MIN_S
+        self.in_touch = False
+        self.heard_at = 0.0
+        self._poked = anyio.Event()
+
+    def poke(self) -> None:
+        """Poll anew: a peer knows of a change that this table lacks.
+
+        The connection of the poll that waits may have gone silent.
+        """
+        self._poked.set()
+
+    async def run(self) -> None:
+        """Follow the table until cancelled."""
+        while True:
+            self._poked = anyio.Event()
+            await self._poll()
+
+    async def _poll(self) -> None:
+        outcome: News | HistoryLost | Unreachable | None = None
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._cancel_when_poked, tasks.cancel_scope)
+            outcome = await self._ask()
+            tasks.cancel_scope.cancel()
+        if outcome is None:
+            return
+        now = anyio.current_time()
+        if isinstance(outcome, Unreachable):
+            await self._lost(outcome.reason, now)
+            return
+        if not self.in_touch:
+            self.in_touch = True
+            log.info('Store: %s followed again.', self._table, extra={'kind': 'store_regained'})
+        self.heard_at = now
+        self._backoff_s = BACKOFF_MIN_S
+        if isinstance(outcome, HistoryLost):
+            log.warning('Store: history of %s lost.', self._table, extra={'kind': 'store_history'})
+            self._after = None
+            return
+        self._take(outcome, now)
+        if outcome.rows:
+            await anyio.sleep(PAUSE_S)
+
+    async def _cancel_when_poked(self, scope: anyio.CancelScope) -> None:
+        await self._poked.wait()
+        scope.cancel()
+
+    async def _ask(self) -> News | HistoryLost | Unreachable:
+        if self._after is None:
+            return await self._store.list_rows(self._table)
+        return await self._store.changes(self._table, after=self._after, wait_s=WAIT_S)
+
+    def _take(self, news: News, now: float) -> None:
+        if self._after is None:
+            fresh = self._rows.merge_listing(self._table, news)
+        else:
+            fresh = self._rows.merge(news.rows)
+        self._after = news.version
+        self._beliefs.take(fresh, now, source='store')
+
+    async def _lost(self, reason: str, now: float) -> None:
+        self._beliefs.note_trouble(now)
+        if self.in_touch:
+            log.warning(
+                'Store: %s not followed.',
+                self._table,
+                extra={'kind': 'store_lost', 'fields': {'reason': reason}},
+            )
+        self.in_touch = False
+        await anyio.sleep(self._backoff_s * (1 + random.random()))
+        self._backoff_s = min(BACKOFF_MAX_S, self._backoff_s * 2)
--- /dev/null
+++ b/tests/entry_fixtures.py
@@ -0,0 +1,225 @@
+"""Raw-socket endpoints and callers for tests of the forwarding engine."""
+
+import re
+from collections.abc import AsyncIterator, Awaitable, Callable
+from contextlib import asynccontextmanager
+from typing import NamedTuple
+
+import anyio
+from anyio.abc import SocketStream
+
+from plantainloft_core.discovery import EndpointRecord
+from plantainloft_core.routes import (
+    CallerLimits,
+    Route,
+    RouteTable,
+    ServiceShare,
+    ServiceSpec,
+    build_route_table,
+)
+from plantainloft_node.engine.callers import CallerConnection
+from plantainloft_node.engine.dialect import HeaderNames
+from plantainloft_node.engine.front import Front, RetryTerms
+from plantainloft_node.engine.pool import LinkPool
+from plantainloft_node.engine.sender import Sender
+from plantainloft_node.placing.endpoints import EndpointBook
+from plantainloft_node.placing.placement import Placement, PlacementTerms
+
+NAMES = HeaderNames(signature=b'x-signature')
+Script = Callable[['Conversation'], Awaitable[None]]
+SERVICE = 'case-desk'
+
+
+def route(*, idempotent: bool, prefix: str, **terms: object) -> Route:
+    """A route of the test host with everyday terms."""
+    known: dict[str, object] = {
+        'name': prefix,
+        'host': 'desk.example',
+        'prefix': prefix,
+        'idempotent': idempotent,
+        'timeout_s': 2.0,
+        'objective_s': 0.5,
+        'max_attempts': 2,
+        'priority': 1,
+        'shares': (ServiceShare(SERVICE, 1.0),),
+        'sticky': True,
+        'regions': frozenset(),
+    }
+    return Route(**{**known, **terms})  # type: ignore[arg-type]
+
+
+def table_of(*routes: Route, version: int = 1, limits: CallerLimits | None = None) -> RouteTable:
+    spec = ServiceSpec(
+        name=SERVICE, health_path='/health', max_connections=100, warmup_s=3.0, cold_rate=11.0
+    )
+    return build_route_table(
+        version=version, routes=routes, services=(spec,), limits=limits or CallerLimits()
+    )
+
+
+class Conversation:
+    """One connection that an endpoint script talks on."""
+
+    def __init__(self, *, stream: SocketStream, endpoint: 'RawEndpoint') -> None:
+        self.stream = stream
+        self.endpoint = endpoint
+        self._unread = b''
+
+    async def request(self) -> bytes:
+        """Read one request, head and sized body."""
+        while b'\r\n\r\n' not in self._unread:
+            self._unread += await self.stream.receive()
+        head, _, rest = self._unread.partition(b'\r\n\r\n')
+        found = re.search(rb'content-length: (\d+)', head.lower())
+        size = int(found.group(1)) if found else 0
+        while len(rest) < size:
+            rest += await self.stream.receive()
+        self._unread = rest[size:]
+        self.endpoint.requests.append(head + b'\r\n\r\n' + rest[:size])
+        return self.endpoint.requests[-1]
+
+    async def say(self, raw: bytes) -> None:
+        await self.stream.send(raw)
+
+
+def whole(body: bytes, *, request_id: bytes = b'', more: bytes = b'') -> bytes:
+    """A signed 200 with ``body``."""
+    echo = b'X-Request-Id: ' + request_id + b'\r\n' if request_id else b''
+    return (
+        b'HTTP/1.1 200 OK\r\nX-Signature: s\r\n'
+        + echo
+        + more
+        + b'Content-Length: %d\r\n\r\n' % len(body)
+        + body
+    )
+
+
+class RawEndpoint:
+    """A listener whose every connection runs ``script``."""
+
+    def __init__(self, *, script: Script) -> None:
+        self.script = script
+        self.requests: list[bytes] = []
+        self.connections = 0
+        self.ended = 0
+        self.address = ''
+
+    async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1', local_port=0)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        self.address = f'127.0.0.1:{port}'
+        task_status.started()
+        await listener.serve(self._talk)
+
+    async def _talk(self, stream: SocketStream) -> None:
+        self.connections += 1
+        try:
+            async with stream:
+                await self.script(Conversation(stream=stream, endpoint=self))
+        except (anyio.EndOfStream, anyio.BrokenResourceError, anyio.ClosedResourceError):
+            self.ended += 1
+
+
+class Entry(NamedTuple):
+    """A front on loopback, and what it believes."""
+
+    address: str
+    book: EndpointBook
+    front: Front
+    connections: list[CallerConnection]
+
+    async def connect(self) -> SocketStream:
+        host, _, port = self.address.partition(':')
+        return await anyio.connect_tcp(host, int(port))
+
+    async def ask(self, raw: bytes, *, within_s: float = 5.0) -> bytes:
+        """Send ``raw`` on a new connection; return all until it ends."""
+        answer = b''
+        async with await self.connect() as stream:
+            await stream.send(raw)
+            with anyio.fail_after(within_s):
+                while not _is_whole(answer):
+                    try:
+                        answer += await stream.receive()
+                    except (anyio.EndOfStream, anyio.BrokenResourceError):
+                        break
+        return answer
+
+
+def _is_whole(answer: bytes) -> bool:
+    head, blank, body = answer.partition(b'\r\n\r\n')
+    found = re.search(rb'content-length: (\d+)', head.lower())
+    return bool(blank and found and len(body) >= int(found.group(1)))
+
+
+def get(path: bytes = b'/files/1', *, more: bytes = b'', request_id: bytes = b'r1') -> bytes:
+    return (
+        b'GET '
+        + path
+        + b' HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: '
+        + request_id
+        + b'\r\n'
+        + more
+        + b'\r\n'
+    )
+
+
+def post(body: bytes, *, path: bytes = b'/notices/1', request_id: bytes = b'r1') -> bytes:
+    return (
+        b'POST '
+        + path
+        + b' HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: '
+        + request_id
+        + b'\r\nContent-Length: %d\r\n\r\n' % len(body)
+        + body
+    )
+
+
+@asynccontextmanager
+async def running_entry(
+    *scripts: Script, table: RouteTable | None = None
+) -> AsyncIterator[tuple[Entry, list[RawEndpoint]]]:
+    """A front with one raw endpoint for each script, in rank order of key ''."""
+    routes = table or table_of(
+        route(idempotent=True, prefix='/files/'), route(idempotent=False, prefix='/notices/')
+    )
+    book = EndpointBook(region_by_zone={'a': 'ankara'})
+    terms = PlacementTerms(region='ankara', instance='e1', cold_over=1.5, cold_slack=5.0)
+    placement = Placement(terms=terms, book=book)
+    front = Front(
+        names=NAMES,
+        placement=placement,
+        sender=Sender(names=NAMES, pool=LinkPool()),
+        retries=RetryTerms(ratio=0.2, extra=64.0, window_s=10.0),
+        table=lambda: routes,
+        observe=lambda name, outcome, seconds: None,
+    )
+    endpoints = [RawEndpoint(script=script) for script in scripts]
+    connections: list[CallerConnection] = []
+
+    async def serve(stream: SocketStream) -> None:
+        connection = CallerConnection(stream=stream, handler=front, clock=anyio.current_time)
+        connections.append(connection)
+        await connection.run()
+
+    async with anyio.create_task_group() as tasks:
+        for number, endpoint in enumerate(endpoints):
+            await tasks.start(lambda *, task_status, one=endpoint: one.run(task_status=task_status))
+            book.put(_record(f'i{number}', endpoint.address), anyio.current_time())
+        listener = await anyio.create_tcp_listener(local_host='127.0.0.1', local_port=0)
+        port = listener.extra(anyio.abc.SocketAttribute.local_port)
+        tasks.start_soon(listener.serve, serve)
+        yield Entry(f'127.0.0.1:{port}', book, front, connections), endpoints
+        tasks.cancel_scope.cancel()
+
+
+def _record(endpoint_id: str, address: str) -> EndpointRecord:
+    return EndpointRecord(
+        id=endpoint_id,
+        service=SERVICE,
+        address=address,
+        zone='a',
+        slots=4,
+        draining=False,
+        cold_s=0.0,
+    )
--- /dev/null
+++ b/tests/test_front.py
@@ -0,0 +1,313 @@
+"""The forwarding engine against endpoints and callers that misbehave."""
+
+import re
+
+import anyio
+import pytest
+from entry_fixtures import (
+    Conversation,
+    get,
+    post,
+    route,
+    running_entry,
+    table_of,
+    whole,
+)
+
+from plantainloft_core.routes import CallerLimits
+
+pytestmark = pytest.mark.anyio
+
+
+def status(answer: bytes) -> int:
+    return int(answer.split(b' ', 2)[1])
+
+
+async def echo(talk: Conversation) -> None:
+    while True:
+        request = await talk.request()
+        found = re.search(rb'x-request-id: (\S+)', request.lower())
+        await talk.say(whole(b'ok', request_id=found.group(1) if found else b''))
+
+
+async def shed(talk: Conversation) -> None:
+    while True:
+        await talk.request()
+        await talk.say(
+            b'HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nX-Load: 4,9,4\r\nContent-Length: 0\r\n\r\n'
+        )
+
+
+async def close_at_once(talk: Conversation) -> None:
+    await talk.request()
+
+
+async def test_headers_time_left_and_target_reach_the_endpoint() -> None:
+    async with running_entry(echo) as (entry, (endpoint,)):
+        answer = await entry.ask(get(more=b'X-Request-Timeout-Ms: 900\r\nTE: trailers\r\n'))
+    assert status(answer) == 200
+    sent = endpoint.requests[0].lower()
+    assert b'x-target-endpoint: i0' in sent
+    left = re.search(rb'x-request-timeout-ms: (\d+)', sent)
+    assert left and 0 < int(left.group(1)) <= 900
+    assert b'trailers' not in sent
+
+
+async def test_unknown_path_is_404_and_no_configuration_is_503() -> None:
+    async with running_entry(echo) as (entry, _):
+        assert status(await entry.ask(get(b'/nothing/'))) == 404
+    async with running_entry(echo, table=table_of(version=0)) as (entry, _):
+        answer = await entry.ask(get())
+    assert status(answer) == 503
+    assert b'retry-after' in answer.lower()
+
+
+async def test_a_shed_request_goes_to_another_endpoint() -> None:
+    async with running_entry(shed, echo) as (entry, endpoints):
+        answers = [await entry.ask(post(b'x', request_id=b'r%d' % n)) for n in range(6)]
+    assert [status(answer) for answer in answers] == [200] * 6
+    assert len(endpoints[1].requests) == 6
+
+
+async def test_shed_everywhere_is_refused_with_retry_after() -> None:
+    async with running_entry(shed, shed) as (entry, _):
+        answer = await entry.ask(post(b'x'))
+    assert status(answer) == 503
+    assert b'retry-after' in answer.lower()
+
+
+async def test_a_non_idempotent_request_is_never_sent_twice() -> None:
+    """Symptom: a settlement recorded twice.
+
+    The endpoint runs the request and its connection breaks before the
+    answer. Sent on to another endpoint it would run again; called refused,
+    the caller would send it again.
+    """
+    async with running_entry(close_at_once, close_at_once) as (entry, endpoints):
+        answer = await entry.ask(post(b'x'))
+    assert status(answer) == 502
+    assert sum(len(endpoint.requests) for endpoint in endpoints) == 1
+
+
+async def test_an_idempotent_request_is_sent_again_after_a_reset() -> None:
+    async with running_entry(close_at_once, echo) as (entry, _):
+        answers = [await entry.ask(get(request_id=b'r%d' % n)) for n in range(4)]
+    assert [status(answer) for answer in answers] == [200] * 4
+
+
+async def test_a_refused_connection_is_not_a_run() -> None:
+    async with running_entry(echo, echo) as (entry, endpoints):
+        state = entry.book.by_id['i0']
+        state.record = state.record._replace(address='127.0.0.1:1')
+        answers = [await entry.ask(post(b'x', request_id=b'r%d' % n)) for n in range(4)]
+    assert [status(answer) for answer in answers] == [200] * 4
+    assert len(endpoints[1].requests) == 4
+
+
+async def test_a_late_second_answer_is_not_given_to_the_next_caller() -> None:
+    """Symptom: a lawyer sees another's claim file.
+
+    The endpoint answers once, and once more a little later, when the kept
+    connection already carries another caller's request.
+    """
+
+    async def twice(talk: Conversation) -> None:
+        await talk.request()
+        await talk.say(whole(b'first', request_id=b'r1'))
+        await talk.request()
+        await talk.say(whole(b'stale', request_id=b'r1') + whole(b'second', request_id=b'r2'))
+        await anyio.sleep_forever()
+
+    async with running_entry(twice) as (entry, _):
+        assert (await entry.ask(get(request_id=b'r1'))).endswith(b'first')
+        assert (await entry.ask(get(request_id=b'r2'))).endswith(b'second')
+
+
+async def test_surplus_bytes_end_the_connection_to_the_endpoint() -> None:
+    async def surplus(talk: Conversation) -> None:
+        await talk.request()
+        await talk.say(whole(b'ok', request_id=b'r1') + b'HTTP/1.1 200 OK\r\n')
+        await talk.request()
+
+    async with running_entry(surplus) as (entry, (endpoint,)):
+        for _ in range(2):
+            assert (await entry.ask(get(request_id=b'r1'))).endswith(b'ok')
+    assert endpoint.connections == 2
+
+
+async def test_an_answer_cut_short_is_replaced() -> None:
+    async def short(talk: Conversation) -> None:
+        await talk.request()
+        await talk.say(whole(b'whole answer')[:-5])
+
+    async with running_entry(short) as (entry, _):
+        answer = await entry.ask(post(b'x'))
+    assert status(answer) == 502
+    assert b'whole' not in answer
+
+
+async def test_a_long_answer_cut_short_does_not_look_complete() -> None:
+    """Symptom: half a file shown as if it were all of it.
+
+    The answer is longer than what is held back, so its head has been
+    passed on when the endpoint breaks off. The caller's connection must
+    end before the length that the head promised.
+    """
+    body = b'x' * 300_000
+
+    async def short(talk: Conversation) -> None:
+        await talk.request()
+        await talk.say(whole(body)[:-1000])
+
+    async with running_entry(short) as (entry, _):
+        answer = await entry.ask(post(b'x'))
+    assert status(answer) == 200
+    assert len(answer.partition(b'\r\n\r\n')[2]) < len(body)
+
+
+async def test_an_answer_without_length_ends_with_its_connection() -> None:
+    async def unframed(talk: Conversation) -> None:
+        await talk.request()
+        await talk.say(b'HTTP/1.1 200 OK\r\nX-Signature: s\r\n\r\nall of it')
+
+    async with running_entry(unframed) as (entry, _):
+        answer = await entry.ask(get())
+    assert status(answer) == 200
+    assert answer.endswith(b'all of it')
+
+
+async def test_a_success_without_signature_is_not_passed_on() -> None:
+    async def unsigned(talk: Conversation) -> None:
+        await talk.request()
+        await talk.say(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+
+    async with running_entry(unsigned) as (entry, _):
+        assert status(await entry.ask(post(b'x'))) == 502
+
+
+async def test_a_503_without_a_word_on_running_is_no_refusal() -> None:
+    """Symptom: a booking made twice.
+
+    Something behind answers 503 after the request ran. Passed on, it
+    would promise the caller that nothing ran, and the caller sends again.
+    """
+
+    async def made_up(talk: Conversation) -> None:
+        await talk.request()
+        await talk.say(b'HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n')
+
+    async with running_entry(made_up) as (entry, _):
+        assert status(await entry.ask(post(b'x'))) == 502
+
+
+async def test_bytes_that_are_no_answer_fail_the_try() -> None:
+    async def garbage(talk: Conversation) -> None:
+        await talk.request()
+        await talk.say(b'\x00\xffnonsense\r\n\r\n')
+
+    async with running_entry(garbage) as (entry, _):
+        assert status(await entry.ask(post(b'x'))) == 502
+
+
+async def test_pipelined_requests_run_together_and_are_answered_in_order() -> None:
+    async def by_path(talk: Conversation) -> None:
+        while True:
+            request = await talk.request()
+            if b'/files/slow' in request:
+                await anyio.sleep(0.2)
+            await talk.say(whole(b'slow' if b'/files/slow' in request else b'fast'))
+
+    async with running_entry(by_path) as (entry, _), await entry.connect() as stream:
+        await stream.send(get(b'/files/slow') + get(b'/files/fast', request_id=b'r2'))
+        got = b''
+        with anyio.fail_after(5):
+            while got.count(b'HTTP/1.1 200') < 2 or not got.endswith(b'fast'):
+                got += await stream.receive()
+    assert got.index(b'slow') < got.index(b'fast')
+
+
+async def test_a_pipelined_write_waits_for_the_answers_before_it() -> None:
+    """Symptom: a notice filed twice.
+
+    What comes behind an answer that ends the connection counts as unread,
+    and the caller sends it again. It must not have been run by then.
+    """
+
+    async def slow(talk: Conversation) -> None:
+        while True:
+            await talk.request()
+            await anyio.sleep(0.2)
+            await talk.say(whole(b'ok', more=b'Connection: close\r\n'))
+
+    async with running_entry(slow) as (entry, (endpoint,)), await entry.connect() as stream:
+        await stream.send(get() + post(b'x', request_id=b'r2'))
+        await anyio.sleep(0.1)
+        assert len(endpoint.requests) == 1
+
+
+async def test_a_caller_that_leaves_cancels_its_request_at_the_endpoint() -> None:
+    """Symptom: endpoints busy with requests that nobody waits for."""
+
+    async def never(talk: Conversation) -> None:
+        await talk.request()
+        await talk.stream.receive()
+
+    async with running_entry(never) as (entry, (endpoint,)):
+        stream = await entry.connect()
+        await stream.send(get())
+        with anyio.fail_after(5):
+            while not endpoint.requests:
+                await anyio.sleep(0.01)
+            await stream.aclose()
+            while not endpoint.ended:
+                await anyio.sleep(0.01)
+
+
+async def test_the_routes_timeout_ends_a_request_that_ran_as_504() -> None:
+    async def never(talk: Conversation) -> None:
+        await talk.request()
+        await anyio.sleep_forever()
+
+    table = table_of(route(idempotent=False, prefix='/notices/', timeout_s=0.2))
+    async with running_entry(never, table=table) as (entry, _):
+        assert status(await entry.ask(post(b'x'))) == 504
+
+
+async def test_callers_limits_on_heads_and_bodies() -> None:
+    limits = CallerLimits(header_bytes=2000, body_bytes=10)
+    table = table_of(route(idempotent=False, prefix='/notices/'), limits=limits)
+    async with running_entry(echo, table=table) as (entry, (endpoint,)):
+        assert status(await entry.ask(get(more=b'X-Long: ' + b'x' * 5000 + b'\r\n'))) == 431
+        assert status(await entry.ask(post(b'x' * 11))) == 413
+    assert not endpoint.requests
+
+
+async def test_a_caller_too_slow_with_its_head_gets_408() -> None:
+    limits = CallerLimits(header_timeout_s=0.1, idle_timeout_s=5.0)
+    async with running_entry(echo, table=table_of(limits=limits)) as (entry, _):
+        assert status(await entry.ask(b'GET /files/1 HT')) == 408
+
+
+async def test_a_long_body_is_streamed_and_answered() -> None:
+    body = b'y' * 400_000
+    async with running_entry(echo) as (entry, (endpoint,)):
+        answer = await entry.ask(post(body))
+    assert status(answer) == 200
+    assert endpoint.requests[0].endswith(body)
+
+
+async def test_a_closing_connection_ends_with_its_last_answer() -> None:
+    async with running_entry(echo) as (entry, _), await entry.connect() as stream:
+        await stream.send(get())
+        await stream.receive()
+        entry.connections[0].closing = True
+        await stream.send(get(request_id=b'r2'))
+        answer = b''
+        with anyio.fail_after(5):
+            try:
+                while True:
+                    answer += await stream.receive()
+            except anyio.EndOfStream:
+                pass
+    assert status(answer) == 200
+    assert b'connection: close' in answer.lower()
--- /dev/null
+++ b/tests/test_placing.py
@@ -0,0 +1,207 @@
+"""Decisions on placement: pure, with time handed in."""
+
+import pytest
+from entry_fixtures import SERVICE, route
+from hypothesis import given
+from hypothesis import strategies as st
+
+from plantainloft_core.discovery import EndpointRecord
+from plantainloft_core.routes import ServiceShare, ServiceSpec
+from plantainloft_node.placing.budget import RetryBudget
+from plantainloft_node.placing.cold import cold_share
+from plantainloft_node.placing.endpoints import EndpointBook
+from plantainloft_node.placing.placement import (
+    Chosen,
+    NoRoom,
+    Placement,
+    PlacementTerms,
+    Wanted,
+)
+from plantainloft_node.placing.splitting import SplitTurns
+
+NOW = 1000.0
+SPEC = ServiceSpec(
+    name=SERVICE, health_path='/health', max_connections=100, warmup_s=3.0, cold_rate=11.0
+)
+ROUTE = route(idempotent=True, prefix='/files/')
+
+
+def record(endpoint_id: str, *, zone: str = 'a', cold_s: float = 0.0) -> EndpointRecord:
+    return EndpointRecord(
+        id=endpoint_id,
+        service=SERVICE,
+        address='127.0.0.1:1',
+        zone=zone,
+        slots=4,
+        draining=False,
+        cold_s=cold_s,
+    )
+
+
+@pytest.fixture
+def book() -> EndpointBook:
+    book = EndpointBook(region_by_zone={'a': 'ankara', 'i': 'izmir'})
+    for number in range(6):
+        book.put(record(f'a{number}'), NOW)
+        book.put(record(f'i{number}', zone='i'), NOW)
+    for state in book.by_id.values():
+        state.note_report(busy=0, now=NOW)
+    return book
+
+
+@pytest.fixture
+def placement(book: EndpointBook) -> Placement:
+    terms = PlacementTerms(region='ankara', instance='e1', cold_over=1.5, cold_slack=5.0)
+    placement = Placement(terms=terms, book=book)
+    placement.instances = tuple(f'e{number}' for number in range(12))
+    return placement
+
+
+def wanted(key: str = '7', **terms: object) -> Wanted:
+    tried = terms.pop('tried', frozenset())
+    return Wanted(ROUTE._replace(**terms), SERVICE, key, frozenset(tried))  # type: ignore[arg-type,call-overload]
+
+
+def choose(placement: Placement, key: str = '7', **terms: object) -> str:
+    choice = placement.choose(wanted(key, **terms), SPEC, NOW)
+    assert isinstance(choice, Chosen)
+    return choice.endpoint.record.id
+
+
+def test_a_key_goes_to_the_same_endpoint_from_every_instance(book: EndpointBook) -> None:
+    terms = [PlacementTerms('ankara', f'e{number}', 1.5, 5.0) for number in range(4)]
+    placements = [Placement(terms=one, book=book) for one in terms]
+    for key in map(str, range(50)):
+        assert len({choose(placement, key) for placement in placements}) == 1
+
+
+def test_keys_spread_over_the_own_region(placement: Placement) -> None:
+    chosen = [choose(placement, str(key)) for key in range(600)]
+    counts = [chosen.count(f'a{number}') for number in range(6)]
+    assert sum(counts) == 600
+    assert min(counts) > 60
+
+
+def test_only_the_keys_of_an_endpoint_that_left_move(
+    placement: Placement, book: EndpointBook
+) -> None:
+    before = {key: choose(placement, key) for key in map(str, range(200))}
+    book.drop('a3')
+    moved = {key for key, endpoint in before.items() if choose(placement, key) != endpoint}
+    assert moved == {key for key, endpoint in before.items() if endpoint == 'a3'}
+
+
+def test_load_is_bounded_and_spills_to_another_region(
+    placement: Placement, book: EndpointBook
+) -> None:
+    for number in range(6):
+        book.by_id[f'a{number}'].note_report(busy=4, now=NOW)
+    assert choose(placement).startswith('i')
+
+
+def test_the_least_urgent_are_refused_first(placement: Placement, book: EndpointBook) -> None:
+    for state in book.by_id.values():
+        state.note_report(busy=5, now=NOW)
+    assert isinstance(placement.choose(wanted(priority=2), SPEC, NOW), NoRoom)
+    assert isinstance(placement.choose(wanted(priority=0), SPEC, NOW), Chosen)
+
+
+def test_draining_evacuated_and_foreign_endpoints_get_nothing(
+    placement: Placement, book: EndpointBook
+) -> None:
+    first = choose(placement)
+    book.put(book.by_id[first].record._replace(draining=True), NOW)
+    assert choose(placement) != first
+    assert choose(placement, regions=frozenset(('izmir',))).startswith('i')
+    book.set_evacuated(frozenset(('a',)), warmup_s=3.0, now=NOW)
+    assert choose(placement).startswith('i')
+
+
+def test_a_zone_taken_back_counts_as_cold(book: EndpointBook) -> None:
+    """Symptom: endpoints crash just after an evacuation is taken back.
+
+    They lost their caches while the zone was empty, and no row said so.
+    """
+    book.set_evacuated(frozenset(('a',)), warmup_s=3.0, now=NOW)
+    book.set_evacuated(frozenset(), warmup_s=3.0, now=NOW + 8)
+    assert book.by_id['a0'].is_cold(NOW + 10)
+    assert not book.by_id['i0'].is_cold(NOW + 10)
+    assert not book.by_id['a0'].is_cold(NOW + 12)
+
+
+@given(
+    bound=st.floats(min_value=1, max_value=500),
+    count=st.integers(min_value=1, max_value=120),
+    endpoint_id=st.text(min_size=1, max_size=12),
+)
+def test_cold_shares_never_add_up_to_more_than_the_bound(
+    bound: float, count: int, endpoint_id: str
+) -> None:
+    names = [f'e{number}' for number in range(count)]
+    shares = [
+        cold_share(bound=bound, me=name, instances=names, endpoint_id=endpoint_id) for name in names
+    ]
+    assert sum(shares) <= bound
+    assert max(shares) - min(shares) <= 1
+
+
+def test_a_cold_endpoint_gets_only_this_instances_share(book: EndpointBook) -> None:
+    book.put(record('cold', cold_s=3.0), NOW)
+    for name in [name for name in book.by_id if name != 'cold']:
+        book.drop(name)
+    terms = PlacementTerms(region='ankara', instance='e1', cold_over=1.5, cold_slack=5.0)
+    placement = Placement(terms=terms, book=book)
+    placement.instances = tuple(f'e{number}' for number in range(12))
+    sent = 0
+    for step in range(100):
+        now = NOW + step / 100
+        choice = placement.choose(wanted(), SPEC, now)
+        if isinstance(choice, Chosen):
+            placement.note_sent(choice.endpoint, now)
+            sent += 1
+    assert 1 <= sent <= 2
+
+
+def test_failing_endpoints_are_left_out_and_come_back(
+    placement: Placement, book: EndpointBook
+) -> None:
+    first = choose(placement)
+    health = book.by_id[first].health
+    while not health.note_failed(NOW):
+        assert choose(placement) == first
+    assert choose(placement) != first
+    assert health.usable(NOW + 1.5)
+
+
+def test_an_endpoint_that_answers_nothing_is_left_out(
+    placement: Placement, book: EndpointBook
+) -> None:
+    """Symptom: requests wait out their whole time at one endpoint.
+
+    It fell silent with connections open: no failure is ever counted, since
+    none of its requests ends.
+    """
+    first = choose(placement)
+    book.by_id[first].health.note_sent(1, NOW - 2)
+    assert choose(placement) != first
+    book.by_id[first].health.note_ended(1)
+    assert choose(placement) == first
+
+
+def test_repeats_stay_within_their_share_over_all_instances() -> None:
+    budgets = [RetryBudget(ratio=0.2, extra=64.0, window_s=10.0) for _ in range(12)]
+    repeats = 0
+    for step in range(1000):
+        now = NOW + step / 100
+        for budget in budgets:
+            budget.note_request(now)
+            repeats += budget.take(now, instances=12)
+    assert repeats <= 0.2 * 12000 + 64
+
+
+def test_a_split_holds_over_few_requests() -> None:
+    turns = SplitTurns()
+    shares = (ServiceShare('new', 10.0), ServiceShare('old', 90.0))
+    for count in (10, 50, 100):
+        chosen = [turns.next(shares) for _ in range(count)]
+        assert abs(chosen.count('new') - count / 10) <= 1
