Place keys by region shares, three candidates each

Change: callers of a region get a slowly moving share of each region's slots (by demand from the beats), each key has a fixed place in it, and three endpoints there (one elsewhere) may serve it. Ruled out: the number of keys as the cause; sampled logs show 66 and 33 keys a region on booking-svc, 11 an endpoint, against 43 that one keeps warm.

--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -61,7 +61,8 @@
 class Attempts:
     """Keeps which endpoints a request went to, and how that ended."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, key: str) -> None:
+        self.key = key
         self.tried: set[str] = set()
         self.sent = 0
         self.unsent = 0
@@ -69,8 +70,6 @@
         # Set while a request is out, and for good once one may have run.
         self.may_have_run = False
         self.reasons: list[str] = []
-        # The moment of the first send, for the second one's time left.
-        self.last_endpoint = ''
 
     def note(self, endpoint_id: str, outcome: TryOutcome, *, ran_before: bool) -> None:
         """Take the outcome of one try at ``endpoint_id``.
@@ -78,7 +77,6 @@
         ``ran_before``: an earlier try may have run, whatever this one did.
         """
         self.tried.add(endpoint_id)
-        self.last_endpoint = endpoint_id
         if isinstance(outcome, NotSent):
             self.unsent += 1
         elif isinstance(outcome, NotRun) and outcome.misdirected:
--- a/packages/node/src/plantainloft_node/engine/front.py
+++ b/packages/node/src/plantainloft_node/engine/front.py
@@ -24,6 +24,7 @@
 from plantainloft_node.engine.replies import OUT_OF_TIME, Replies, request_id
 from plantainloft_node.engine.sender import Sender, Sending
 from plantainloft_node.placing.budget import RetryBudget
+from plantainloft_node.placing.demand import DemandMeter
 from plantainloft_node.placing.placement import Chosen, NoRoom, Placement, Wanted
 from plantainloft_node.placing.splitting import SplitTurns
 
@@ -85,6 +86,7 @@
         self._budget_by_service: dict[str, RetryBudget] = {}
         self._turns_by_route: dict[str, SplitTurns] = {}
         self.in_progress = 0
+        self.demand = DemandMeter()
 
     def limits(self) -> CallerLimits:
         """Return the limits of the configuration in force."""
@@ -112,11 +114,11 @@
 
     async def _serve(self, exchange: Exchange, route: Route, table: RouteTable) -> None:
         cutoff = exchange.received_at + min(self._patience(exchange), route.timeout_s)
-        attempts = Attempts()
+        attempts = Attempts(key=self._key(exchange))
         outcome: Answered | Refusal | Failed | None = None
         with anyio.move_on_at(cutoff):
             body, whole = await exchange.body.prefetch()
-            judged = Judged(exchange, route, self._key(exchange), cutoff, body, whole)
+            judged = Judged(exchange, route, attempts.key, cutoff, body, whole)
             outcome = await self._obtain(judged, table, attempts)
         if outcome is None:
             outcome = _out_of_time(attempts)
@@ -129,7 +131,9 @@
         return int(raw) / MS
 
     def _key(self, exchange: Exchange) -> str:
-        return find_cookie(exchange.headers, self._names.affinity_cookie)
+        # Without a key, requests spread by their ids.
+        cookie = find_cookie(exchange.headers, self._names.affinity_cookie)
+        return cookie or request_id(exchange, self._names)
 
     async def _obtain(
         self, judged: Judged, table: RouteTable, attempts: Attempts
@@ -139,6 +143,7 @@
         service = turns.next(route.shares)
         budget = self._budget(service)
         budget.note_request(anyio.current_time())
+        self.demand.note(service)
         while True:
             outcome = await self._try(judged, service, table, attempts)
             if isinstance(outcome, Refusal):
--- a/packages/node/src/plantainloft_node/engine/replies.py
+++ b/packages/node/src/plantainloft_node/engine/replies.py
@@ -53,7 +53,12 @@
         attempts: Attempts,
     ) -> None:
         took_s = anyio.current_time() - exchange.received_at
-        fields = {'route': route.name, 'ms': round(took_s * MS), 'tries': attempts.why()}
+        fields = {
+            'route': route.name,
+            'ms': round(took_s * MS),
+            'key': attempts.key,
+            'tries': attempts.why(),
+        }
         if isinstance(outcome, Answered):
             fields['endpoint'] = outcome.endpoint_id
             fields['status'] = outcome.head.status
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -18,6 +18,7 @@
 from plantainloft_node.entry.sharing import NewsSharing
 from plantainloft_node.fleet.beats import BeatExchange
 from plantainloft_node.fleet.members import Beat, FleetMember, MemberBook
+from plantainloft_node.placing.demand import RegionDemand, demand_by_region
 from plantainloft_node.placing.endpoints import EndpointBook
 from plantainloft_node.placing.placement import Placement, PlacementTerms
 from plantainloft_node.replica.beliefs import Beliefs
@@ -132,6 +133,7 @@
             ready=self.ready(),
             leaving=self._leaving,
             newest_by_table=self.rows.newest_by_table,
+            rate_by_service=self.front.demand.rate_by_service,
         )
 
     def _observe(self, route: str, outcome: str, seconds: float) -> None:
@@ -143,8 +145,19 @@
             now = anyio.current_time()
             self.beliefs.tick(now)
             self.placement.instances = self.members.sharing(now)
+            self._weigh_regions(now)
             await anyio.sleep(TICK_S)
 
+    def _weigh_regions(self, now: float) -> None:
+        meter = self.front.demand
+        meter.tick(TICK_S)
+        mine = RegionDemand(self._settings.region, meter.rate_by_service)
+        others = [
+            RegionDemand(beat.member.region, beat.rate_by_service)
+            for beat in self.members.beats(now)
+        ]
+        self.placement.update_regions(demand_by_region([mine, *others]))
+
     async def _listen(self, address: str, handler: Handler) -> None:
         host, _, port = address.rpartition(':')
         listener = await anyio.create_tcp_listener(
--- a/packages/node/src/plantainloft_node/fleet/beats.py
+++ b/packages/node/src/plantainloft_node/fleet/beats.py
@@ -116,7 +116,13 @@
 
 def _pack(beat: Beat) -> bytes:
     packed: bytes = msgpack.packb(
-        [list(beat.member), beat.ready, beat.leaving, beat.newest_by_table]
+        [
+            list(beat.member),
+            beat.ready,
+            beat.leaving,
+            beat.newest_by_table,
+            {service: round(rate, 1) for service, rate in beat.rate_by_service.items()},
+        ]
     )
     return packed
 
@@ -129,4 +135,4 @@
 
 
 def _beat(raw: Any) -> Beat:
-    return Beat(FleetMember(*raw[0]), raw[1], raw[2], raw[3])
+    return Beat(FleetMember(*raw[0]), raw[1], raw[2], raw[3], raw[4])
--- a/packages/node/src/plantainloft_node/fleet/members.py
+++ b/packages/node/src/plantainloft_node/fleet/members.py
@@ -30,13 +30,15 @@
 class Beat(NamedTuple):
     """What an instance says of itself twice a second.
 
-    ``newest_by_table`` are the newest row versions that it knows.
+    ``newest_by_table`` are the newest row versions that it knows,
+    ``rate_by_service`` its callers' requests a second.
     """
 
     member: FleetMember
     ready: bool
     leaving: bool
     newest_by_table: dict[str, int]
+    rate_by_service: dict[str, float]
 
 
 class _Heard(NamedTuple):
@@ -92,6 +94,12 @@
             if now - heard.at < DOWN_AFTER_S and heard.beat.ready and not heard.beat.leaving
         ]
 
+    def beats(self, now: float) -> list[Beat]:
+        """Return the last beats of the others that are up."""
+        return [
+            heard.beat for heard in self._heard_by_name.values() if now - heard.at < DOWN_AFTER_S
+        ]
+
     def sharing(self, now: float) -> tuple[str, ...]:
         """Return the names among which limits are shared out, this one too.
 
--- a/packages/node/src/plantainloft_node/placing/placement.py
+++ b/packages/node/src/plantainloft_node/placing/placement.py
@@ -6,6 +6,7 @@
 refused at once.
 """
 
+from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import NamedTuple
 
@@ -13,6 +14,7 @@
 from plantainloft_node.placing.affinity import score
 from plantainloft_node.placing.cold import cold_share
 from plantainloft_node.placing.endpoints import EndpointBook, EndpointState
+from plantainloft_node.placing.regions import RegionShares, region_shares
 
 __all__ = ['Chosen', 'NoRoom', 'Placement', 'PlacementTerms', 'Wanted']
 
@@ -22,6 +24,12 @@
 # length more would wait past the latency objective.
 QUEUE_BY_PRIORITY = (1.0, 0.6, 0.25)
 MAX_RANKINGS = 4096
+# Endpoints that may serve one key. Each keeps a few dozen objects warm;
+# with three, today's objects fit all of them (10 to 13 an endpoint and
+# choice, against 43 to 54 kept). With every endpoint a choice, one burst
+# leaves no object warm anywhere, and work takes three times as long.
+NEAR_CANDIDATES = 3
+FAR_CANDIDATES = 1
 
 
 class PlacementTerms(NamedTuple):
@@ -35,6 +43,7 @@
     instance: str
     cold_over: float
     cold_slack: float
+    shift_step: float = 0.01
 
 
 class Wanted(NamedTuple):
@@ -76,28 +85,69 @@
         self.instances: tuple[str, ...] = ()
         self._ranking_by_key: dict[tuple[str, str], list[str]] = {}
         self._ranked_generation = -1
+        self._shares_by_service: dict[str, RegionShares] = {}
 
     def choose(self, wanted: Wanted, spec: ServiceSpec, now: float) -> Chosen | NoRoom:
         """Return the endpoint for ``wanted``, or that none has room."""
-        usable = self._usable(wanted, spec, now)
-        if not usable:
+        near, far = self._candidates(wanted, spec, now)
+        if not near and not far:
             return NoRoom(reason='no endpoint is usable', usable=0)
-        local = [state for state in usable if state.region == self._terms.region]
-        for group in (local, usable):
-            chosen = self._first_with_room(group, now)
+        for group in (near, far):
+            chosen = _first_with_room(group, now)
             if chosen is not None:
                 return chosen
-        return self._least_queued(usable, wanted.route.priority, now)
+        return _least_queued(near or far, wanted.route.priority, now)
+
+    def update_regions(self, demand_by_region: Mapping[str, Mapping[str, float]]) -> None:
+        """Take the demand (requests a second) by service and region."""
+        for service in self._book.ids_by_service:
+            slots = self._slots_by_region(service)
+            wanted = region_shares(
+                mine=self._terms.region, slots=slots, demand=demand_by_region.get(service, {})
+            )
+            shares = self._shares_by_service.get(service)
+            if shares is None:
+                shares = RegionShares(step=self._terms.shift_step)
+                self._shares_by_service[service] = shares
+            shares.update(wanted, slots)
 
     def note_sent(self, state: EndpointState, now: float) -> None:
         """Count a request as sent to ``state``."""
         if state.is_cold(now):
             state.cold_gate.note_sent(now)
 
-    def _usable(self, wanted: Wanted, spec: ServiceSpec, now: float) -> list[EndpointState]:
-        by_id = self._book.by_id
-        ranked = [by_id[name] for name in self._ranking(wanted) if name not in wanted.tried]
-        return [state for state in ranked if self._may_use(state, wanted.route, spec, now)]
+    def _candidates(
+        self, wanted: Wanted, spec: ServiceSpec, now: float
+    ) -> tuple[list[EndpointState], list[EndpointState]]:
+        """Return the key's endpoints in its region, and elsewhere."""
+        region = self._region(wanted)
+        near: list[EndpointState] = []
+        far: list[EndpointState] = []
+        for name in self._ranking(wanted):
+            state = self._book.by_id[name]
+            group, most = (
+                (near, NEAR_CANDIDATES) if state.region == region else (far, FAR_CANDIDATES)
+            )
+            if len(group) >= most or name in wanted.tried:
+                continue
+            if self._may_use(state, wanted.route, spec, now):
+                group.append(state)
+        return near, far
+
+    def _region(self, wanted: Wanted) -> str | None:
+        allowed = wanted.route.regions
+        shares = self._shares_by_service.get(wanted.service)
+        region = shares.region_of(wanted.key) if shares else None
+        if region is None or (allowed and region not in allowed):
+            return self._terms.region
+        return region
+
+    def _slots_by_region(self, service: str) -> dict[str, float]:
+        slots: dict[str, float] = {}
+        for state in self._book.of_service(service):
+            usable = not (state.record.draining or state.record.zone in self._book.evacuated_zones)
+            slots[state.region] = slots.get(state.region, 0.0) + state.record.slots * usable
+        return slots
 
     def _may_use(self, state: EndpointState, route: Route, spec: ServiceSpec, now: float) -> bool:
         record = state.record
@@ -132,19 +182,19 @@
             self._ranking_by_key[cache_key] = ranking
         return ranking
 
-    def _first_with_room(self, group: list[EndpointState], now: float) -> Chosen | None:
-        for rank, state in enumerate(group):
-            load = state.load(now)
-            if load < state.record.slots:
-                return Chosen(endpoint=state, load=load, rank=rank)
-        return None
-
-    def _least_queued(
-        self, group: list[EndpointState], priority: int, now: float
-    ) -> Chosen | NoRoom:
-        allowed = QUEUE_BY_PRIORITY[min(priority, len(QUEUE_BY_PRIORITY) - 1)]
-        best = min(group, key=lambda state: state.load(now) / state.record.slots)
-        load = best.load(now)
-        if load < best.record.slots * (1 + allowed):
-            return Chosen(endpoint=best, load=load, rank=group.index(best))
-        return NoRoom(reason='every endpoint is full', usable=len(group))
+
+def _first_with_room(group: list[EndpointState], now: float) -> Chosen | None:
+    for rank, state in enumerate(group):
+        load = state.load(now)
+        if load < state.record.slots:
+            return Chosen(endpoint=state, load=load, rank=rank)
+    return None
+
+
+def _least_queued(group: list[EndpointState], priority: int, now: float) -> Chosen | NoRoom:
+    allowed = QUEUE_BY_PRIORITY[min(priority, len(QUEUE_BY_PRIORITY) - 1)]
+    best = min(group, key=lambda state: state.load(now) / state.record.slots)
+    load = best.load(now)
+    if load < best.record.slots * (1 + allowed):
+        return Chosen(endpoint=best, load=load, rank=group.index(best))
+    return NoRoom(reason='every endpoint is full', usable=len(group))
--- /dev/null
+++ b/packages/node/src/plantainloft_node/placing/regions.py
@@ -0,0 +1,100 @@
+"""Which region a key's requests run in, by capacity and demand.
+
+Callers are spread over the regions unlike the endpoints are: a region
+with a third of the callers may have a fourteenth of the slots. Filling
+the near region first and spilling what is left moves each object between
+regions from one request to the next, and it is warm nowhere. Here every
+region's callers get a share of each region's slots that changes slowly,
+and each key has a fixed place in it.
+"""
+
+from collections.abc import Mapping
+
+from plantainloft_node.placing.affinity import score
+
+__all__ = ['RegionShares', 'region_shares']
+
+# A region's own callers may load it this much above the average of all
+# regions before the rest of them is sent on: near is a few tens of
+# milliseconds faster, and bytes between regions are paid for.
+LOCAL_MARGIN = 1.4
+_SCORE_RANGE = float(1 << 32)
+
+
+def region_shares(
+    *, mine: str, slots: Mapping[str, float], demand: Mapping[str, float]
+) -> dict[str, float]:
+    """Return the share (0..1) of ``mine``'s requests for each region.
+
+    ``slots`` are the usable slots by region, ``demand`` the requests a
+    second of each region's callers.
+    """
+    total_slots = sum(slots.values())
+    if not total_slots:
+        return {}
+    level = LOCAL_MARGIN * sum(demand.values()) / total_slots
+    here = slots.get(mine, 0.0)
+    wanted = demand.get(mine, 0.0)
+    local = min(1.0, here * level / wanted) if wanted > 0 else min(1.0, here)
+    others = {name: count for name, count in slots.items() if name != mine and count > 0}
+    if not others:
+        return {mine: 1.0}
+    free = {name: max(0.0, count * level - demand.get(name, 0.0)) for name, count in others.items()}
+    weights = free if sum(free.values()) > 0 else others
+    rest = (1 - local) / sum(weights.values())
+    return {mine: local, **{name: rest * weight for name, weight in weights.items()}}
+
+
+class RegionShares:
+    """The shares in force, moved slowly towards those wanted."""
+
+    def __init__(self, *, step: float) -> None:
+        """``step``: the most that a share moves at one update."""
+        self._step = step
+        self._shares: dict[str, float] = {}
+        self._slots: dict[str, float] = {}
+
+    def update(self, wanted: dict[str, float], slots: Mapping[str, float]) -> None:
+        """Move towards ``wanted``; at once where slots were lost.
+
+        Moving slowly keeps each shift of traffic within its cap. A region
+        that lost a good part of its slots would be overrun meanwhile.
+        """
+        if not self._shares or _lost_slots(self._slots, slots):
+            self._shares = dict(wanted)
+            self._slots = dict(slots)
+            return
+        self._slots = {
+            name: max(count, self._slots.get(name, 0.0) * _FADE) for name, count in slots.items()
+        }
+        names = set(wanted) | set(self._shares)
+        far = max(abs(wanted.get(name, 0.0) - self._shares.get(name, 0.0)) for name in names)
+        part = min(1.0, self._step / far) if far > 0 else 1.0
+        self._shares = {
+            name: self._shares.get(name, 0.0) * (1 - part) + wanted.get(name, 0.0) * part
+            for name in names
+        }
+
+    def region_of(self, key: str) -> str | None:
+        """Return the region of ``key``, if there is any."""
+        place = score(key, 'region') / _SCORE_RANGE
+        chosen = None
+        for name in sorted(self._shares):
+            share = self._shares[name]
+            if share <= 0:
+                continue
+            chosen = name
+            if place < share:
+                break
+            place -= share
+        return chosen
+
+
+# A region counts as having lost slots when fewer than this part is left.
+_KEPT_PART = 0.75
+# What it had before is forgotten over a few seconds of updates.
+_FADE = 0.95
+
+
+def _lost_slots(before: Mapping[str, float], now: Mapping[str, float]) -> bool:
+    return any(now.get(name, 0.0) < count * _KEPT_PART for name, count in before.items())
