No share of cold limits before the instances are listed

Change: those listed count as well as those heard; without a list no request goes to a cold endpoint.

--- a/packages/node/src/plantainloft_node/entry/sharing.py
+++ b/packages/node/src/plantainloft_node/entry/sharing.py
@@ -78,10 +78,12 @@
             if isinstance(listed, Unreachable):
                 await anyio.sleep(LIST_RETRY_S)
                 continue
+            now = anyio.current_time()
             for row in listed.rows:
                 member = _member(row)
                 if member is not None:
-                    self._members.learn(member)
+                    self._members.learn(member, now)
+            self._members.listed = True
             await anyio.sleep(LIST_EVERY_S)
 
     def on_beat(self, beat: Beat) -> None:
@@ -116,8 +118,10 @@
             return
         fresh = self._rows.merge(NewsRow(*row) for row in answer['rows'])
         self._beliefs.take(fresh, anyio.current_time(), source=member.name)
+        now = anyio.current_time()
         for raw in answer['members']:
-            self._members.learn(FleetMember(*raw))
+            self._members.learn(FleetMember(*raw), now)
+        self._members.listed = True
         changed = {row.table for row in fresh}
         for table in changed:
             self._followers[table].poke()
--- a/packages/node/src/plantainloft_node/fleet/members.py
+++ b/packages/node/src/plantainloft_node/fleet/members.py
@@ -53,8 +53,11 @@
         self.me = me
         self._heard_by_name: dict[str, _Heard] = {}
         self._known_by_name: dict[str, FleetMember] = {}
+        self._learned_at_by_name: dict[str, float] = {}
+        # Whether a list of all instances was read since the start.
+        self.listed = False
 
-    def learn(self, member: FleetMember) -> bool:
+    def learn(self, member: FleetMember, now: float) -> bool:
         """Add an instance that others told of; return whether it is new."""
         if member.name == self.me.name:
             return False
@@ -62,6 +65,7 @@
         if known is not None and known.incarnation >= member.incarnation:
             return False
         self._known_by_name[member.name] = member
+        self._learned_at_by_name[member.name] = now
         return known is None
 
     def hear(self, beat: Beat, now: float) -> bool:
@@ -103,16 +107,21 @@
     def sharing(self, now: float) -> tuple[str, ...]:
         """Return the names among which limits are shared out, this one too.
 
-        Those that were cut off a moment ago still count: they may go on
-        sending.
+        Those that are listed but not heard count as well: just restarted,
+        an instance has heard nobody yet, and taking itself for the only
+        one it would use everybody's share. Those cut off may go on
+        sending. Empty until a list was read: no share is known then.
         """
-        names = [
-            name
-            for name, heard in self._heard_by_name.items()
-            if now - heard.at < FORGET_AFTER_S and not _gone(heard, now)
-        ]
+        if not self.listed:
+            return ()
+        names = [name for name in self._known_by_name if self._counts(name, now)]
         return tuple(sorted((*names, self.me.name)))
 
-
-def _gone(heard: _Heard, now: float) -> bool:
-    return heard.beat.leaving and now - heard.at >= DOWN_AFTER_S
+    def _counts(self, name: str, now: float) -> bool:
+        heard = self._heard_by_name.get(name)
+        if heard is None:
+            return now - self._learned_at_by_name.get(name, now) < FORGET_AFTER_S
+        silent_s = now - heard.at
+        if heard.beat.leaving and silent_s >= DOWN_AFTER_S:
+            return False
+        return silent_s < FORGET_AFTER_S
--- a/packages/node/src/plantainloft_node/placing/cold.py
+++ b/packages/node/src/plantainloft_node/placing/cold.py
@@ -27,9 +27,12 @@
 
     ``bound`` is the most that all ``instances`` together may send in a
     second. What does not divide evenly goes to those that the endpoint's
-    id ranks first; on a large fleet only these get anything.
+    id ranks first; on a large fleet only these get anything. Without a
+    list of instances no share is known, and nothing is sent.
     """
-    names = set(instances) | {me}
+    names = set(instances)
+    if me not in names:
+        return 0
     each, rest = divmod(int(bound * DEALT), len(names))
     if not rest:
         return each
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,53 @@
+"""Which instances count, by beats and lists."""
+
+from plantainloft_node.fleet.members import Beat, FleetMember, MemberBook
+from plantainloft_node.placing.cold import cold_share
+
+NOW = 1000.0
+
+
+def member(name: str, *, incarnation: int = 1, region: str = 'ankara') -> FleetMember:
+    return FleetMember(name, incarnation, region, 'a', f'{name}:80', f'{name}:90')
+
+
+def beat(name: str, *, leaving: bool = False, incarnation: int = 1) -> Beat:
+    return Beat(member(name, incarnation=incarnation), True, leaving, {}, {})
+
+
+def test_an_instance_just_restarted_keeps_to_its_own_share_of_cold_limits() -> None:
+    """Symptom: cold endpoints get 33 requests a second where 21 are allowed.
+
+    All instances lose power and start again. Each has heard of no other
+    yet, takes itself for the only one and uses the whole limit.
+    """
+    book = MemberBook(me=member('e1'))
+    unlisted = book.sharing(NOW)
+    assert cold_share(bound=21.5, me='e1', instances=unlisted, endpoint_id='x') == 0
+    for number in range(12):
+        book.learn(member(f'e{number}'), NOW)
+    book.listed = True
+    assert len(book.sharing(NOW)) == 12
+    assert cold_share(bound=21.5, me='e1', instances=book.sharing(NOW), endpoint_id='x') <= 2
+
+
+def test_an_instance_that_was_cut_off_still_counts_and_one_that_left_does_not() -> None:
+    book = MemberBook(me=member('e1'))
+    book.listed = True
+    book.hear(beat('e2'), NOW)
+    book.hear(beat('e3', leaving=True), NOW)
+    assert book.sharing(NOW + 5) == ('e1', 'e2')
+
+
+def test_only_instances_that_are_up_and_staying_serve() -> None:
+    book = MemberBook(me=member('e1'))
+    book.hear(beat('e2'), NOW)
+    book.hear(beat('e3', leaving=True), NOW)
+    assert [one.name for one in book.serving(NOW + 1)] == ['e2']
+    assert book.serving(NOW + 3) == []
+
+
+def test_a_beat_of_an_earlier_start_is_not_believed() -> None:
+    book = MemberBook(me=member('e1'))
+    book.hear(beat('e2', incarnation=2, leaving=False), NOW)
+    book.hear(beat('e2', incarnation=1, leaving=True), NOW)
+    assert [one.name for one in book.serving(NOW)] == ['e2']
