--- a/packages/node/src/plantainloft_node/engine/front.py
+++ b/packages/node/src/plantainloft_node/engine/front.py
@@ -23,7 +23,7 @@
 from plantainloft_node.engine.heads import Headers, find_cookie, passed_on
 from plantainloft_node.engine.replies import OUT_OF_TIME, Replies, request_id
 from plantainloft_node.engine.sender import Sender, Sending
-from plantainloft_node.placing.budget import RetryBudget
+from plantainloft_node.placing.budget import Allowance, RetryBudget
 from plantainloft_node.placing.demand import DemandMeter
 from plantainloft_node.placing.placement import Chosen, NoRoom, Placement, Wanted
 from plantainloft_node.placing.splitting import SplitTurns
@@ -80,7 +80,7 @@
         self._names = names
         self._placement = placement
         self._sender = sender
-        self._retries = retries
+        self.retries = retries
         self._table = table
         self._replies = Replies(names=names, observe=observe)
         self._budget_by_service: dict[str, RetryBudget] = {}
@@ -88,6 +88,13 @@
         self.in_progress = 0
         self.demand = DemandMeter()
 
+    def budgets_left(self, now: float) -> dict[str, float]:
+        """Return the repeats left by service."""
+        return {
+            service: budget.left(now, self._allowance())
+            for service, budget in self._budget_by_service.items()
+        }
+
     def limits(self) -> CallerLimits:
         """Return the limits of the configuration in force."""
         return self._table().limits
@@ -208,7 +215,14 @@
         now = anyio.current_time()
         if now >= judged.cutoff:
             return False
-        return budget.take(now, instances=len(self._placement.instances))
+        return budget.take(now, self._allowance())
+
+    def _allowance(self) -> Allowance:
+        return Allowance(
+            ratio=self.retries.ratio,
+            extra=self.retries.extra,
+            instances=len(self._placement.instances),
+        )
 
     def _sending(self, judged: Judged, choice: Chosen, now: float) -> Sending:
         names = self._names
@@ -235,8 +249,7 @@
     def _budget(self, service: str) -> RetryBudget:
         budget = self._budget_by_service.get(service)
         if budget is None:
-            terms = self._retries
-            budget = RetryBudget(ratio=terms.ratio, extra=terms.extra, window_s=terms.window_s)
+            budget = RetryBudget(window_s=self.retries.window_s)
             self._budget_by_service[service] = budget
         return budget
 
--- /dev/null
+++ b/packages/node/src/plantainloft_node/entry/report.py
@@ -0,0 +1,47 @@
+"""The state of an instance as metrics, made when somebody asks."""
+
+import anyio
+
+from plantainloft_node.engine.front import Front
+from plantainloft_node.entry.metrics import Metrics
+from plantainloft_node.entry.observing import Observation
+from plantainloft_node.fleet.members import MemberBook
+
+__all__ = ['Report']
+
+
+class Report:
+    """Counters kept while serving, and gauges read when asked."""
+
+    def __init__(self, *, observation: Observation, members: MemberBook) -> None:
+        self._observation = observation
+        self._members = members
+        self._metrics = Metrics()
+
+    def observe(self, route: str, outcome: str, seconds: float) -> None:
+        """Count one answered request."""
+        self._metrics.add('requests', route=route, outcome=outcome)
+        self._metrics.observe('request_seconds', seconds, route=route)
+
+    def text(self, front: Front) -> str:
+        """Return all series."""
+        now = anyio.current_time()
+        metrics = self._metrics
+        beliefs = self._observation.beliefs
+        metrics.put('configuration_version', beliefs.table.version)
+        metrics.put('configuration_age_seconds', now - beliefs.table_since)
+        metrics.put('members_up', len(self._members.beats(now)) + 1)
+        metrics.put('requests_in_progress', front.in_progress)
+        for service, left in front.budgets_left(now).items():
+            metrics.put('retry_budget_left', left, service=service)
+        self._put_observation(now)
+        return metrics.text()
+
+    def _put_observation(self, now: float) -> None:
+        metrics = self._metrics
+        for name, follower in self._observation.followers.items():
+            metrics.put('store_followed', follower.in_touch, table=name)
+            metrics.put('store_heard_seconds_ago', now - follower.heard_at, table=name)
+        for service, counts in self._observation.book.summary(now).items():
+            for state, count in counts.items():
+                metrics.put('endpoints', count, service=service, state=state)
--- a/packages/node/src/plantainloft_node/entry/settings.py
+++ b/packages/node/src/plantainloft_node/entry/settings.py
@@ -16,6 +16,7 @@
 RETRY_WINDOW_S = 10.0
 COLD_OVER = 1.5
 COLD_SLACK = 5.0
+MAX_SHIFT = 0.15
 _BOUNDS = 'bounds'
 _LISTEN = 'listen'
 
@@ -50,6 +51,7 @@
     ready: str
     directory: str
     control: str
+    metrics: str
     peer_port: int
     seeds: tuple[str, ...]
     store: str
@@ -60,6 +62,7 @@
     retry_window_s: float
     cold_over: float
     cold_slack: float
+    max_shift: float
     log_level: str
 
     @property
@@ -81,6 +84,7 @@
     Option(_LISTEN, 'ready', str),
     Option(_LISTEN, 'directory', str),
     Option(_LISTEN, 'control', str),
+    Option(_LISTEN, 'metrics', str, ''),
     Option('peers', 'port', positive),
     Option('peers', 'seeds', addresses, ()),
     Option('store', 'address', str),
@@ -91,6 +95,7 @@
     Option(_BOUNDS, 'retry_window', duration, RETRY_WINDOW_S),
     Option(_BOUNDS, 'cold_over', positive, COLD_OVER),
     Option(_BOUNDS, 'cold_slack', positive, COLD_SLACK),
+    Option(_BOUNDS, 'max_shift', positive, MAX_SHIFT),
     Option('log', 'level', choice('DEBUG', 'INFO', 'WARNING', 'ERROR'), 'INFO'),
 )
 
@@ -116,6 +121,7 @@
         ready=found['listen.ready'],
         directory=found['listen.directory'],
         control=found['listen.control'],
+        metrics=found['listen.metrics'],
         peer_port=int(found['peers.port']),
         seeds=found['peers.seeds'],
         store=found['store.address'],
@@ -126,5 +132,6 @@
         retry_window_s=found['bounds.retry_window'],
         cold_over=found['bounds.cold_over'],
         cold_slack=found['bounds.cold_slack'],
+        max_shift=found['bounds.max_shift'],
         log_level=found['log.level'],
     )
--- a/packages/node/src/plantainloft_node/entry/sharing.py
+++ b/packages/node/src/plantainloft_node/entry/sharing.py
@@ -13,15 +13,13 @@
 from anyio.abc import TaskGroup
 
 from plantainloft_core.outcomes import Unreachable
+from plantainloft_node.entry.observing import Observation
 from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.fleet.members import Beat, FleetMember, MemberBook
 from plantainloft_node.peering.links import Links
 from plantainloft_node.peering.listener import serve_peers
 from plantainloft_node.peering.messages import Traffic
-from plantainloft_node.replica.beliefs import Beliefs
-from plantainloft_node.replica.follower import TableFollower
-from plantainloft_node.replica.news import INSTANCES, NewsRow, NewsStore
-from plantainloft_node.replica.rows import RowCopy
+from plantainloft_node.replica.news import INSTANCES, NewsRow
 
 __all__ = ['NewsSharing']
 
@@ -46,18 +44,15 @@
         *,
         settings: EntrySettings,
         members: MemberBook,
-        rows: RowCopy,
-        beliefs: Beliefs,
-        followers: dict[str, TableFollower],
-        store: NewsStore,
+        observation: Observation,
         tasks: TaskGroup,
     ) -> None:
         self._settings = settings
         self._members = members
-        self._rows = rows
-        self._beliefs = beliefs
-        self._followers = followers
-        self._store = store
+        self._rows = observation.rows
+        self._beliefs = observation.beliefs
+        self._followers = observation.followers
+        self._store = observation.store
         self._tasks = tasks
         self._traffic = Traffic()
         self._links = Links(tasks=tasks, traffic=self._traffic)
--- /dev/null
+++ b/packages/node/src/plantainloft_node/entry/terms.py
@@ -0,0 +1,51 @@
+"""The parts' terms, taken from the settings."""
+
+import time
+
+from plantainloft_node.engine.front import RetryTerms
+from plantainloft_node.entry.settings import EntrySettings
+from plantainloft_node.fleet.members import FleetMember
+from plantainloft_node.placing.placement import PlacementTerms
+
+__all__ = ['TICK_S', 'own_member', 'placement_terms', 'retry_terms']
+
+# Beliefs that time changes (ejections, regions' shares) are looked at this
+# often.
+TICK_S = 0.25
+MS = 1000.0
+# Traffic is judged by windows of this length; a half of its cap is left to
+# callers who move by themselves.
+SHIFT_WINDOW_S = 2.0
+SHIFT_USED = 0.5
+
+
+def placement_terms(settings: EntrySettings) -> PlacementTerms:
+    """Return the bounds that placement keeps."""
+    return PlacementTerms(
+        region=settings.region,
+        instance=settings.name,
+        cold_over=settings.cold_over,
+        cold_slack=settings.cold_slack,
+        shift_step=settings.max_shift * SHIFT_USED * TICK_S / SHIFT_WINDOW_S,
+    )
+
+
+def retry_terms(settings: EntrySettings) -> RetryTerms:
+    """Return the bounds on repeats."""
+    return RetryTerms(
+        ratio=settings.retry_ratio,
+        extra=settings.retry_extra,
+        window_s=settings.retry_window_s,
+    )
+
+
+def own_member(settings: EntrySettings) -> FleetMember:
+    """Return this instance as the others know it, numbered by its start."""
+    return FleetMember(
+        name=settings.name,
+        incarnation=int(time.time() * MS),
+        region=settings.region,
+        zone=settings.zone,
+        front=settings.front,
+        peer=settings.peer,
+    )
--- a/packages/node/src/plantainloft_node/fleet/beats.py
+++ b/packages/node/src/plantainloft_node/fleet/beats.py
@@ -115,13 +115,14 @@
 
 
 def _pack(beat: Beat) -> bytes:
+    rates = {service: round(rate, 1) for service, rate in beat.rate_by_service.items()}
     packed: bytes = msgpack.packb(
         [
             list(beat.member),
             beat.ready,
             beat.leaving,
             beat.newest_by_table,
-            {service: round(rate, 1) for service, rate in beat.rate_by_service.items()},
+            rates,
         ]
     )
     return packed
@@ -135,4 +136,5 @@
 
 
 def _beat(raw: Any) -> Beat:
-    return Beat(FleetMember(*raw[0]), raw[1], raw[2], raw[3], raw[4])
+    member, *rest = raw
+    return Beat(FleetMember(*member), *rest)
--- a/packages/node/src/plantainloft_node/placing/budget.py
+++ b/packages/node/src/plantainloft_node/placing/budget.py
@@ -1,8 +1,9 @@
 """Windows of counts, and the budget for sending a request once more."""
 
 from collections import deque
+from typing import NamedTuple
 
-__all__ = ['RetryBudget', 'WindowCount']
+__all__ = ['Allowance', 'RetryBudget', 'WindowCount']
 
 # Half of the allowance, so that instances that count apart (a new one, one
 # just restarted, one that is cut off) still stay within it together.
@@ -29,6 +30,18 @@
         return len(times)
 
 
+class Allowance(NamedTuple):
+    """Repeats allowed to one service in a window, over all instances.
+
+    ``ratio`` of the requests of the window, and ``extra`` more, dealt out
+    among ``instances``.
+    """
+
+    ratio: float
+    extra: float
+    instances: int
+
+
 class RetryBudget:
     """Limits the repeats to one service from this instance.
 
@@ -38,9 +51,7 @@
     of a fixed allowance for small services.
     """
 
-    def __init__(self, *, ratio: float, extra: float, window_s: float) -> None:
-        self._ratio = ratio * SAFETY
-        self._extra = extra * SAFETY
+    def __init__(self, *, window_s: float) -> None:
         self._requests = WindowCount(window_s=window_s)
         self._repeats = WindowCount(window_s=window_s)
 
@@ -48,14 +59,16 @@
         """Count a caller's request for the service."""
         self._requests.add(now)
 
-    def left(self, now: float, *, instances: int) -> float:
+    def left(self, now: float, allowance: Allowance) -> float:
         """Return how many repeats may be sent now."""
-        allowed = self._ratio * self._requests.count(now) + self._extra / max(1, instances)
+        instances = max(1, allowance.instances)
+        fixed = allowance.extra / instances
+        allowed = SAFETY * (allowance.ratio * self._requests.count(now) + fixed)
         return allowed - self._repeats.count(now)
 
-    def take(self, now: float, *, instances: int) -> bool:
+    def take(self, now: float, allowance: Allowance) -> bool:
         """Take one repeat from the budget, if there is one."""
-        if self.left(now, instances=instances) < 1:
+        if self.left(now, allowance) < 1:
             return False
         self._repeats.add(now)
         return True
--- a/packages/node/src/plantainloft_node/placing/endpoints.py
+++ b/packages/node/src/plantainloft_node/placing/endpoints.py
@@ -88,6 +88,18 @@
         """Return the endpoints of ``service``."""
         return [self.by_id[name] for name in self.ids_by_service.get(service, ())]
 
+    def summary(self, now: float) -> dict[str, dict[str, int]]:
+        """Count the endpoints of each service by state."""
+        return {
+            service: {
+                'listed': len(ids),
+                'cold': sum(self.by_id[name].is_cold(now) for name in ids),
+                'draining': sum(self.by_id[name].record.draining for name in ids),
+                'left_out': sum(not self.by_id[name].health.usable(now) for name in ids),
+            }
+            for service, ids in self.ids_by_service.items()
+        }
+
     def set_evacuated(self, zones: frozenset[str], *, warmup_s: float, now: float) -> None:
         """Take the zones that must get nothing.
 
--- a/packages/node/src/plantainloft_node/placing/health.py
+++ b/packages/node/src/plantainloft_node/placing/health.py
@@ -28,10 +28,21 @@
         self.ejected_until = 0.0
         self._waiting_since: dict[int, float] = {}
         self._heard_at = 0.0
+        self._unreachable_until = 0.0
 
-    def usable(self, now: float) -> bool:
-        """Return whether requests may be sent to it."""
-        return now >= self.ejected_until and not self.silent(now)
+    def usable(self, now: float, *, failing_too: bool = False) -> bool:
+        """Return whether requests may be sent to it.
+
+        ``failing_too``: also while it is ejected for failing a part of
+        its requests, as long as it answers at all.
+        """
+        if self.silent(now) or now < self._unreachable_until:
+            return False
+        return failing_too or now >= self.ejected_until
+
+    def failing(self, now: float) -> bool:
+        """Return whether it is ejected for failing requests."""
+        return now < self.ejected_until and now >= self._unreachable_until
 
     def silent(self, now: float) -> bool:
         """Return whether it leaves its requests without any answer."""
@@ -65,6 +76,7 @@
     def note_unreachable(self, now: float) -> None:
         """Take a refused or unanswered connection: nothing listens there."""
         self._eject(now)
+        self._unreachable_until = self.ejected_until
 
     def _eject(self, now: float) -> None:
         if now < self.ejected_until:
--- a/packages/node/src/plantainloft_node/placing/placement.py
+++ b/packages/node/src/plantainloft_node/placing/placement.py
@@ -24,6 +24,9 @@
 # length more would wait past the latency objective.
 QUEUE_BY_PRIORITY = (1.0, 0.6, 0.25)
 MAX_RANKINGS = 4096
+# Share of a service's endpoints that may be left out for failing; the rest
+# could not carry the load of more.
+MAX_EJECTED = 0.3
 # Endpoints that may serve one key. Each keeps a few dozen objects warm;
 # with three, today's objects fit all of them (10 to 13 an endpoint and
 # choice, against 43 to 54 kept). With every endpoint a choice, one burst
@@ -80,12 +83,13 @@
     """Ranks endpoints by key and bounds the load of each."""
 
     def __init__(self, *, terms: PlacementTerms, book: EndpointBook) -> None:
-        self._terms = terms
+        self.terms = terms
         self._book = book
         self.instances: tuple[str, ...] = ()
         self._ranking_by_key: dict[tuple[str, str], list[str]] = {}
         self._ranked_generation = -1
         self._shares_by_service: dict[str, RegionShares] = {}
+        self._failing_services: frozenset[str] = frozenset()
 
     def choose(self, wanted: Wanted, spec: ServiceSpec, now: float) -> Chosen | NoRoom:
         """Return the endpoint for ``wanted``, or that none has room."""
@@ -98,16 +102,31 @@
                 return chosen
         return _least_queued(near or far, wanted.route.priority, now)
 
+    def update_ejections(self, now: float) -> None:
+        """Lift ejections of services that fail nearly everywhere.
+
+        When most endpoints fail a part of their requests at once, leaving
+        them out leaves no one to serve: one would see every request
+        refused though half of them would have been answered.
+        """
+        services = []
+        for service in self._book.ids_by_service:
+            states = self._book.of_service(service)
+            failing = sum(state.health.failing(now) for state in states)
+            if failing > len(states) * MAX_EJECTED:
+                services.append(service)
+        self._failing_services = frozenset(services)
+
     def update_regions(self, demand_by_region: Mapping[str, Mapping[str, float]]) -> None:
         """Take the demand (requests a second) by service and region."""
         for service in self._book.ids_by_service:
             slots = self._slots_by_region(service)
             wanted = region_shares(
-                mine=self._terms.region, slots=slots, demand=demand_by_region.get(service, {})
+                mine=self.terms.region, slots=slots, demand=demand_by_region.get(service, {})
             )
             shares = self._shares_by_service.get(service)
             if shares is None:
-                shares = RegionShares(step=self._terms.shift_step)
+                shares = RegionShares(step=self.terms.shift_step)
                 self._shares_by_service[service] = shares
             shares.update(wanted, slots)
 
@@ -139,7 +158,7 @@
         shares = self._shares_by_service.get(wanted.service)
         region = shares.region_of(wanted.key) if shares else None
         if region is None or (allowed and region not in allowed):
-            return self._terms.region
+            return self.terms.region
         return region
 
     def _slots_by_region(self, service: str) -> dict[str, float]:
@@ -155,12 +174,13 @@
             return False
         if route.regions and state.region not in route.regions:
             return False
-        if not state.health.usable(now):
+        failing_too = state.record.service in self._failing_services
+        if not state.health.usable(now, failing_too=failing_too):
             return False
         return not state.is_cold(now) or state.cold_gate.open(now, share=self._share(state, spec))
 
     def _share(self, state: EndpointState, spec: ServiceSpec) -> int:
-        terms = self._terms
+        terms = self.terms
         return cold_share(
             bound=spec.cold_rate * terms.cold_over + terms.cold_slack,
             me=terms.instance,
--- a/packages/node/src/plantainloft_node/placing/regions.py
+++ b/packages/node/src/plantainloft_node/placing/regions.py
@@ -18,7 +18,11 @@
 # regions before the rest of them is sent on: near is a few tens of
 # milliseconds faster, and bytes between regions are paid for.
 LOCAL_MARGIN = 1.4
-_SCORE_RANGE = float(1 << 32)
+# A region counts as having lost slots when fewer than this part is left of
+# what it had; that is forgotten over a few seconds of updates.
+_KEPT_PART = 0.75
+_FADE = 0.95
+_SCORE_RANGE = 4294967296.0
 
 
 def region_shares(
@@ -39,8 +43,8 @@
     others = {name: count for name, count in slots.items() if name != mine and count > 0}
     if not others:
         return {mine: 1.0}
-    free = {name: max(0.0, count * level - demand.get(name, 0.0)) for name, count in others.items()}
-    weights = free if sum(free.values()) > 0 else others
+    free = {name: _free(count, demand.get(name, 0.0), level) for name, count in others.items()}
+    weights = free if any(free.values()) else others
     rest = (1 - local) / sum(weights.values())
     return {mine: local, **{name: rest * weight for name, weight in weights.items()}}
 
@@ -68,12 +72,9 @@
             name: max(count, self._slots.get(name, 0.0) * _FADE) for name, count in slots.items()
         }
         names = set(wanted) | set(self._shares)
-        far = max(abs(wanted.get(name, 0.0) - self._shares.get(name, 0.0)) for name in names)
+        far = max(self._distance(name, wanted) for name in names)
         part = min(1.0, self._step / far) if far > 0 else 1.0
-        self._shares = {
-            name: self._shares.get(name, 0.0) * (1 - part) + wanted.get(name, 0.0) * part
-            for name in names
-        }
+        self._shares = {name: self._moved(name, wanted, part) for name in names}
 
     def region_of(self, key: str) -> str | None:
         """Return the region of ``key``, if there is any."""
@@ -89,11 +90,16 @@
             place -= share
         return chosen
 
+    def _distance(self, name: str, wanted: dict[str, float]) -> float:
+        return abs(wanted.get(name, 0.0) - self._shares.get(name, 0.0))
 
-# A region counts as having lost slots when fewer than this part is left.
-_KEPT_PART = 0.75
-# What it had before is forgotten over a few seconds of updates.
-_FADE = 0.95
+    def _moved(self, name: str, wanted: dict[str, float], part: float) -> float:
+        before = self._shares.get(name, 0.0)
+        return before + part * (wanted.get(name, 0.0) - before)
+
+
+def _free(slots: float, demand: float, level: float) -> float:
+    return max(0.0, slots * level - demand)
 
 
 def _lost_slots(before: Mapping[str, float], now: Mapping[str, float]) -> bool:
--- a/packages/node/src/plantainloft_node/replica/follower.py
+++ b/packages/node/src/plantainloft_node/replica/follower.py
@@ -17,9 +17,6 @@
 # A poll waits this long for a change. Every call is paid for, and a
 # connection that went silent is noticed only when the poll is overdue.
 WAIT_S = 6.0
-# Changes come in bursts (a release, a zone that restarts): a pause after
-# each answer takes several with the next one.
-PAUSE_S = 0.25
 BACKOFF_MIN_S = 0.2
 BACKOFF_MAX_S = 1.0
 
@@ -34,11 +31,14 @@
         store: NewsStore,
         rows: RowCopy,
         beliefs: Beliefs,
+        pause_s: float,
     ) -> None:
+        """``pause_s``: wait after each change, to take several at once."""
         self._table = table
         self._store = store
         self._rows = rows
         self._beliefs = beliefs
+        self._pause_s = pause_s
         self._after: int | None = None
         self._backoff_s = BACKOFF_MIN_S
         self.in_touch = False
@@ -81,7 +81,7 @@
             return
         self._take(outcome, now)
         if outcome.rows:
-            await anyio.sleep(PAUSE_S)
+            await anyio.sleep(self._pause_s)
 
     async def _cancel_when_poked(self, scope: anyio.CancelScope) -> None:
         await self._poked.wait()
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -7,7 +7,7 @@
 
 from plantainloft_core.discovery import EndpointRecord
 from plantainloft_core.routes import ServiceShare, ServiceSpec
-from plantainloft_node.placing.budget import RetryBudget
+from plantainloft_node.placing.budget import Allowance, RetryBudget
 from plantainloft_node.placing.cold import cold_share
 from plantainloft_node.placing.endpoints import EndpointBook
 from plantainloft_node.placing.placement import (
@@ -189,13 +189,14 @@
 
 
 def test_repeats_stay_within_their_share_over_all_instances() -> None:
-    budgets = [RetryBudget(ratio=0.2, extra=64.0, window_s=10.0) for _ in range(12)]
+    budgets = [RetryBudget(window_s=10.0) for _ in range(12)]
+    allowance = Allowance(ratio=0.2, extra=64.0, instances=12)
     repeats = 0
     for step in range(1000):
         now = NOW + step / 100
         for budget in budgets:
             budget.note_request(now)
-            repeats += budget.take(now, instances=12)
+            repeats += budget.take(now, allowance)
     assert repeats <= 0.2 * 12000 + 64
 
 
@@ -205,3 +206,23 @@
     for count in (10, 50, 100):
         chosen = [turns.next(shares) for _ in range(count)]
         assert abs(chosen.count('new') - count / 10) <= 1
+
+
+def test_when_most_endpoints_fail_in_part_they_are_used_all_the_same(
+    placement: Placement, book: EndpointBook
+) -> None:
+    """Symptom: every request refused, with endpoints that answer half.
+
+    All endpoints of a service shed half of their requests. Each is
+    ejected for it, and nobody is left to send to.
+    """
+    for state in book.by_id.values():
+        while not state.health.note_failed(NOW):
+            continue
+    assert isinstance(placement.choose(wanted(), SPEC, NOW), NoRoom)
+    placement.update_ejections(NOW)
+    assert isinstance(placement.choose(wanted(), SPEC, NOW), Chosen)
+    for state in book.by_id.values():
+        state.health.note_unreachable(NOW + 10)
+    placement.update_ejections(NOW + 10)
+    assert isinstance(placement.choose(wanted(), SPEC, NOW + 10), NoRoom)
--- /dev/null
+++ b/tests/test_platform.py
@@ -0,0 +1,252 @@
+"""The platform's store and documents, and real entry processes on them."""
+
+import json
+import signal
+from collections.abc import AsyncIterator, Iterator
+from pathlib import Path
+from typing import NamedTuple
+
+import anyio
+import pytest
+from entry_fixtures import Conversation, RawEndpoint
+from platform_standin import (
+    OPERATOR,
+    SERVERS,
+    EntryProcessHandle,
+    StoreStandin,
+    call,
+    config,
+    running_store,
+    server,
+    until,
+)
+
+from plantainloft_core.outcomes import Invalid, Unreachable
+from plantainloft_node.replica.news import (
+    DECLARATIONS,
+    ENDPOINTS,
+    EndpointGone,
+    EndpointListed,
+    HistoryLost,
+    News,
+    NewsRow,
+    RoutesDeclared,
+    ZoneEvacuation,
+)
+from plantainloft_platform.documents import decode_row
+from plantainloft_platform.store import PlatformStore
+
+pytestmark = pytest.mark.anyio
+
+SIGNED = b'HTTP/1.1 200 OK\r\nX-Plantainloft-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok'
+
+
+def row(key: str, document: object, *, table: str = DECLARATIONS) -> NewsRow:
+    content = None if document is None else json.dumps(document).encode()
+    return NewsRow(table=table, key=key, version=1, content=content)
+
+
+def test_rows_are_decoded_into_changes() -> None:
+    declared = decode_row(row('config', config(7)))
+    assert isinstance(declared, RoutesDeclared)
+    route = declared.table.match('desk.example', '/notices/4')
+    assert route is not None and not route.idempotent and route.timeout_s == 1.5
+    assert declared.table.services_by_name['desk'].cold_rate == 11.0
+    assert decode_row(row('evacuate/ank-a', {})) == ZoneEvacuation(zone='ank-a', evacuated=True)
+    assert decode_row(row('evacuate/ank-a', None)) == ZoneEvacuation(zone='ank-a', evacuated=False)
+    listed = decode_row(row('i-1', server('10.0.0.1:80', state='draining'), table=ENDPOINTS))
+    assert isinstance(listed, EndpointListed) and listed.record.draining
+    assert decode_row(row('i-1', None, table=ENDPOINTS)) == EndpointGone(endpoint_id='i-1')
+
+
+def test_a_row_in_another_format_is_invalid_not_fatal() -> None:
+    assert isinstance(decode_row(row('config', {'version': 1})), Invalid)
+    assert isinstance(decode_row(row('i-1', [], table=ENDPOINTS)), Invalid)
+
+
+async def test_the_store_is_listed_and_followed() -> None:
+    async with running_store() as (standin, tasks):
+        store = PlatformStore(address=standin.address)
+        for number in range(3):
+            standin.put(SERVERS, f'i-{number}', server('10.0.0.1:80'))
+        listed = await store.list_rows(ENDPOINTS)
+        assert isinstance(listed, News) and len(listed.rows) == 3
+
+        async def later() -> None:
+            await anyio.sleep(0.05)
+            standin.remove(SERVERS, 'i-1')
+
+        tasks.start_soon(later)
+        news = await store.changes(ENDPOINTS, after=listed.version, wait_s=2.0)
+        assert isinstance(news, News)
+        assert [(one.key, one.content) for one in news.rows] == [('i-1', None)]
+
+
+async def test_what_the_store_does_not_answer_is_an_outcome() -> None:
+    async with running_store() as (standin, _):
+        store = PlatformStore(address=standin.address)
+        standin.forgotten = 5
+        assert isinstance(await store.changes(ENDPOINTS, after=1, wait_s=0.1), HistoryLost)
+        standin.refusing = True
+        refused = await store.list_rows(ENDPOINTS)
+        assert isinstance(refused, Unreachable) and refused.reason == '503'
+        standin.refusing = False
+        standin.silent = True
+        assert isinstance(await store.changes(ENDPOINTS, after=9, wait_s=0.1), Unreachable)
+    assert isinstance(await store.list_rows(ENDPOINTS), Unreachable)
+
+
+class Deployment(NamedTuple):
+    """A store, two backends and the entry processes on them."""
+
+    store: StoreStandin
+    endpoints: list[RawEndpoint]
+    entries: list[EntryProcessHandle]
+
+
+@pytest.fixture
+def handles(tmp_path: Path) -> Iterator[list[EntryProcessHandle]]:
+    started: list[EntryProcessHandle] = []
+    yield started
+    for handle in started:
+        handle.kill()
+
+
+async def answer_all(talk: Conversation) -> None:
+    while True:
+        await talk.request()
+        await talk.say(SIGNED)
+
+
+@pytest.fixture
+async def deployment(
+    handles: list[EntryProcessHandle], tmp_path: Path
+) -> AsyncIterator[Deployment]:
+    async with running_store() as (store, tasks):
+        endpoints = [RawEndpoint(script=answer_all), RawEndpoint(script=answer_all)]
+        for endpoint, service in zip(endpoints, ('desk', 'other'), strict=True):
+            await tasks.start(lambda *, task_status, one=endpoint: one.run(task_status=task_status))
+            store.put(SERVERS, f'i-{service}', server(endpoint.address, service=service))
+        store.put(OPERATOR, 'config', config(3))
+        handles += [
+            EntryProcessHandle(
+                number=number, store=store.address, work_dir=tmp_path, seeds='127.0.9.1:7801'
+            )
+            for number in (1, 2)
+        ]
+        for handle in handles:
+            handle.start()
+        for handle in handles:
+            await handle.until_ready()
+        yield Deployment(store, endpoints, handles)
+
+
+async def served_by(deployment: Deployment, entry: EntryProcessHandle) -> tuple[int, ...]:
+    """Return which backends a request reaches."""
+    before = [len(endpoint.requests) for endpoint in deployment.endpoints]
+    await call(entry.front, '/files/1', more='X-Plantainloft-Request-Id: r\r\n')
+    after = [len(endpoint.requests) for endpoint in deployment.endpoints]
+    return tuple(late - early for early, late in zip(before, after, strict=True))
+
+
+async def named(entry: EntryProcessHandle) -> int:
+    answer = await call(entry.directory, '/v1/resolve?name=x&region=ankara&zone=ank-a')
+    body = answer.partition(b'\r\n\r\n')[2]
+    return len(json.loads(body)['addresses']) if body else 0
+
+
+async def test_a_request_is_served_from_end_to_end(deployment: Deployment) -> None:
+    entry = deployment.entries[0]
+    answer = await call(entry.front, '/files/1', more='X-Plantainloft-Request-Id: r\r\n')
+    assert answer.startswith(b'HTTP/1.1 200') and answer.endswith(b'ok')
+    await until(lambda: named(entry), 2)
+    metrics = await call(entry.metrics, '/metrics')
+    assert b'plantainloft_requests{outcome="answered",route="files"} 1' in metrics
+    assert b'plantainloft_configuration_version 3' in metrics
+
+
+async def test_a_configuration_reaches_an_instance_that_the_store_refuses(
+    deployment: Deployment,
+) -> None:
+    """Symptom: one instance handles requests by an old configuration.
+
+    The store refuses it while it serves the others. Their beats tell it of
+    newer rows, and it asks them.
+    """
+    first, second = deployment.entries
+    await until(lambda: named(second), 2)
+    refused = first
+    deployment.store.refusing = True
+    await until(lambda: followed(refused), False)
+    deployment.store.refusing = False
+    deployment.store.put(OPERATOR, 'config', config(4, service='other'))
+    await until(lambda: served_by(deployment, second), (0, 1))
+    await until(lambda: served_by(deployment, first), (0, 1))
+
+
+async def followed(entry: EntryProcessHandle) -> bool:
+    metrics = await call(entry.metrics, '/metrics')
+    return b'plantainloft_store_followed{table="declarations"} 1' in metrics
+
+
+async def test_an_instance_that_starts_in_an_outage_learns_from_its_peers(
+    deployment: Deployment,
+) -> None:
+    first, second = deployment.entries
+    await until(lambda: named(first), 2)
+    deployment.store.refusing = True
+    second.kill()
+    second._log = second.log_path.open('wb')
+    second.start()
+    await second.until_ready()
+    assert await served_by(deployment, second) == (1, 0)
+
+
+async def test_a_graceful_stop_cuts_nothing_and_leads_callers_away(
+    deployment: Deployment,
+) -> None:
+    first, second = deployment.entries
+    await until(lambda: named(first), 2)
+
+    async def slow(talk: Conversation) -> None:
+        await talk.request()
+        await anyio.sleep(0.8)
+        await talk.say(SIGNED)
+
+    deployment.endpoints[0].script = slow
+    answers: list[bytes] = []
+
+    async def ask() -> None:
+        answers.append(await call(second.front, '/notices/1'))
+
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(ask)
+        await until(lambda: _count(deployment.endpoints[0]), 1)
+        second.signal(signal.SIGTERM)
+        await until(lambda: second.status_of(second.ready, '/v1/ready'), 503)
+        await until(lambda: named(first), 1)
+    assert answers[0].startswith(b'HTTP/1.1 200')
+    assert await second.ended() == 0
+    assert second.lines()[-1]['message'] == 'Entry: stopped.'
+
+
+async def _count(endpoint: RawEndpoint) -> int:
+    return len(endpoint.requests)
+
+
+async def test_invalid_settings_leave_the_old_in_force(deployment: Deployment) -> None:
+    entry = deployment.entries[0]
+    text = entry.settings.read_text()
+    entry.settings.write_text(text.replace('grace = 3s', 'grace = soon\nretries = 4'))
+    entry.signal(signal.SIGHUP)
+
+    async def reloads() -> list[str]:
+        return [line['message'] for line in entry.lines() if line['kind'] == 'reload']
+
+    await until(reloads, ['Entry: settings not reloaded.'])
+    problems = next(line for line in entry.lines() if line['kind'] == 'reload')['problems']
+    assert len(problems) == 2
+    assert await entry.status_of(entry.ready, '/v1/ready') == 200
+    entry.settings.write_text(text)
+    entry.signal(signal.SIGHUP)
+    await until(reloads, ['Entry: settings not reloaded.', 'Entry: settings reloaded.'])
--- /dev/null
+++ b/tests/test_replica.py
@@ -0,0 +1,118 @@
+"""The copy of the rows, and what is believed of them."""
+
+import pytest
+from entry_fixtures import SERVICE
+
+from plantainloft_core.discovery import EndpointRecord
+from plantainloft_core.routes import CallerLimits, build_route_table
+from plantainloft_node.placing.endpoints import EndpointBook
+from plantainloft_node.replica.beliefs import LAPSE_GRACE_S, Beliefs
+from plantainloft_node.replica.news import (
+    DECLARATIONS,
+    ENDPOINTS,
+    Change,
+    EndpointGone,
+    EndpointListed,
+    News,
+    NewsRow,
+    RoutesDeclared,
+)
+from plantainloft_node.replica.rows import RowCopy
+
+NOW = 1000.0
+
+
+def row(key: str, version: int, content: bytes | None = b'') -> NewsRow:
+    return NewsRow(table=ENDPOINTS, key=key, version=version, content=content)
+
+
+def decode(news: NewsRow) -> Change:
+    if news.table == DECLARATIONS:
+        table = build_route_table(
+            version=int(news.content or b'0'), routes=(), services=(), limits=CallerLimits()
+        )
+        return RoutesDeclared(table=table)
+    if news.content is None:
+        return EndpointGone(endpoint_id=news.key)
+    record = EndpointRecord(
+        id=news.key,
+        service=SERVICE,
+        address='127.0.0.1:1',
+        zone='a',
+        slots=4,
+        draining=news.content == b'draining',
+        cold_s=0.0,
+    )
+    return EndpointListed(record=record)
+
+
+@pytest.fixture
+def book() -> EndpointBook:
+    return EndpointBook(region_by_zone={'a': 'ankara'})
+
+
+@pytest.fixture
+def beliefs(book: EndpointBook) -> Beliefs:
+    return Beliefs(book=book, decode=decode)
+
+
+def test_older_rows_never_replace_newer_ones() -> None:
+    rows = RowCopy()
+    assert rows.merge([row('i1', 5, None)])
+    assert not rows.merge([row('i1', 4)])
+    assert rows.row_by_key[(ENDPOINTS, 'i1')].content is None
+
+
+def test_what_a_listing_lacks_was_removed() -> None:
+    rows = RowCopy()
+    rows.merge([row('i1', 1), row('i2', 2)])
+    fresh = rows.merge_listing(ENDPOINTS, News(rows=(row('i2', 2),), version=9))
+    assert [(one.key, one.content) for one in fresh] == [('i1', None)]
+
+
+def test_a_stale_listing_removes_nothing_newer() -> None:
+    """Symptom: endpoints vanish after the store lost its history.
+
+    The listing that follows is read from a copy that lags behind; rows
+    that came by the feed meanwhile are not in it yet.
+    """
+    rows = RowCopy()
+    rows.merge([row('i1', 1), row('i2', 8)])
+    assert not rows.merge_listing(ENDPOINTS, News(rows=(row('i1', 1),), version=5))
+
+
+def test_peers_are_told_what_they_lack_deletions_too() -> None:
+    rows = RowCopy()
+    rows.merge([row('i1', 1), row('i2', 2), row('i1', 3, None)])
+    assert [one.key for one in rows.since({ENDPOINTS: 2})] == ['i1']
+    assert len(rows.since({})) == 2
+
+
+def test_an_endpoint_whose_row_lapsed_in_an_outage_is_used_on(
+    beliefs: Beliefs, book: EndpointBook
+) -> None:
+    """Symptom: no endpoint left after an outage of the store.
+
+    Endpoints could not renew their rows while it was away. The rows lapse
+    though the endpoints live, and are back about two seconds later.
+    """
+    beliefs.take([row('i1', 1), row('i2', 2)], NOW, source='store')
+    beliefs.note_trouble(NOW)
+    beliefs.take([row('i1', 3, None), row('i2', 4, None)], NOW + 1, source='store')
+    beliefs.take([row('i1', 5)], NOW + 2, source='store')
+    beliefs.tick(NOW + 1 + LAPSE_GRACE_S)
+    assert set(book.by_id) == {'i1'}
+
+
+def test_an_endpoint_that_left_is_dropped_at_once(beliefs: Beliefs, book: EndpointBook) -> None:
+    beliefs.take([row('i1', 1), row('i2', 2)], NOW, source='store')
+    beliefs.take([row('i1', 3, None)], NOW, source='store')
+    beliefs.note_trouble(NOW)
+    beliefs.take([row('i2', 4, b'draining'), row('i2', 5, None)], NOW + 1, source='store')
+    assert not book.by_id
+
+
+def test_a_configuration_never_goes_back(beliefs: Beliefs) -> None:
+    news = [NewsRow(DECLARATIONS, 'config', number, b'%d' % number) for number in (2, 1)]
+    beliefs.take(news, NOW, source='store')
+    assert beliefs.table.version == 2
