--- a/packages/ctl/src/plantainloft_ctl/main.py
+++ b/packages/ctl/src/plantainloft_ctl/main.py
@@ -5,8 +5,10 @@
 import cappa
 
 from plantainloft_ctl.commands.burn import Burn
+from plantainloft_ctl.commands.explain import Explain
 from plantainloft_ctl.commands.history import History
 from plantainloft_ctl.commands.show import Show
+from plantainloft_ctl.commands.status import Status
 from plantainloft_ctl.commands.submit import Submit
 
 __all__ = ['main']
@@ -16,7 +18,7 @@
 class Plantainctl:
     """The operator tool of plantainloft."""
 
-    command: cappa.Subcommands[Show | Submit | History | Burn]
+    command: cappa.Subcommands[Show | Submit | History | Burn | Explain | Status]
 
 
 def main() -> None:
