--- a/packages/ctl/src/plantainloft_ctl/explaining.py
+++ b/packages/ctl/src/plantainloft_ctl/explaining.py
@@ -12,6 +12,8 @@
 # What happened this long before the request may have decided it: the
 # bounds on news, with room.
 LOOK_BACK_S = 10.0
+# What was learned just after shows what the request was too early for.
+LOOK_AHEAD_S = 3.0
 _SHOWN_APART = frozenset(('t', 'level', 'instance', 'kind', 'message', 'request'))
 
 LogLine = dict[str, Any]
@@ -35,14 +37,14 @@
     """Return the dated story of ``request``; empty if no line names it.
 
     The request's own lines are marked ``*``; the others tell what the
-    instances that handled it learned shortly before.
+    instances that handled it learned around that time.
     """
     own = [line for line in lines if line.get('request') == request]
     if not own:
         return []
     instances = {line['instance'] for line in own}
     began = own[0]['t'] - LOOK_BACK_S
-    ended = own[-1]['t']
+    ended = own[-1]['t'] + LOOK_AHEAD_S
     return [
         _told(line, mark='*' if line in own else ' ')
         for line in lines
--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -61,8 +61,10 @@
 class Attempts:
     """Keeps which endpoints a request went to, and how that ended."""
 
-    def __init__(self, *, key: str) -> None:
+    def __init__(self, *, key: str, version: int) -> None:
         self.key = key
+        # The configuration that decides the request, start to end.
+        self.version = version
         self.tried: set[str] = set()
         self.sent = 0
         self.unsent = 0
@@ -70,6 +72,10 @@
         # Set while a request is out, and for good once one may have run.
         self.may_have_run = False
         self.reasons: list[str] = []
+        # The endpoint that has the request now, if any.
+        self.waiting_for = ''
+        # Endpoints looked at for a refusal, with the loads believed there.
+        self.loads = ''
 
     def note(self, endpoint_id: str, outcome: TryOutcome, *, ran_before: bool) -> None:
         """Take the outcome of one try at ``endpoint_id``.
@@ -77,6 +83,7 @@
         ``ran_before``: an earlier try may have run, whatever this one did.
         """
         self.tried.add(endpoint_id)
+        self.waiting_for = ''
         if isinstance(outcome, NotSent):
             self.unsent += 1
         elif isinstance(outcome, NotRun) and outcome.misdirected:
--- a/packages/node/src/plantainloft_node/engine/front.py
+++ b/packages/node/src/plantainloft_node/engine/front.py
@@ -121,7 +121,7 @@
 
     async def _serve(self, exchange: Exchange, route: Route, table: RouteTable) -> None:
         cutoff = exchange.received_at + min(self._patience(exchange), route.timeout_s)
-        attempts = Attempts(key=self._key(exchange))
+        attempts = Attempts(key=self._key(exchange), version=table.version)
         outcome: Answered | Refusal | Failed | None = None
         with anyio.move_on_at(cutoff):
             body, whole = await exchange.body.prefetch()
@@ -168,11 +168,13 @@
         wanted = Wanted(judged.route, service, judged.key, frozenset(attempts.tried))
         choice = self._placement.choose(wanted, table.services_by_name[service], now)
         if isinstance(choice, NoRoom):
+            attempts.loads = choice.loads
             return _come_back(choice.reason)
         self._placement.note_sent(choice.endpoint, now)
         sending = self._sending(judged, choice, now)
         ran_before = attempts.may_have_run
         attempts.may_have_run = True
+        attempts.waiting_for = choice.endpoint.record.id
         outcome = await self._sender.send(choice.endpoint, sending)
         attempts.note(choice.endpoint.record.id, outcome, ran_before=ran_before)
         if not isinstance(outcome, Answered):
--- a/packages/node/src/plantainloft_node/engine/replies.py
+++ b/packages/node/src/plantainloft_node/engine/replies.py
@@ -57,6 +57,7 @@
             'route': route.name,
             'ms': round(took_s * MS),
             'key': attempts.key,
+            'version': attempts.version,
             'tries': attempts.why(),
         }
         if isinstance(outcome, Answered):
@@ -68,11 +69,13 @@
         elif isinstance(outcome, Refusal):
             self._observe(route.name, 'refused', took_s)
             fields['reason'] = outcome.reason
+            fields['endpoints'] = attempts.loads
             self._log_end(exchange, 'refused', fields)
             await self.refuse(exchange, outcome)
         else:
             self._observe(route.name, 'failed', took_s)
             fields['reason'] = outcome.reason
+            fields['waiting_for'] = attempts.waiting_for
             self._log_end(exchange, 'failed', fields)
             await self._say(exchange, _FAILURE_STATUS.get(outcome.reason, HTTPStatus.BAD_GATEWAY))
 
--- a/packages/node/src/plantainloft_node/placing/placement.py
+++ b/packages/node/src/plantainloft_node/placing/placement.py
@@ -77,12 +77,13 @@
 class NoRoom:
     """No endpoint may take the request now.
 
-    ``retry_after_s`` is when room is likely; ``usable`` counts the
-    endpoints that could be used at all.
+    ``usable`` counts the endpoints that could be used at all, ``loads``
+    names them with the requests believed there.
     """
 
     reason: str
     usable: int
+    loads: str = ''
 
 
 class Placement:
@@ -225,4 +226,5 @@
     load = best.load(now)
     if load < best.record.slots * (1 + allowed):
         return Chosen(endpoint=best, load=load, rank=group.index(best))
-    return NoRoom(reason='every endpoint is full', usable=len(group))
+    loads = ', '.join(f'{state.record.id} {state.load(now):.1f}' for state in group)
+    return NoRoom(reason='every endpoint is full', usable=len(group), loads=loads)
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -6,6 +6,18 @@
 import httpx
 import hypothesis
 import pytest
+from entry_fixtures import RawEndpoint
+from platform_standin import (
+    OPERATOR,
+    SERVERS,
+    EntryDeployment,
+    EntryProcessHandle,
+    StoreDoor,
+    answer_all,
+    config,
+    running_store,
+    server,
+)
 
 from plantainloft_core.table_client import TableClient
 from plantainloft_standins.cluster import Cluster, bring_up
@@ -57,3 +69,36 @@
     cluster = bring_up(TINY, work_dir=tmp_path)
     yield cluster
     cluster.processes.stop_all()
+
+
+@pytest.fixture
+def handles(tmp_path: Path) -> Iterator[list[EntryProcessHandle]]:
+    started: list[EntryProcessHandle] = []
+    yield started
+    for handle in started:
+        handle.kill()
+
+
+@pytest.fixture
+async def deployment(
+    handles: list[EntryProcessHandle], tmp_path: Path
+) -> AsyncIterator[EntryDeployment]:
+    async with running_store() as (store, tasks):
+        endpoints = [RawEndpoint(script=answer_all), RawEndpoint(script=answer_all)]
+        for endpoint, service in zip(endpoints, ('desk', 'other'), strict=True):
+            await tasks.start(lambda *, task_status, one=endpoint: one.run(task_status=task_status))
+            store.put(SERVERS, f'i-{service}', server(endpoint.address, service=service))
+        store.put(OPERATOR, 'config', config(3))
+        doors = [StoreDoor(store=store) for _ in range(2)]
+        for number, door in enumerate(doors, start=1):
+            await tasks.start(lambda *, task_status, one=door: one.serve(task_status=task_status))
+            handles.append(
+                EntryProcessHandle(
+                    number=number, store=door.address, work_dir=tmp_path, seeds='127.0.9.1:7801'
+                )
+            )
+        for handle in handles:
+            handle.start()
+        for handle in handles:
+            await handle.until_ready()
+        yield EntryDeployment(store, doors, endpoints, handles)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -10,11 +10,12 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import Any
+from typing import Any, NamedTuple
 from urllib.parse import parse_qs
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
+from entry_fixtures import Conversation, RawEndpoint
 
 from plantainloft_core.routes import CallerLimits
 from plantainloft_node.engine.callers import CallerConnection, Exchange, Handler
@@ -22,6 +23,7 @@
 JSON_TYPE = [(b'content-type', b'application/json')]
 OPERATOR = 'op'
 SERVERS = 'servers'
+SIGNED = b'HTTP/1.1 200 OK\r\nX-Plantainloft-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok'
 
 
 class StoreStandin(Handler):
@@ -60,14 +62,7 @@
         self._wake()
 
     async def serve(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
-        listener = await anyio.create_tcp_listener(local_host='127.0.0.1', local_port=0)
-        self.address = f'127.0.0.1:{listener.extra(SocketAttribute.local_port)}'
-        task_status.started()
-
-        async def one(stream: SocketStream) -> None:
-            await CallerConnection(stream=stream, handler=self, clock=anyio.current_time).run()
-
-        await listener.serve(one)
+        await _serve(self, task_status)
 
     async def handle(self, exchange: Exchange) -> None:
         call = exchange.path.rpartition('/')[2]
@@ -131,6 +126,52 @@
         self._changed = anyio.Event()
 
 
+class StoreDoor(Handler):
+    """The store as one instance meets it: it may be refused alone."""
+
+    def __init__(self, *, store: StoreStandin) -> None:
+        self._store = store
+        self._waiting: set[anyio.CancelScope] = set()
+        self.refusing = False
+        self.address = ''
+
+    def limits(self) -> CallerLimits:
+        return self._store.limits()
+
+    async def serve(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
+        await _serve(self, task_status)
+
+    async def handle(self, exchange: Exchange) -> None:
+        if self.refusing:
+            await exchange.answer(503, [])
+            return
+        with anyio.CancelScope() as waiting:
+            self._waiting.add(waiting)
+            await self._store.handle(exchange)
+        self._waiting.discard(waiting)
+        if waiting.cancelled_caught:
+            await exchange.answer(503, [])
+
+    def refuse(self) -> None:
+        """Refuse from now on, the polls that wait too."""
+        self.refusing = True
+        for waiting in self._waiting:
+            waiting.cancel()
+
+
+async def _serve(
+    handler: StoreStandin | StoreDoor, task_status: anyio.abc.TaskStatus[None]
+) -> None:
+    listener = await anyio.create_tcp_listener(local_host='127.0.0.1', local_port=0)
+    handler.address = f'127.0.0.1:{listener.extra(SocketAttribute.local_port)}'
+    task_status.started()
+
+    async def one(stream: SocketStream) -> None:
+        await CallerConnection(stream=stream, handler=handler, clock=anyio.current_time).run()
+
+    await listener.serve(one)
+
+
 def config(version: int, *, service: str = 'desk', timeout: str = '1500ms') -> dict[str, Any]:
     """A configuration with one route of each kind."""
 
@@ -320,3 +361,37 @@
         await tasks.start(lambda *, task_status: store.serve(task_status=task_status))
         yield store, tasks
         tasks.cancel_scope.cancel()
+
+
+class EntryDeployment(NamedTuple):
+    """A store, two backends and the entry processes on them."""
+
+    store: StoreStandin
+    doors: list[StoreDoor]
+    endpoints: list[RawEndpoint]
+    entries: list[EntryProcessHandle]
+
+
+async def answer_all(talk: Conversation) -> None:
+    while True:
+        await talk.request()
+        await talk.say(SIGNED)
+
+
+async def served_by(deployment: EntryDeployment, entry: EntryProcessHandle) -> tuple[int, ...]:
+    """Return which backends a request reaches."""
+    before = [len(endpoint.requests) for endpoint in deployment.endpoints]
+    await call(entry.front, '/files/1', more='X-Plantainloft-Request-Id: r\r\n')
+    after = [len(endpoint.requests) for endpoint in deployment.endpoints]
+    return tuple(late - early for early, late in zip(before, after, strict=True))
+
+
+async def named(entry: EntryProcessHandle) -> int:
+    answer = await call(entry.directory, '/v1/resolve?name=x&region=ankara&zone=ank-a')
+    body = answer.partition(b'\r\n\r\n')[2]
+    return len(json.loads(body)['addresses']) if body else 0
+
+
+async def followed(entry: EntryProcessHandle) -> bool:
+    metrics = await call(entry.metrics, '/metrics')
+    return b'plantainloft_store_followed{table="declarations"} 1' in metrics
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -2,9 +2,6 @@
 
 import json
 import signal
-from collections.abc import AsyncIterator, Iterator
-from pathlib import Path
-from typing import NamedTuple
 
 import anyio
 import pytest
@@ -12,11 +9,14 @@
 from platform_standin import (
     OPERATOR,
     SERVERS,
-    EntryProcessHandle,
-    StoreStandin,
+    SIGNED,
+    EntryDeployment,
     call,
     config,
+    followed,
+    named,
     running_store,
+    served_by,
     server,
     until,
 )
@@ -38,8 +38,6 @@
 
 pytestmark = pytest.mark.anyio
 
-SIGNED = b'HTTP/1.1 200 OK\r\nX-Plantainloft-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok'
-
 
 def row(key: str, document: object, *, table: str = DECLARATIONS) -> NewsRow:
     content = None if document is None else json.dumps(document).encode()
@@ -96,66 +94,7 @@
     assert isinstance(await store.list_rows(ENDPOINTS), Unreachable)
 
 
-class Deployment(NamedTuple):
-    """A store, two backends and the entry processes on them."""
-
-    store: StoreStandin
-    endpoints: list[RawEndpoint]
-    entries: list[EntryProcessHandle]
-
-
-@pytest.fixture
-def handles(tmp_path: Path) -> Iterator[list[EntryProcessHandle]]:
-    started: list[EntryProcessHandle] = []
-    yield started
-    for handle in started:
-        handle.kill()
-
-
-async def answer_all(talk: Conversation) -> None:
-    while True:
-        await talk.request()
-        await talk.say(SIGNED)
-
-
-@pytest.fixture
-async def deployment(
-    handles: list[EntryProcessHandle], tmp_path: Path
-) -> AsyncIterator[Deployment]:
-    async with running_store() as (store, tasks):
-        endpoints = [RawEndpoint(script=answer_all), RawEndpoint(script=answer_all)]
-        for endpoint, service in zip(endpoints, ('desk', 'other'), strict=True):
-            await tasks.start(lambda *, task_status, one=endpoint: one.run(task_status=task_status))
-            store.put(SERVERS, f'i-{service}', server(endpoint.address, service=service))
-        store.put(OPERATOR, 'config', config(3))
-        handles += [
-            EntryProcessHandle(
-                number=number, store=store.address, work_dir=tmp_path, seeds='127.0.9.1:7801'
-            )
-            for number in (1, 2)
-        ]
-        for handle in handles:
-            handle.start()
-        for handle in handles:
-            await handle.until_ready()
-        yield Deployment(store, endpoints, handles)
-
-
-async def served_by(deployment: Deployment, entry: EntryProcessHandle) -> tuple[int, ...]:
-    """Return which backends a request reaches."""
-    before = [len(endpoint.requests) for endpoint in deployment.endpoints]
-    await call(entry.front, '/files/1', more='X-Plantainloft-Request-Id: r\r\n')
-    after = [len(endpoint.requests) for endpoint in deployment.endpoints]
-    return tuple(late - early for early, late in zip(before, after, strict=True))
-
-
-async def named(entry: EntryProcessHandle) -> int:
-    answer = await call(entry.directory, '/v1/resolve?name=x&region=ankara&zone=ank-a')
-    body = answer.partition(b'\r\n\r\n')[2]
-    return len(json.loads(body)['addresses']) if body else 0
-
-
-async def test_a_request_is_served_from_end_to_end(deployment: Deployment) -> None:
+async def test_a_request_is_served_from_end_to_end(deployment: EntryDeployment) -> None:
     entry = deployment.entries[0]
     answer = await call(entry.front, '/files/1', more='X-Plantainloft-Request-Id: r\r\n')
     assert answer.startswith(b'HTTP/1.1 200') and answer.endswith(b'ok')
@@ -166,7 +105,7 @@
 
 
 async def test_a_configuration_reaches_an_instance_that_the_store_refuses(
-    deployment: Deployment,
+    deployment: EntryDeployment,
 ) -> None:
     """Symptom: one instance handles requests by an old configuration.
 
@@ -175,22 +114,16 @@
     """
     first, second = deployment.entries
     await until(lambda: named(second), 2)
-    refused = first
-    deployment.store.refusing = True
-    await until(lambda: followed(refused), False)
-    deployment.store.refusing = False
+    deployment.doors[0].refuse()
+    await until(lambda: followed(first), False)
     deployment.store.put(OPERATOR, 'config', config(4, service='other'))
     await until(lambda: served_by(deployment, second), (0, 1))
     await until(lambda: served_by(deployment, first), (0, 1))
-
-
-async def followed(entry: EntryProcessHandle) -> bool:
-    metrics = await call(entry.metrics, '/metrics')
-    return b'plantainloft_store_followed{table="declarations"} 1' in metrics
+    assert not await followed(first)
 
 
 async def test_an_instance_that_starts_in_an_outage_learns_from_its_peers(
-    deployment: Deployment,
+    deployment: EntryDeployment,
 ) -> None:
     first, second = deployment.entries
     await until(lambda: named(first), 2)
@@ -203,7 +136,7 @@
 
 
 async def test_a_graceful_stop_cuts_nothing_and_leads_callers_away(
-    deployment: Deployment,
+    deployment: EntryDeployment,
 ) -> None:
     first, second = deployment.entries
     await until(lambda: named(first), 2)
@@ -234,7 +167,7 @@
     return len(endpoint.requests)
 
 
-async def test_invalid_settings_leave_the_old_in_force(deployment: Deployment) -> None:
+async def test_invalid_settings_leave_the_old_in_force(deployment: EntryDeployment) -> None:
     entry = deployment.entries[0]
     text = entry.settings.read_text()
     entry.settings.write_text(text.replace('grace = 3s', 'grace = soon\nretries = 4'))
