Look-ups name the own zone; keep-alive probes; silent connections go together

Cause: bytes between zones were paid for callers sent across a zone; polls of the store ended every 6 s only to notice a silent connection, at the latest 7.2 s after it fell silent, longer than news may take; a request that waited out its time on a silent connection left its silent siblings in the pool. Change: own zone where two or more serve there; keep-alive probes of 1 s on all outgoing connections, polls of 10 s; an endpoint's kept connections are dropped once one gave no answer for 0.9 s. Tests for each.

--- a/packages/node/src/plantainloft_node/engine/endpoint_link.py
+++ b/packages/node/src/plantainloft_node/engine/endpoint_link.py
@@ -6,6 +6,7 @@
 """
 
 import select
+import socket
 from typing import NamedTuple
 
 import anyio
@@ -22,6 +23,17 @@
 KEPT_SHARE = 0.6
 # Where the endpoint says nothing.
 KEPT_S = 4.0
+# A connection can go silent for good while new ones work, because something
+# between has lost track of it. Without probes a poll of the store on it
+# waits out its whole time, deaf to all news, and an idle one is reused and
+# loses a request. Probed after 1 s, each second, it ends within 3 s.
+KEEP_ALIVE = (
+    (socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, 1),
+    (socket.IPPROTO_TCP, socket.TCP_KEEPCNT, 2),
+    (socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, 3000),
+)
 # Unused answers to earlier requests that are skipped on one connection.
 MAX_STALE = 3
 
@@ -197,6 +209,9 @@
     """Open a connection to ``address`` (``host:port``); raises ``OSError``."""
     host, _, port = address.rpartition(':')
     stream = await anyio.connect_tcp(host, int(port))
+    raw_socket = stream.extra(SocketAttribute.raw_socket)
+    for level, option, setting in KEEP_ALIVE:
+        raw_socket.setsockopt(level, option, setting)
     return EndpointLink(stream=stream, id_header=id_header)
 
 
--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -19,6 +19,7 @@
 from plantainloft_node.engine.heads import find
 from plantainloft_node.engine.pool import LinkPool
 from plantainloft_node.placing.endpoints import EndpointState
+from plantainloft_node.placing.health import SILENT_S
 
 __all__ = ['Sender', 'Sending']
 
@@ -52,16 +53,29 @@
     async def send(self, state: EndpointState, sending: Sending) -> TryOutcome:
         """Send to ``state`` and wait for the answer; cancel to give up."""
         number = next(self._numbers)
+        began = anyio.current_time()
         state.in_flight += 1
-        state.health.note_sent(number, anyio.current_time())
+        state.health.note_sent(number, began)
+        outcome: TryOutcome | None = None
         try:
             outcome = await self._send(state, sending)
         finally:
-            state.in_flight -= 1
-            state.health.note_ended(number)
+            await self._end(state, number, unanswered_since=began if outcome is None else None)
         self._learn(state, outcome)
         return outcome
 
+    async def _end(
+        self, state: EndpointState, number: int, *, unanswered_since: float | None
+    ) -> None:
+        state.in_flight -= 1
+        state.health.note_ended(number)
+        if unanswered_since is None:
+            return
+        if anyio.current_time() - unanswered_since > SILENT_S:
+            # Given up without an answer: the endpoint's other kept
+            # connections may have gone silent together with this one.
+            await self._pool.drop(state.record.id)
+
     async def _send(self, state: EndpointState, sending: Sending) -> TryOutcome:
         link = await self._link(state)
         if isinstance(link, NotSent):
--- a/packages/node/src/plantainloft_node/entry/lookups.py
+++ b/packages/node/src/plantainloft_node/entry/lookups.py
@@ -15,6 +15,7 @@
 __all__ = ['LookupHandler', 'MetricsHandler', 'ReadyHandler', 'SmallHandler', 'front_addresses']
 
 MAX_ADDRESSES = 64
+ENOUGH_IN_ZONE = 2
 JSON_TYPE = (b'content-type', b'application/json')
 _UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE
 
@@ -86,10 +87,13 @@
 def front_addresses(serving: list[FleetMember], *, region: str, zone: str) -> list[str]:
     """Return the addresses to name to callers of ``region``, at most 64.
 
-    The caller's own region; where nothing serves there, all the others,
+    The caller's own zone, since bytes between zones are paid for; its
+    region where the zone has fewer than two, so that a caller whose
+    instance fails has another; all the others where nothing serves there,
     so that one region's callers do not land on one instance.
     """
     near = [member for member in serving if member.region == region]
-    named = near or serving
+    nearest = [member for member in near if member.zone == zone]
+    named = nearest if len(nearest) >= ENOUGH_IN_ZONE else near or serving
     ordered = sorted(named, key=lambda member: (member.zone != zone, member.name))
     return [member.front for member in ordered[:MAX_ADDRESSES]]
--- a/packages/node/src/plantainloft_node/placing/health.py
+++ b/packages/node/src/plantainloft_node/placing/health.py
@@ -5,7 +5,7 @@
 what requests met there.
 """
 
-__all__ = ['EndpointHealth']
+__all__ = ['SILENT_S', 'EndpointHealth']
 
 # Weight of the newest answer in the failure share: five answers tell a
 # failing endpoint from one bad answer.
--- a/packages/node/src/plantainloft_node/replica/follower.py
+++ b/packages/node/src/plantainloft_node/replica/follower.py
@@ -14,9 +14,9 @@
 
 log = logging.getLogger(__name__)
 
-# A poll waits this long for a change. Every call is paid for, and a
-# connection that went silent is noticed only when the poll is overdue.
-WAIT_S = 6.0
+# A poll waits this long for a change. Every call is paid for; a connection
+# that went silent is ended by its keep-alive probes long before.
+WAIT_S = 10.0
 BACKOFF_MIN_S = 0.2
 BACKOFF_MAX_S = 1.0
 
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,5 +1,6 @@
 """Which instances count, by beats and lists."""
 
+from plantainloft_node.entry.lookups import front_addresses
 from plantainloft_node.fleet.members import Beat, FleetMember, MemberBook
 from plantainloft_node.placing.cold import cold_share
 
@@ -51,3 +52,14 @@
     book.hear(beat('e2', incarnation=2, leaving=False), NOW)
     book.hear(beat('e2', incarnation=1, leaving=True), NOW)
     assert [one.name for one in book.serving(NOW)] == ['e2']
+
+
+def test_callers_are_named_their_zone_then_their_region_then_all() -> None:
+    def at(name: str, zone: str, region: str) -> FleetMember:
+        return member(name, region=region)._replace(zone=zone)
+
+    serving = [at('a1', 'a', 'ankara'), at('a2', 'a', 'ankara'), at('b1', 'b', 'ankara')]
+    serving.append(at('c1', 'c', 'izmir'))
+    assert front_addresses(serving, region='ankara', zone='a') == ['a1:80', 'a2:80']
+    assert front_addresses(serving, region='ankara', zone='b') == ['b1:80', 'a1:80', 'a2:80']
+    assert len(front_addresses(serving, region='istanbul', zone='x')) == 4
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,9 +1,11 @@
 """The forwarding engine against endpoints and callers that misbehave."""
 
 import re
+import socket
 
 import anyio
 import pytest
+from anyio.abc import SocketAttribute
 from entry_fixtures import (
     Conversation,
     get,
@@ -15,6 +17,7 @@
 )
 
 from plantainloft_core.routes import CallerLimits
+from plantainloft_node.engine.endpoint_link import connect
 
 pytestmark = pytest.mark.anyio
 
@@ -311,3 +314,37 @@
                 pass
     assert status(answer) == 200
     assert b'connection: close' in answer.lower()
+
+
+async def test_connections_are_probed_and_dropped_together_once_silent() -> None:
+    """Symptom: after something between lost track of connections, requests
+    go on being lost on kept ones while new ones work.
+
+    The request that waits out its time tells that its connection is
+    silent; the endpoint's other kept ones fell silent with it.
+    """
+
+    async def first_answers(talk: Conversation) -> None:
+        await talk.request()
+        await talk.say(whole(b'ok'))
+        await talk.request()
+        await anyio.sleep_forever()
+
+    table = table_of(route(idempotent=False, prefix='/notices/', timeout_s=1.2))
+    async with running_entry(first_answers, table=table) as (entry, (endpoint,)):
+        async with anyio.create_task_group() as tasks:
+            for _ in range(2):
+                tasks.start_soon(entry.ask, post(b'x'))
+        assert endpoint.connections == 2
+        assert status(await entry.ask(post(b'x'))) == 504
+        assert status(await entry.ask(post(b'x'))) == 200
+    assert endpoint.connections == 3
+
+
+async def test_a_silent_connection_is_found_by_probes() -> None:
+    async with running_entry(echo) as (_, (endpoint,)):
+        link = await connect(endpoint.address)
+        raw_socket = link._stream.extra(SocketAttribute.raw_socket)
+        assert raw_socket.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
+        assert raw_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == 1
+        await link.close()
