What may run early follows from the route; HEAD and 204 keep their framing

Cause: read again as a newcomer: a pipelined request ran before the answers ahead of it if its method was GET, whatever its route said, so one of a non-idempotent route could run, be counted as unread by its caller after a close, and run again; answers to HEAD lost their length, answers 204 got one. Change: the handler tells what is repeatable, by route; such answers are passed on as they are. The three tests failed first.

--- a/packages/node/src/plantainloft_node/engine/callers.py
+++ b/packages/node/src/plantainloft_node/engine/callers.py
@@ -30,7 +30,6 @@
 STREAM_ENDS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError, anyio.EndOfStream)
 # Sending an answer ends like this too when its framing no longer fits.
 ANSWER_ENDS = (*STREAM_ENDS, h11.LocalProtocolError)
-_IDEMPOTENT_METHODS = frozenset((b'GET', b'HEAD', b'OPTIONS'))
 _HEAD_TOO_LARGE = 431
 _READ_TIMED_OUT = 408
 
@@ -56,7 +55,6 @@
         self.body = RequestBody(limit=limits.body_bytes)
         # Set when every earlier answer of the connection has been sent.
         self.turn = anyio.Event()
-        self.done = anyio.Event()
         self.answered = False
         self._pending: bytes | None = b''
 
@@ -120,6 +118,13 @@
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request."""
 
+    @abstractmethod
+    def repeatable(self, exchange: Exchange) -> bool:
+        """Return whether the request may run more than once.
+
+        Only such a request runs before those ahead of it are answered.
+        """
+
     @abstractmethod
     def limits(self) -> CallerLimits:
         """Return the limits in force."""
@@ -282,7 +287,7 @@
         return exchange
 
     async def _run(self, exchange: Exchange) -> None:
-        if exchange.method not in _IDEMPOTENT_METHODS:
+        if not self._handler.repeatable(exchange):
             # A caller sends anew what came behind an answer that ended the
             # connection. Such a request must not have been run by then.
             await exchange.turn.wait()
--- a/packages/node/src/plantainloft_node/engine/front.py
+++ b/packages/node/src/plantainloft_node/engine/front.py
@@ -99,6 +99,11 @@
         """Return the limits of the configuration in force."""
         return self._table().limits
 
+    def repeatable(self, exchange: Exchange) -> bool:
+        """Return whether the request's route is idempotent."""
+        route = self._route(exchange, self._table())
+        return route is not None and route.idempotent
+
     async def handle(self, exchange: Exchange) -> None:
         """Answer one request of a caller."""
         table = self._table()
@@ -106,10 +111,9 @@
             no_table = Refusal(reason='no configuration', retry_after_s=NO_TABLE_RETRY_S)
             await self._replies.refuse(exchange, no_table)
             return
-        host = (exchange.header(b'host') or b'').decode('latin-1').partition(':')[0]
-        route = table.match(host.lower(), exchange.path)
+        route = self._route(exchange, table)
         if route is None:
-            await self._replies.no_route(exchange, version=table.version, host=host)
+            await self._replies.no_route(exchange, version=table.version)
             return
         self.in_progress += 1
         try:
@@ -119,6 +123,10 @@
         finally:
             self.in_progress -= 1
 
+    def _route(self, exchange: Exchange, table: RouteTable) -> Route | None:
+        host = (exchange.header(b'host') or b'').decode('latin-1').partition(':')[0]
+        return table.match(host.lower(), exchange.path)
+
     async def _serve(self, exchange: Exchange, route: Route, table: RouteTable) -> None:
         cutoff = exchange.received_at + min(self._patience(exchange), route.timeout_s)
         attempts = Attempts(key=self._key(exchange), version=table.version)
--- a/packages/node/src/plantainloft_node/engine/replies.py
+++ b/packages/node/src/plantainloft_node/engine/replies.py
@@ -20,6 +20,7 @@
 
 MS = 1000.0
 OUT_OF_TIME = 'out of time'
+_BODILESS = frozenset((HTTPStatus.NO_CONTENT, HTTPStatus.NOT_MODIFIED))
 _FAILURE_STATUS = MappingProxyType({OUT_OF_TIME: HTTPStatus.GATEWAY_TIMEOUT})
 
 
@@ -35,9 +36,11 @@
         self._names = names
         self._observe = observe
 
-    async def no_route(self, exchange: Exchange, *, version: int, host: str) -> None:
+    async def no_route(self, exchange: Exchange, *, version: int) -> None:
         """Answer that no route of configuration ``version`` matches."""
-        self._log_end(exchange, 'no_route', {'version': version, 'host': host})
+        host = (exchange.header(b'host') or b'').decode('latin-1')
+        fields: dict[str, object] = {'version': version, 'host': host, 'path': exchange.path}
+        self._log_end(exchange, 'no_route', fields)
         await self._say(exchange, HTTPStatus.NOT_FOUND)
 
     async def too_large(self, exchange: Exchange) -> None:
@@ -88,6 +91,11 @@
 
     async def _relay(self, exchange: Exchange, outcome: Answered) -> None:
         head = outcome.head
+        if exchange.method == b'HEAD' or head.status in _BODILESS:
+            # Its length tells of a body that is not sent.
+            await exchange.start(head.status, passed_on(head.headers, without=frozenset()))
+            await exchange.finish()
+            return
         if outcome.rest is None:
             headers = passed_on(head.headers, without=frozenset((b'content-length',)))
             await exchange.answer(head.status, headers, outcome.body)
--- a/packages/node/src/plantainloft_node/entry/lookups.py
+++ b/packages/node/src/plantainloft_node/entry/lookups.py
@@ -27,6 +27,10 @@
         """Return the limits for such requests: the defaults."""
         return CallerLimits()
 
+    def repeatable(self, exchange: Exchange) -> bool:
+        """Return that nothing is changed by such a request."""
+        return True
+
     async def handle(self, exchange: Exchange) -> None:
         """Answer with what ``reply`` returns."""
         status, body = self.reply(exchange)
--- a/packages/node/src/plantainloft_node/placing/placement.py
+++ b/packages/node/src/plantainloft_node/placing/placement.py
@@ -106,7 +106,7 @@
         chosen = _first_with_room(near, far, now)
         if chosen is not None:
             return chosen
-        return _least_queued(near or far, wanted.route.priority, now)
+        return _queued_at_first(near or far, wanted.route.priority, now)
 
     def update_ejections(self, now: float) -> None:
         """Lift ejections of services that fail nearly everywhere.
@@ -220,11 +220,11 @@
     return None
 
 
-def _least_queued(group: list[EndpointState], priority: int, now: float) -> Chosen | NoRoom:
+def _queued_at_first(group: list[EndpointState], priority: int, now: float) -> Chosen | NoRoom:
     allowed = QUEUE_BY_PRIORITY[min(priority, len(QUEUE_BY_PRIORITY) - 1)]
-    best = group[0]
-    load = best.load(now)
-    if load < best.record.slots * (1 + allowed):
-        return Chosen(endpoint=best, load=load, rank=group.index(best))
+    first = group[0]
+    load = first.load(now)
+    if load < first.record.slots * (1 + allowed):
+        return Chosen(endpoint=first, load=load, rank=0)
     loads = ', '.join(f'{state.record.id} {state.load(now):.1f}' for state in group)
     return NoRoom(reason='every endpoint is full', usable=len(group), loads=loads)
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -46,6 +46,9 @@
     def limits(self) -> CallerLimits:
         return CallerLimits()
 
+    def repeatable(self, exchange: Exchange) -> bool:
+        return True
+
     def put(self, table: str, key: str, document: Any) -> None:
         encoded = base64.b64encode(json.dumps(document).encode()).decode()
         self._write(table, key, encoded)
@@ -138,6 +141,9 @@
     def limits(self) -> CallerLimits:
         return self._store.limits()
 
+    def repeatable(self, exchange: Exchange) -> bool:
+        return True
+
     async def serve(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         await _serve(self, task_status)
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -348,3 +348,44 @@
         assert raw_socket.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE)
         assert raw_socket.getsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE) == 1
         await link.close()
+
+
+async def test_what_may_run_early_follows_from_the_route_not_from_the_method() -> None:
+    """Symptom: a booking made twice, by a route whose requests are GETs."""
+
+    async def slow(talk: Conversation) -> None:
+        while True:
+            await talk.request()
+            await anyio.sleep(0.2)
+            await talk.say(whole(b'ok'))
+
+    async with running_entry(slow) as (entry, (endpoint,)), await entry.connect() as stream:
+        await stream.send(get() + get(b'/notices/1', request_id=b'r2'))
+        await anyio.sleep(0.1)
+        assert len(endpoint.requests) == 1
+
+
+async def test_a_head_request_is_answered_without_a_body() -> None:
+    async def head_only(talk: Conversation) -> None:
+        await talk.request()
+        await talk.say(b'HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 5\r\n\r\n')
+
+    async with running_entry(head_only) as (entry, _), await entry.connect() as stream:
+        await stream.send(get().replace(b'GET', b'HEAD'))
+        with anyio.fail_after(5):
+            answer = await stream.receive()
+    assert status(answer) == 200
+    assert b'content-length: 5' in answer.lower()
+
+
+async def test_a_204_has_neither_body_nor_length() -> None:
+    async def no_content(talk: Conversation) -> None:
+        await talk.request()
+        await talk.say(b'HTTP/1.1 204 No\r\nX-Signature: s\r\n\r\n')
+
+    async with running_entry(no_content) as (entry, _), await entry.connect() as stream:
+        await stream.send(get())
+        with anyio.fail_after(5):
+            answer = await stream.receive()
+    assert status(answer) == 204
+    assert b'content-length' not in answer.lower()
