Settings files are read in one place

Cause: the entry process's settings repeated the reading of INI, syntax problems included, that the node's settings had. Change: config.schema.read_ini serves both; behaviour unchanged. Ruled out: one schema for both programs; their options differ.

--- a/packages/node/src/plantainloft_node/config/schema.py
+++ b/packages/node/src/plantainloft_node/config/schema.py
@@ -10,7 +10,7 @@
 
 from plantainloft_core.outcomes import Invalid
 
-__all__ = ['Option', 'addresses', 'check', 'choice', 'not_negative', 'positive']
+__all__ = ['Option', 'addresses', 'check', 'choice', 'not_negative', 'positive', 'read_ini']
 
 REQUIRED = object()
 
@@ -61,6 +61,16 @@
     return convert
 
 
+def read_ini(text: str, options: tuple[Option, ...]) -> dict[str, Any] | Invalid:
+    """Check INI ``text`` by ``options``, as ``check`` does."""
+    parser = configparser.ConfigParser(interpolation=None)
+    try:
+        parser.read_string(text)
+    except configparser.Error as exc:
+        return Invalid(problems=(f'syntax: {exc}',))
+    return check(parser, options)
+
+
 def check(
     parser: configparser.ConfigParser,
     options: tuple[Option, ...],
--- a/packages/node/src/plantainloft_node/config/settings.py
+++ b/packages/node/src/plantainloft_node/config/settings.py
@@ -1,11 +1,17 @@
 """The settings of an entry instance, read from INI."""
 
-import configparser
 from pathlib import Path
 from typing import NamedTuple
 
 from plantainloft_core.outcomes import Invalid
-from plantainloft_node.config.schema import Option, addresses, check, choice, not_negative, positive
+from plantainloft_node.config.schema import (
+    Option,
+    addresses,
+    choice,
+    not_negative,
+    positive,
+    read_ini,
+)
 
 __all__ = [
     'EMBEDDED_DEFAULT',
@@ -95,12 +101,7 @@
 
 def parse_settings(text: str) -> NodeSettings | Invalid:
     """Check INI ``text`` into ``NodeSettings`` or list every problem."""
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(text)
-    except configparser.Error as exc:
-        return Invalid(problems=(f'syntax: {exc}',))
-    values = check(parser, OPTIONS)
+    values = read_ini(text, OPTIONS)
     if isinstance(values, Invalid):
         return values
     return NodeSettings(
--- a/packages/node/src/plantainloft_node/entry/settings.py
+++ b/packages/node/src/plantainloft_node/entry/settings.py
@@ -1,10 +1,9 @@
 """The settings of an entry process, read from INI."""
 
-import configparser
 from typing import NamedTuple
 
 from plantainloft_core.outcomes import Invalid
-from plantainloft_node.config.schema import Option, addresses, check, choice, positive
+from plantainloft_node.config.schema import Option, addresses, choice, positive, read_ini
 
 __all__ = ['EntrySettings', 'parse_entry_settings']
 
@@ -102,12 +101,7 @@
 
 def parse_entry_settings(text: str) -> EntrySettings | Invalid:
     """Check INI ``text`` into settings, or list every problem."""
-    parser = configparser.ConfigParser(interpolation=None)
-    try:
-        parser.read_string(text)
-    except configparser.Error as exc:
-        return Invalid(problems=(f'syntax: {exc}',))
-    found = check(parser, OPTIONS)
+    found = read_ini(text, OPTIONS)
     if isinstance(found, Invalid):
         return found
     zone = found['instance.zone']
