--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -2,7 +2,7 @@
 
 import logging
 import signal
-from collections.abc import Callable
+from collections.abc import AsyncIterator, Callable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -73,12 +73,17 @@
         """Serve until SIGTERM, then stop gracefully."""
         settings = self._settings
         log.info('Entry: starting.', extra={'kind': 'start', 'fields': {'zone': settings.zone}})
-        async with anyio.create_task_group() as tasks:
-            beats = self._start_fleet(tasks)
-            self._start_listeners(tasks)
-            await self._wait_for_stop()
-            await self._drain(beats)
-            tasks.cancel_scope.cancel()
+        # The handlers stand until the end. Taken down when the stop begins,
+        # they would leave a second SIGTERM, or a SIGHUP, its default effect:
+        # the process would end at once and cut what is under way.
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+            async with anyio.create_task_group() as tasks:
+                beats = self._start_fleet(tasks)
+                self._start_listeners(tasks)
+                await self._wait_for_stop(signals)
+                await self._drain(beats)
+                tasks.cancel_scope.cancel()
         log.info('Entry: stopped.', extra={'kind': 'stop'})
 
     def _start_fleet(self, tasks: TaskGroup) -> BeatExchange:
@@ -128,12 +133,11 @@
             rate_by_service=self.front.demand.rate_by_service,
         )
 
-    async def _wait_for_stop(self) -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-            async for received in signals:
-                if received == signal.SIGTERM:
-                    return
-                self._reload()
+    async def _wait_for_stop(self, signals: AsyncIterator[signal.Signals]) -> None:
+        async for received in signals:
+            if received == signal.SIGTERM:
+                return
+            self._reload()
 
     def _reload(self) -> None:
         """Take the settings anew; invalid ones leave the old in force."""
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -306,6 +306,13 @@
         assert self._process is not None
         self._process.send_signal(number)
 
+    def blocks(self, number: int) -> bool:
+        """Return whether the process holds this signal back just now."""
+        assert self._process is not None
+        status = Path(f'/proc/{self._process.pid}/status').read_text()
+        blocked = next(line for line in status.splitlines() if line.startswith('SigBlk:'))
+        return bool(int(blocked.split()[1], 16) & (1 << (number - 1)))
+
     async def ended(self) -> int:
         assert self._process is not None
         return await anyio.to_thread.run_sync(self._process.wait, abandon_on_cancel=True)
