Silence of an endpoint is told by its service's answer times

Cause: an endpoint that answered nothing for 0.9 s counted as silent. That figure came from services whose requests last a few tenths of a second; with one whose requests last 1.7 s, an endpoint with a single request at work was left out and its kept connections were dropped, though it was healthy.

Change: each service has its pace (mean and mean deviation of its answers, as RFC 6298 does for acknowledgements). Silent means mean and four deviations without an answer, at least 0.9 s, at most 0.75 of the service's longest route time-out, which is also the bound before any answer was seen.

Ruled out: the declared time-out alone (a route may allow half a minute); the estimate alone (an overload would stretch it beyond the time-out).

Where time-outs are 1.2 s the bound is 0.9 s as before.

--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -19,7 +19,6 @@
 from plantainloft_node.engine.heads import find
 from plantainloft_node.engine.pool import LinkPool
 from plantainloft_node.placing.endpoints import EndpointState
-from plantainloft_node.placing.health import SILENT_S
 
 __all__ = ['Sender', 'Sending']
 
@@ -61,7 +60,7 @@
             outcome = await self._send(state, sending)
         finally:
             await self._end(state, number, unanswered_since=began if outcome is None else None)
-        self._learn(state, outcome)
+        self._learn(state, outcome, began=began)
         return outcome
 
     async def _end(
@@ -71,7 +70,7 @@
         state.health.note_ended(number)
         if unanswered_since is None:
             return
-        if anyio.current_time() - unanswered_since > SILENT_S:
+        if anyio.current_time() - unanswered_since > state.pace.silent_after_s:
             # Given up without an answer: the endpoint's other kept
             # connections may have gone silent together with this one.
             await self._pool.drop(state.record.id)
@@ -168,7 +167,7 @@
         await self._pool.give(state.record.id, link)
         return True
 
-    def _learn(self, state: EndpointState, outcome: TryOutcome) -> None:
+    def _learn(self, state: EndpointState, outcome: TryOutcome, *, began: float) -> None:
         now = anyio.current_time()
         if isinstance(outcome, NotSent):
             state.health.note_unreachable(now)
@@ -179,6 +178,7 @@
             if state.load(now) < state.record.slots:
                 state.health.note_failed(now)
         else:
+            state.pace.note_answer(now - began)
             self._learn_answer(state, outcome, now)
 
     def _learn_answer(self, state: EndpointState, outcome: Answered, now: float) -> None:
--- a/packages/node/src/plantainloft_node/placing/endpoints.py
+++ b/packages/node/src/plantainloft_node/placing/endpoints.py
@@ -3,6 +3,7 @@
 from plantainloft_core.discovery import EndpointRecord
 from plantainloft_node.placing.cold import ColdGate
 from plantainloft_node.placing.health import EndpointHealth
+from plantainloft_node.placing.pace import ServicePace
 
 __all__ = ['EndpointBook', 'EndpointState']
 
@@ -18,11 +19,14 @@
 class EndpointState:
     """One endpoint incarnation: its record, load, warmth and health."""
 
-    def __init__(self, *, record: EndpointRecord, region: str, now: float) -> None:
+    def __init__(
+        self, *, record: EndpointRecord, region: str, pace: ServicePace, now: float
+    ) -> None:
         self.record = record
+        self.pace = pace
         self.region = region
         self.in_flight = 0
-        self.health = EndpointHealth()
+        self.health = EndpointHealth(pace=pace)
         self.cold_gate = ColdGate()
         self.cold_until = now + record.cold_s
         self._others = record.slots * UNKNOWN_LOAD
@@ -61,6 +65,7 @@
         self._region_by_zone = region_by_zone
         self.by_id: dict[str, EndpointState] = {}
         self.ids_by_service: dict[str, set[str]] = {}
+        self.pace_by_service: dict[str, ServicePace] = {}
         self.evacuated_zones: frozenset[str] = frozenset()
         # Counts changes to who is listed, for caches of rankings.
         self.generation = 0
@@ -72,7 +77,8 @@
             known.take_record(record, now)
             return
         region = self._region_by_zone.get(record.zone, '')
-        self.by_id[record.id] = EndpointState(record=record, region=region, now=now)
+        pace = self.pace_of(record.service)
+        self.by_id[record.id] = EndpointState(record=record, region=region, pace=pace, now=now)
         self.ids_by_service.setdefault(record.service, set()).add(record.id)
         self.generation += 1
 
@@ -84,6 +90,10 @@
         self.ids_by_service[state.record.service].discard(endpoint_id)
         self.generation += 1
 
+    def pace_of(self, service: str) -> ServicePace:
+        """Return how long the endpoints of ``service`` take to answer."""
+        return self.pace_by_service.setdefault(service, ServicePace())
+
     def of_service(self, service: str) -> list[EndpointState]:
         """Return the endpoints of ``service``."""
         return [self.by_id[name] for name in self.ids_by_service.get(service, ())]
--- a/packages/node/src/plantainloft_node/placing/health.py
+++ b/packages/node/src/plantainloft_node/placing/health.py
@@ -5,7 +5,9 @@
 what requests met there.
 """
 
-__all__ = ['SILENT_S', 'EndpointHealth']
+from plantainloft_node.placing.pace import ServicePace
+
+__all__ = ['EndpointHealth']
 
 # Weight of the newest answer in the failure share: five answers tell a
 # failing endpoint from one bad answer.
@@ -14,15 +16,13 @@
 # First ejection; doubles while the endpoint fails its trial requests.
 EJECT_S = 1.0
 EJECT_MAX_S = 8.0
-# An endpoint that keeps requests this long without any answer is silent:
-# the slowest cold request of today's services ends within it.
-SILENT_S = 0.9
 
 
 class EndpointHealth:
     """Failure share, ejection and silence of one endpoint."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, pace: ServicePace) -> None:
+        self._pace = pace
         self._failure_share = 0.0
         self._eject_s = EJECT_S
         self.ejected_until = 0.0
@@ -49,7 +49,7 @@
         if not self._waiting_since:
             return False
         oldest = min(self._waiting_since.values())
-        return now - max(oldest, self._heard_at) > SILENT_S
+        return now - max(oldest, self._heard_at) > self._pace.silent_after_s
 
     def note_sent(self, number: int, now: float) -> None:
         """Count the request ``number`` as waiting for its answer."""
--- a/packages/node/src/plantainloft_node/replica/beliefs.py
+++ b/packages/node/src/plantainloft_node/replica/beliefs.py
@@ -6,6 +6,7 @@
 from plantainloft_core.outcomes import Invalid
 from plantainloft_core.routes import NO_ROUTES, RouteTable
 from plantainloft_node.placing.endpoints import EndpointBook
+from plantainloft_node.placing.pace import longest_wait_by_service
 from plantainloft_node.replica.news import (
     Change,
     EndpointGone,
@@ -72,8 +73,7 @@
         if isinstance(change, RoutesDeclared):
             if change.table.version < self.table.version:
                 return
-            self.table = change.table
-            self.table_since = now
+            self._declare(change.table, now)
             fields['version'] = change.table.version
         elif isinstance(change, ZoneEvacuation):
             self._evacuate(change, now)
@@ -91,6 +91,12 @@
             extra={'kind': 'belief', 'fields': fields},
         )
 
+    def _declare(self, table: RouteTable, now: float) -> None:
+        self.table = table
+        self.table_since = now
+        for service, longest_s in longest_wait_by_service(table).items():
+            self._book.pace_of(service).longest_wait_s = longest_s
+
     def _evacuate(self, change: ZoneEvacuation, now: float) -> None:
         changed = frozenset((change.zone,))
         zones = self._evacuated | changed if change.evacuated else self._evacuated - changed
