--- a/packages/node/src/plantainloft_node/engine/callers.py
+++ b/packages/node/src/plantainloft_node/engine/callers.py
@@ -313,6 +313,9 @@
 
     async def _reject(self, protocol: h11.Connection, status: int) -> None:
         """Answer a request that is not proper, after all earlier ones."""
+        log.info(
+            'Caller: improper request.', extra={'kind': 'improper', 'fields': {'status': status}}
+        )
         self.closing = True
         with anyio.move_on_after(self._handler.limits().header_timeout_s):
             while self._open and not self._open[0].answered:
--- a/packages/node/src/plantainloft_node/engine/front.py
+++ b/packages/node/src/plantainloft_node/engine/front.py
@@ -109,7 +109,7 @@
         table = self._table()
         if not table.version:
             no_table = Refusal(reason='no configuration', retry_after_s=NO_TABLE_RETRY_S)
-            await self._replies.refuse(exchange, no_table)
+            await self._replies.no_table(exchange, no_table)
             return
         route = self._route(exchange, table)
         if route is None:
@@ -131,10 +131,15 @@
         cutoff = exchange.received_at + min(self._patience(exchange), route.timeout_s)
         attempts = Attempts(key=self._key(exchange), version=table.version)
         outcome: Answered | Refusal | Failed | None = None
-        with anyio.move_on_at(cutoff):
-            body, whole = await exchange.body.prefetch()
-            judged = Judged(exchange, route, attempts.key, cutoff, body, whole)
-            outcome = await self._obtain(judged, table, attempts)
+        cancelled = anyio.get_cancelled_exc_class()
+        try:
+            with anyio.move_on_at(cutoff):
+                body, whole = await exchange.body.prefetch()
+                judged = Judged(exchange, route, attempts.key, cutoff, body, whole)
+                outcome = await self._obtain(judged, table, attempts)
+        except cancelled:
+            self._replies.caller_left(exchange, route, attempts)
+            raise
         if outcome is None:
             outcome = _out_of_time(attempts)
         await self._replies.reply(exchange, route, outcome, attempts)
--- a/packages/node/src/plantainloft_node/engine/replies.py
+++ b/packages/node/src/plantainloft_node/engine/replies.py
@@ -36,6 +36,19 @@
         self._names = names
         self._observe = observe
 
+    async def no_table(self, exchange: Exchange, refusal: Refusal) -> None:
+        """Refuse a request that came before any configuration."""
+        self._log_end(exchange, 'refused', {'reason': refusal.reason, 'version': 0})
+        await self.refuse(exchange, refusal)
+
+    def caller_left(self, exchange: Exchange, route: Route, attempts: Attempts) -> None:
+        """Note that nobody waits for the answer any more."""
+        took_s = anyio.current_time() - exchange.received_at
+        self._observe(route.name, 'caller_left', took_s)
+        fields = _fields(route, attempts, took_s)
+        fields['waiting_for'] = attempts.waiting_for
+        self._log_end(exchange, 'caller_left', fields)
+
     async def no_route(self, exchange: Exchange, *, version: int) -> None:
         """Answer that no route of configuration ``version`` matches."""
         host = (exchange.header(b'host') or b'').decode('latin-1')
@@ -56,13 +69,7 @@
         attempts: Attempts,
     ) -> None:
         took_s = anyio.current_time() - exchange.received_at
-        fields = {
-            'route': route.name,
-            'ms': round(took_s * MS),
-            'key': attempts.key,
-            'version': attempts.version,
-            'tries': attempts.why(),
-        }
+        fields = _fields(route, attempts, took_s)
         if isinstance(outcome, Answered):
             fields['endpoint'] = outcome.endpoint_id
             fields['status'] = outcome.head.status
@@ -105,6 +112,8 @@
         except BrokenAnswerError as exc:
             # Ended like a whole answer, the rest that is missing would go
             # unnoticed; the caller's connection is cut instead.
+            told: dict[str, object] = {'endpoint': outcome.endpoint_id, 'reason': exc.reason}
+            self._log_end(exchange, 'cut', told)
             raise anyio.BrokenResourceError from exc
         finally:
             await outcome.rest.close()
@@ -134,3 +143,13 @@
                 'fields': {'request': request_id(exchange, self._names), **fields},
             },
         )
+
+
+def _fields(route: Route, attempts: Attempts, took_s: float) -> dict[str, object]:
+    return {
+        'route': route.name,
+        'ms': round(took_s * MS),
+        'key': attempts.key,
+        'version': attempts.version,
+        'tries': attempts.why(),
+    }
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -389,3 +389,68 @@
             answer = await stream.receive()
     assert status(answer) == 204
     assert b'content-length' not in answer.lower()
+
+
+def ends(caplog: pytest.LogCaptureFixture) -> dict[str, dict[str, object]]:
+    """The last fields logged by kind."""
+    return {line.kind: line.fields for line in caplog.records if hasattr(line, 'fields')}  # type: ignore[attr-defined]
+
+
+async def test_a_refusal_without_a_configuration_is_logged(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Symptom: a caller names a refused id, and no log has a line of it."""
+    caplog.set_level('INFO')
+    async with running_entry(echo, table=table_of(version=0)) as (entry, _):
+        await entry.ask(get(request_id=b'r7'))
+    assert ends(caplog)['refused'] == {'request': 'r7', 'reason': 'no configuration', 'version': 0}
+
+
+async def test_a_caller_who_leaves_is_logged_with_who_had_the_request(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Symptom: an endpoint's record shows a run that was cut, and the entry
+    instance's log has no line of that id: the caller had left, and the
+    request's task was cancelled before any line was written.
+    """
+    caplog.set_level('INFO')
+    arrived = anyio.Event()
+
+    async def never(talk: Conversation) -> None:
+        await talk.request()
+        arrived.set()
+        await anyio.sleep_forever()
+
+    async with running_entry(never) as (entry, _):
+        async with await entry.connect() as stream:
+            await stream.send(get(request_id=b'r8'))
+            await arrived.wait()
+        with anyio.fail_after(5):
+            while 'caller_left' not in ends(caplog):
+                await anyio.sleep(0.01)
+    left = ends(caplog)['caller_left']
+    assert (left['request'], left['waiting_for'], left['route']) == ('r8', 'i0', '/files/')
+
+
+async def test_an_answer_cut_short_midway_is_logged(caplog: pytest.LogCaptureFixture) -> None:
+    """A long answer is passed on as it comes; its endpoint breaks off."""
+    caplog.set_level('INFO')
+
+    async def cut_short(talk: Conversation) -> None:
+        await talk.request()
+        head = b'HTTP/1.1 200 OK\r\nX-Signature: s\r\nContent-Length: 200000\r\n\r\n'
+        await talk.say(head + b'x' * 100000)
+
+    async with running_entry(cut_short) as (entry, _):
+        await entry.ask(get(request_id=b'r9'))
+    cut = ends(caplog)['cut']
+    assert (cut['request'], cut['endpoint']) == ('r9', 'i0')
+
+
+async def test_an_improper_request_is_logged_with_its_status(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    caplog.set_level('INFO')
+    async with running_entry(echo) as (entry, _):
+        assert status(await entry.ask(b'no request\r\n\r\n')) == 400
+    assert ends(caplog)['improper'] == {'status': 400}
