Instances and deletions that are long gone are let go; clocks set back

Causes: (1) An incarnation is the time of day of the start, and a smaller one was refused as a late datagram. Killed and started again behind a clock that was set back, an instance was up, but its beats were refused for good and no look-up named it. (2) Rows of instances were never removed and members never forgotten: with every replaced machine, lists grew and beats went to one more address that nobody has. (3) Deletions of endpoints were kept without bound.

Change: (1) a smaller incarnation is believed once the known one is down.

Ruled out: incarnations counted in the store (a call at each start, and none to be had in an outage); removing the row at each stop (two calls for each restart in place, all of them paid for).

Before: test_an_instance_restarted_behind_its_former_clock_is_heard_again and the other new tests fail (no such incarnation; no such calls).

--- a/packages/node/src/plantainloft_node/replica/news.py
+++ b/packages/node/src/plantainloft_node/replica/news.py
@@ -103,6 +103,10 @@
     async def put_row(self, table: str, key: str, content: bytes) -> Unreachable | None:
         """Write one row, whatever it was before."""
 
+    @abstractmethod
+    async def remove_row(self, row: NewsRow) -> Unreachable | None:
+        """Remove ``row`` if it still has its version; else do nothing."""
+
     @abstractmethod
     def decode(self, row: NewsRow) -> Change | Invalid | None:
         """Return what ``row`` means; ``None`` if it concerns nobody here."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,7 +1,7 @@
 """Which instances count, by beats and lists."""
 
 from plantainloft_node.entry.lookups import front_addresses
-from plantainloft_node.fleet.members import Beat, FleetMember, MemberBook
+from plantainloft_node.fleet.members import GONE_AFTER_S, Beat, FleetMember, MemberBook
 from plantainloft_node.placing.cold import cold_share
 
 NOW = 1000.0
@@ -63,3 +63,31 @@
     assert front_addresses(serving, region='ankara', zone='a') == ['a1:80', 'a2:80']
     assert front_addresses(serving, region='ankara', zone='b') == ['b1:80', 'a1:80', 'a2:80']
     assert len(front_addresses(serving, region='istanbul', zone='x')) == 4
+
+
+def test_an_instance_restarted_behind_its_former_clock_is_heard_again() -> None:
+    """Symptom: an instance is up, and no look-up names it any more.
+
+    Its clock is set back by some seconds, and it is killed and starts
+    again. Its incarnation, the time of its start, is smaller than the one
+    the others know, and its beats were refused as late ones.
+    """
+    book = MemberBook(me=member('e1'))
+    book.hear(beat('e2', incarnation=9), NOW)
+    book.hear(beat('e2', incarnation=6), NOW + 0.5)
+    assert book.serving(NOW + 0.5)[0].incarnation == 9
+    book.hear(beat('e2', incarnation=6), NOW + 2.5)
+    assert book.serving(NOW + 2.5)[0].incarnation == 6
+
+
+def test_instances_that_were_replaced_are_forgotten() -> None:
+    """Symptom: beats go to thousands of addresses that nobody has."""
+    book = MemberBook(me=member('e1'))
+    book.learn(member('e2'), NOW)
+    book.hear(beat('e3'), NOW)
+    book.hear(beat('e4'), NOW)
+    book.hear(beat('e4'), NOW + GONE_AFTER_S - 10)
+    assert book.forget_gone(NOW + GONE_AFTER_S - 1) == []
+    assert sorted(book.forget_gone(NOW + GONE_AFTER_S)) == ['e2', 'e3']
+    assert [one.name for one in book.everyone()] == ['e4']
+    assert not book.is_gone('e2', NOW + GONE_AFTER_S)
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -116,3 +116,35 @@
     news = [NewsRow(DECLARATIONS, 'config', number, b'%d' % number) for number in (2, 1)]
     beliefs.take(news, NOW, source='store')
     assert beliefs.table.version == 2
+
+
+def test_deletions_do_not_grow_without_bound(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Symptom: an instance's memory grows with every endpoint that ever left."""
+    monkeypatch.setattr('plantainloft_node.replica.rows.MAX_DELETIONS', 10)
+    rows = RowCopy()
+    for number in range(100):
+        rows.merge([row(f'i{number}', 2 * number + 1)])
+        rows.merge([row(f'i{number}', 2 * number + 2, None)])
+    assert len(rows.row_by_key) == 10
+
+
+def test_a_peer_behind_the_dropped_deletions_is_told_whole_tables(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Symptom: an endpoint that is gone gets requests from one instance.
+
+    The instance was cut off while many endpoints left, and then asks a
+    peer that no longer keeps the oldest of those deletions.
+    """
+    monkeypatch.setattr('plantainloft_node.replica.rows.MAX_DELETIONS', 2)
+    behind, ahead = RowCopy(), RowCopy()
+    for copy in (behind, ahead):
+        copy.merge([row('gone', 1), row('stays', 2)])
+    ahead.merge([row(key, 3 + number, None) for number, key in enumerate(('gone', 'x', 'y'))])
+    assert ahead.cut_off(behind.newest_by_table) == [ENDPOINTS]
+    listing = News(tuple(ahead.since({})), ahead.newest_by_table[ENDPOINTS])
+    fresh = behind.merge_listing(ENDPOINTS, listing)
+    assert behind.row_by_key[(ENDPOINTS, 'gone')].content is None
+    assert behind.row_by_key[(ENDPOINTS, 'stays')].content is not None
+    assert 'gone' in {one.key for one in fresh}
+    assert ahead.cut_off(behind.newest_by_table) == []
