The demo tells late from refused, shows progress; unserved requests are logged

Cause: "78 of 300 bad at 83 % headroom" was an open finding, taken for refusals. Bad counts answers after the objective as well, the report gave one number for both, and the node wrote no line when it refused. The demo printed nothing until its end.

Change: the burn report has a column for late answers; a line with service, version, key and reason for each request of the product's own forwarding that was not served; progress while the demo runs.

--- a/packages/ctl/src/plantainloft_ctl/burn.py
+++ b/packages/ctl/src/plantainloft_ctl/burn.py
@@ -14,11 +14,16 @@
 
 
 class BurnRow(NamedTuple):
-    """One service's burn on the nodes asked."""
+    """One service's burn on the nodes asked.
+
+    ``bad`` requests were not served, or served ``late``: after the
+    service's latency objective.
+    """
 
     service: str
     requests: int
     bad: int
+    late: int
     burn_rate: float
     p50_ms: float
     p99_ms: float
@@ -33,20 +38,22 @@
         for service, stats in status['stats'].items():
             counts = stats['counts_by_outcome']
             total = sum(counts.values())
-            bad = total - counts.get('served', 0) + stats.get('late', 0)
-            row = totals.setdefault(service, [0, 0, 0.0, 0.0])
+            late = stats.get('late', 0)
+            row = totals.setdefault(service, [0, 0, 0, 0.0, 0.0])
             row[0] += total
-            row[1] += bad
-            row[2] = max(row[2], stats['p50_ms'])
-            row[3] = max(row[3], stats['p99_ms'])
+            row[1] += total - counts.get('served', 0) + late
+            row[2] += late
+            row[3] = max(row[3], stats['p50_ms'])
+            row[4] = max(row[4], stats['p99_ms'])
     rows = []
-    for service, (total, bad, p50, p99) in sorted(totals.items()):
+    for service, (total, bad, late, p50, p99) in sorted(totals.items()):
         share = bad / total if total else 0.0
         rows.append(
             BurnRow(
                 service=service,
                 requests=int(total),
                 bad=int(bad),
+                late=int(late),
                 burn_rate=share / (1 - objective),
                 p50_ms=p50,
                 p99_ms=p99,
@@ -57,9 +64,11 @@
 
 def format_burn(rows: list[BurnRow]) -> str:
     """Render rows as a fixed-width text table."""
-    lines = [f'{"service":<16}{"requests":>10}{"bad":>8}{"burn":>8}{"p50 ms":>9}{"p99 ms":>9}']
+    lines = [
+        f'{"service":<16}{"requests":>10}{"bad":>8}{"late":>8}{"burn":>8}{"p50 ms":>9}{"p99 ms":>9}'
+    ]
     lines.extend(
-        f'{row.service:<16}{row.requests:>10}{row.bad:>8}{row.burn_rate:>8.2f}'
+        f'{row.service:<16}{row.requests:>10}{row.bad:>8}{row.late:>8}{row.burn_rate:>8.2f}'
         f'{row.p50_ms:>9.2f}{row.p99_ms:>9.2f}'
         for row in rows
     )
--- a/packages/node/src/plantainloft_node/app.py
+++ b/packages/node/src/plantainloft_node/app.py
@@ -5,6 +5,7 @@
 - ``GET /v1/status``: version in force, members, stats by service.
 """
 
+import logging
 import time
 
 from starlette.applications import Starlette
@@ -16,7 +17,9 @@
 from plantainloft_node.forwarding import Request
 from plantainloft_node.node import Node
 
-__all__ = ['make_app']
+__all__ = ['log_unserved', 'make_app']
+
+log = logging.getLogger(__name__)
 
 DEADLINE_HEADER = 'x-request-timeout-ms'
 MS = 1000.0
@@ -54,6 +57,21 @@
     )
 
 
+def log_unserved(
+    outcome: Refused | Unknown, *, service: str, version: int, key: str | None
+) -> None:
+    """Log a request that was not served, and why."""
+    kind = type(outcome).__name__.lower()
+    fields = {'service': service, 'version': version, 'key': key, 'reason': outcome.reason}
+    log.info(
+        'Forward: %s request %s: %s.',
+        service,
+        kind,
+        outcome.reason,
+        extra={'kind': kind, 'fields': fields},
+    )
+
+
 def make_app(node: Node) -> Starlette:
     """Build the ASGI application of one entry instance."""
 
@@ -94,6 +112,8 @@
             call,
             idempotency_key=key if request.method in _NON_IDEMPOTENT else None,
         )
+        if not isinstance(outcome, Served):
+            log_unserved(outcome, service=service, version=node.follower.config.version, key=key)
         node.stats.record(
             service,
             type(outcome).__name__.lower(),
--- a/packages/node/src/plantainloft_node/commands/run.py
+++ b/packages/node/src/plantainloft_node/commands/run.py
@@ -39,6 +39,6 @@
             for problem in checked.problems:
                 print(f'settings: {problem}', file=sys.stderr)
             raise cappa.Exit(code=EXIT_BAD_SETTINGS)
-        setup_logging(level=checked.log_level, fmt=checked.log_format)
+        setup_logging(level=checked.log_level, fmt=checked.log_format, instance=checked.name)
         setup_metrics(every_s=checked.metrics_every_s)
         anyio.run(run_node, checked)
--- a/packages/node/src/plantainloft_node/logs.py
+++ b/packages/node/src/plantainloft_node/logs.py
@@ -1,33 +1,17 @@
-"""Logging set-up: short sentences, text for people or JSON for machines."""
+"""Logging set-up: short sentences for people, or structured lines."""
 
-import json
 import logging
 
-__all__ = ['setup_logging']
-
+from plantainloft_node.entry.decision_log import setup_decision_log
 
-class JsonFormatter(logging.Formatter):
-    """One JSON object per line: time, level, logger, message."""
-
-    def format(self, record: logging.LogRecord) -> str:
-        """Return ``record`` as one JSON line."""
-        return json.dumps(
-            {
-                'time': self.formatTime(record),
-                'level': record.levelname,
-                'logger': record.name,
-                'message': record.getMessage(),
-            }
-        )
+__all__ = ['setup_logging']
 
 
-def setup_logging(*, level: str, fmt: str) -> None:
-    """Send logs to standard error at ``level`` in ``fmt`` (text, json)."""
-    handler = logging.StreamHandler()
+def setup_logging(*, level: str, fmt: str, instance: str) -> None:
+    """Log at ``level``: sentences on standard error, or JSON (``fmt``)."""
     if fmt == 'json':
-        handler.setFormatter(JsonFormatter())
+        setup_decision_log(level=level, instance=instance)
     else:
-        handler.setFormatter(logging.Formatter('%(asctime)s %(levelname)s %(message)s'))
-    logging.basicConfig(level=level, handlers=[handler], force=True)
+        logging.basicConfig(level=level, format='%(asctime)s %(levelname)s %(message)s', force=True)
     # httpx logs every request at INFO: the node's own sentences drown.
     logging.getLogger('httpx').setLevel(logging.WARNING)
--- a/packages/standins/src/plantainloft_standins/__main__.py
+++ b/packages/standins/src/plantainloft_standins/__main__.py
@@ -77,6 +77,7 @@
     concurrency: Annotated[int, cappa.Arg(long=True)] = 16
 
     def __call__(self) -> None:
+        logging.getLogger('plantainloft_standins.demo').setLevel(logging.INFO)
         print(
             run_demo(
                 self.deployment,
@@ -95,7 +96,7 @@
 
 def main() -> None:
     """Parse the command line and run the chosen stand-in."""
-    logging.basicConfig(level=logging.WARNING, format='%(name)s: %(message)s')
+    logging.basicConfig(level=logging.WARNING, format='%(message)s')
     cappa.invoke(Standins)
 
 
--- a/packages/standins/src/plantainloft_standins/demo.py
+++ b/packages/standins/src/plantainloft_standins/demo.py
@@ -1,5 +1,6 @@
 """The demo: bring up a deployment, send traffic, print what happened."""
 
+import logging
 import tempfile
 from pathlib import Path
 from typing import Any
@@ -17,12 +18,15 @@
 
 __all__ = ['run_demo']
 
+log = logging.getLogger(__name__)
+
 US = 1_000_000
 MAX_US = 60 * US
 MEDIAN = 50
 TAIL = 99
 US_PER_MS = 1000
 SIGNIFICANT_FIGURES = 3
+PROGRESS_EVERY = 100
 
 
 def _latency_line(service: str, replies: list[Reply]) -> str:
@@ -70,8 +74,13 @@
             blocks=blocks,
             count=count,
             concurrency=concurrency,
+            on_reply=told,
         )
 
+    def told(number: int) -> None:
+        if number % PROGRESS_EVERY == 0:
+            log.info('Demo: %d of %d requests answered.', number, count)
+
     replies = anyio.run(send)
     statuses = [httpx.get(f'{url}/v1/status').json() for url in entries]
     return replies, statuses
@@ -81,10 +90,12 @@
     """Run the demo of one deployment; return the report as text."""
     deployment = DEPLOYMENTS[deployment_name]
     work_dir = Path(tempfile.mkdtemp(prefix='plantainloft-demo-'))
+    log.info('Demo: starting the processes of %s, logs in %s.', deployment.name, work_dir)
     cluster = bring_up(deployment, work_dir=work_dir, entries_per_zone=2)
     try:
         replies, statuses = _drive(cluster, deployment, count=count, concurrency=concurrency)
     finally:
+        log.info('Demo: stopping the processes.')
         cluster.processes.stop_all()
     lines = [
         f'deployment {deployment.name}: {len(cluster.entries_by_name)} entry instances, '
--- a/packages/standins/src/plantainloft_standins/traffic.py
+++ b/packages/standins/src/plantainloft_standins/traffic.py
@@ -8,7 +8,7 @@
 import random
 import time
 import uuid
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from typing import NamedTuple
 
 import anyio
@@ -71,8 +71,12 @@
     blocks: Sequence[str],
     count: int,
     concurrency: int,
+    on_reply: Callable[[int], None],
 ) -> list[Reply]:
-    """Send ``count`` requests, ``concurrency`` at once; return replies."""
+    """Send ``count`` requests, ``concurrency`` at once; return replies.
+
+    ``on_reply`` is told the number of replies so far after each.
+    """
     rng = random.Random(SEED)
     replies: list[Reply] = []
     limiter = anyio.CapacityLimiter(concurrency)
@@ -100,6 +104,7 @@
                         payload=f'request-{index}',
                     )
                 )
+                on_reply(len(replies))
 
         async with anyio.create_task_group() as tasks:
             for index in range(count):
--- a/tests/test_burn.py
+++ b/tests/test_burn.py
@@ -28,6 +28,17 @@
     assert (row.bad, round(row.burn_rate, 2)) == (3, 3.0)
 
 
+def test_the_report_tells_late_answers_from_requests_not_served() -> None:
+    """Symptom: 78 of 300 requests are bad, and nobody can say whether they
+    were refused or only late: the report gave one number for both.
+    """
+    rows = burn_rows([_status(95, 5, late=7)])
+    assert [(row.bad, row.late) for row in rows] == [(12, 7)]
+    head, line = format_burn(rows).splitlines()
+    assert head.split()[2:4] == ['bad', 'late']
+    assert line.split()[2:4] == ['12', '7']
+
+
 def test_burn_sums_nodes_and_writes_a_plot(tmp_path: Path) -> None:
     rows = burn_rows([_status(990, 5), _status(995, 10)])
     assert [(row.requests, row.bad) for row in rows] == [(2000, 15)]
