Fields that nobody reads are gone; errors of sending are named once

Cause: NoRoom.usable and two header names were read by nobody, and sender and whole_answers named the same errors twice. Behaviour unchanged; tests of placing, front and real processes pass.

--- a/packages/node/src/plantainloft_node/engine/dialect.py
+++ b/packages/node/src/plantainloft_node/engine/dialect.py
@@ -14,19 +14,16 @@
 
     ``deadline`` carries milliseconds left; ``affinity_cookie`` names the
     cookie whose value tells which object a request is about; ``target``
-    carries the endpoint incarnation that must run the request, ``instance``
-    the one that answered; ``not_run`` is an endpoint's word that it did
-    not run the request; ``signature`` is borne by each answer of an
-    endpoint's own (``None``: answers bear none); ``load`` carries requests
-    running, waiting, and slots.
+    carries the endpoint incarnation that must run the request; ``not_run``
+    is an endpoint's word that it did not run the request; ``signature`` is
+    borne by each answer of an endpoint's own (``None``: answers bear none);
+    ``load`` carries requests running, waiting, and slots.
     """
 
     request_id: bytes = b'x-request-id'
     deadline: bytes = b'x-request-timeout-ms'
     affinity_cookie: bytes = b'affinity'
     target: bytes = b'x-target-endpoint'
-    instance: bytes = b'x-endpoint'
     not_run: bytes = b'x-not-run'
     signature: bytes | None = None
     load: bytes = b'x-load'
-    cold: bytes = b'x-cold-ms'
--- a/packages/node/src/plantainloft_node/engine/endpoint_link.py
+++ b/packages/node/src/plantainloft_node/engine/endpoint_link.py
@@ -15,9 +15,18 @@
 
 from plantainloft_node.engine.heads import Headers, find
 
-__all__ = ['AnswerHead', 'BrokenAnswerError', 'EndpointLink', 'OutgoingRequest', 'connect']
+__all__ = [
+    'SEND_ERRORS',
+    'AnswerHead',
+    'BrokenAnswerError',
+    'EndpointLink',
+    'OutgoingRequest',
+    'connect',
+]
 
 READ_BYTES = 65536
+# How sending on a connection that has ended fails.
+SEND_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 # An idle connection is not used after this share of the time for which
 # the endpoint says it keeps it: a request that crosses the close is lost.
 KEPT_SHARE = 0.6
@@ -200,7 +209,7 @@
             received = await self._stream.receive(READ_BYTES)
         except anyio.EndOfStream:
             received = b''
-        except (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError) as exc:
+        except SEND_ERRORS as exc:
             raise BrokenAnswerError(reason='connection reset') from exc
         self._protocol.receive_data(received)
 
--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -10,6 +10,7 @@
 from plantainloft_node.engine.bodies import RequestBody
 from plantainloft_node.engine.dialect import HeaderNames
 from plantainloft_node.engine.endpoint_link import (
+    SEND_ERRORS,
     AnswerHead,
     BrokenAnswerError,
     EndpointLink,
@@ -31,7 +32,6 @@
 _MISDIRECTED = 421
 _PROMISES = frozenset((408, 421, 429, 503))
 _SUCCESS = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
-_SEND_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 
 
 class Sending(NamedTuple):
@@ -82,7 +82,7 @@
         kept = False
         try:
             outcome, kept = await self._converse(state, link, sending)
-        except _SEND_ERRORS as exc:
+        except SEND_ERRORS as exc:
             return Failed(reason=f'sending: {type(exc).__name__}')
         except BrokenAnswerError as exc:
             return Failed(reason=exc.reason)
--- a/packages/node/src/plantainloft_node/engine/whole_answers.py
+++ b/packages/node/src/plantainloft_node/engine/whole_answers.py
@@ -6,6 +6,7 @@
 
 from plantainloft_node.engine.attempts import Failed, NotSent
 from plantainloft_node.engine.endpoint_link import (
+    SEND_ERRORS,
     AnswerHead,
     BrokenAnswerError,
     EndpointLink,
@@ -16,8 +17,6 @@
 
 __all__ = ['LinkClient', 'WholeAnswer']
 
-SEND_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
-
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class WholeAnswer:
--- a/packages/node/src/plantainloft_node/placing/placement.py
+++ b/packages/node/src/plantainloft_node/placing/placement.py
@@ -77,12 +77,11 @@
 class NoRoom:
     """No endpoint may take the request now.
 
-    ``usable`` counts the endpoints that could be used at all, ``loads``
-    names them with the requests believed there.
+    ``loads`` names the endpoints that could be used at all, with the
+    requests believed there.
     """
 
     reason: str
-    usable: int
     loads: str = ''
 
 
@@ -103,7 +102,7 @@
         """Return the endpoint for ``wanted``, or that none has room."""
         near, far = self._candidates(wanted, spec, now)
         if not near and not far:
-            return NoRoom(reason='no endpoint is usable', usable=0)
+            return NoRoom(reason='no endpoint is usable')
         chosen = _first_with_room(near, far, now)
         if chosen is not None:
             return chosen
@@ -247,4 +246,4 @@
     if load < first.record.slots * (1 + allowed):
         return Chosen(endpoint=first, load=load, rank=0)
     loads = ', '.join(f'{state.record.id} {state.load(now):.1f}' for state in group)
-    return NoRoom(reason='every endpoint is full', usable=len(group), loads=loads)
+    return NoRoom(reason='every endpoint is full', loads=loads)
