--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -121,7 +121,7 @@
         tasks.start_soon(listen, settings.directory, lookups)
         tasks.start_soon(listen, settings.ready, ReadyHandler(ready=self.ready))
         if settings.metrics:
-            metrics = MetricsHandler(text=lambda: self.report.text(self.front))
+            metrics = MetricsHandler(text=lambda: self.report.text(self.front, self.placement))
             tasks.start_soon(listen, settings.metrics, metrics)
 
     def _beat(self) -> Beat:
--- a/packages/node/src/plantainloft_node/entry/report.py
+++ b/packages/node/src/plantainloft_node/entry/report.py
@@ -6,6 +6,7 @@
 from plantainloft_node.entry.metrics import Metrics
 from plantainloft_node.entry.observing import Observation
 from plantainloft_node.fleet.members import MemberBook
+from plantainloft_node.placing.placement import Placement
 
 __all__ = ['Report']
 
@@ -23,7 +24,7 @@
         self._metrics.add('requests', route=route, outcome=outcome)
         self._metrics.observe('request_seconds', seconds, route=route)
 
-    def text(self, front: Front) -> str:
+    def text(self, front: Front, placement: Placement) -> str:
         """Return all series."""
         now = anyio.current_time()
         metrics = self._metrics
@@ -34,6 +35,7 @@
         metrics.put('requests_in_progress', front.in_progress)
         for service, left in front.budgets_left(now).items():
             metrics.put('retry_budget_left', left, service=service)
+        metrics.put('spilled_share', placement.spilled_share(now))
         self._put_observation(now)
         return metrics.text()
 
@@ -42,6 +44,9 @@
         for name, follower in self._observation.followers.items():
             metrics.put('store_followed', follower.in_touch, table=name)
             metrics.put('store_heard_seconds_ago', now - follower.heard_at, table=name)
+        for service, pace in self._observation.book.pace_by_service.items():
+            metrics.put('answer_seconds_usual', pace.usual_s, service=service)
+            metrics.put('silent_after_seconds', pace.silent_after_s, service=service)
         for service, counts in self._observation.book.summary(now).items():
             for state, count in counts.items():
                 metrics.put('endpoints', count, service=service, state=state)
--- a/packages/node/src/plantainloft_node/placing/endpoints.py
+++ b/packages/node/src/plantainloft_node/placing/endpoints.py
@@ -134,6 +134,7 @@
             service: {
                 'listed': len(ids),
                 'cold': sum(self.by_id[name].is_cold(now) for name in ids),
+                'slow': sum(self.by_id[name].is_slow(now) for name in ids),
                 'draining': sum(self.by_id[name].record.draining for name in ids),
                 'left_out': sum(not self.by_id[name].health.usable(now) for name in ids),
             }
--- a/packages/node/src/plantainloft_node/placing/placement.py
+++ b/packages/node/src/plantainloft_node/placing/placement.py
@@ -130,6 +130,10 @@
         """The number of instances among which limits are shared out."""
         return len(self._region_by_instance)
 
+    def spilled_share(self, now: float) -> float:
+        """Return the share (0..1) of requests that spilled lately."""
+        return self._spills.share(now)
+
     def update_instances(self, region_by_instance: Mapping[str, str]) -> None:
         """Take the instances among which limits are shared out."""
         if self._region_by_instance != region_by_instance:
--- a/packages/node/src/plantainloft_node/placing/spilling.py
+++ b/packages/node/src/plantainloft_node/placing/spilling.py
@@ -35,6 +35,10 @@
         if spilled:
             self._spilled.add(now)
 
+    def share(self, now: float) -> float:
+        """Return the share (0..1) of the window's requests that spilled."""
+        return self._spilled.count(now) / max(1, self._requests.count(now))
+
     def allows(self, now: float, *, share: float) -> bool:
         """Return whether one more may spill within ``share`` (0..1).
 
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -102,6 +102,8 @@
     metrics = await call(entry.metrics, '/metrics')
     assert b'plantainloft_requests{outcome="answered",route="files"} 1' in metrics
     assert b'plantainloft_configuration_version 3' in metrics
+    assert b'plantainloft_spilled_share 0' in metrics
+    assert b'plantainloft_answer_seconds_usual{service="desk"}' in metrics
 
 
 async def test_a_configuration_reaches_an_instance_that_the_store_refuses(
