News in a format that this version does not read ends no process

Cause: an answer of a peer to a call for news was taken apart unchecked; one of another version, as in a rolling upgrade, raised out of the task and ended the process with it.

Change: the answer is read in one place; what is not understood is logged (kind bad_news) and left out.

Before: test_news_in_another_format_does_not_end_the_process fails with a TypeError out of the task group. After: passes.

--- a/packages/node/src/plantainloft_node/entry/sharing.py
+++ b/packages/node/src/plantainloft_node/entry/sharing.py
@@ -31,6 +31,7 @@
 LAG_S = 0.35
 CALL_S = 1.5
 NEWS_CALL = 'news'
+_MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 # The list of instances in the store is read anew this often; those that
 # run make themselves known by their beats.
 LIST_EVERY_S = 30.0
@@ -136,16 +137,31 @@
                 extra={'kind': 'news', 'fields': {'reason': answer.reason}},
             )
             return
-        fresh = self._merge([NewsRow(*row) for row in answer['rows']], answer['whole'])
-        self._beliefs.take(fresh, anyio.current_time(), source=member.name)
+        try:
+            fresh, others = self._read_news(answer)
+        except _MALFORMED as exc:
+            # A peer of another version, during a rolling upgrade. Let out
+            # of here, the error would end this process as well.
+            log.warning(
+                'Fleet: news from %s not understood.',
+                member.name,
+                extra={'kind': 'bad_news', 'fields': {'problem': f'{type(exc).__name__}: {exc}'}},
+            )
+            return
         now = anyio.current_time()
-        for raw in answer['members']:
-            self._members.learn(FleetMember(*raw), now)
+        self._beliefs.take(fresh, now, source=member.name)
+        for other in others:
+            self._members.learn(other, now)
         self._members.listed = True
         changed = {row.table for row in fresh}
         for table in changed:
             self._followers[table].poke()
 
+    def _read_news(self, answer: Any) -> tuple[list[NewsRow], list[FleetMember]]:
+        rows = [NewsRow(*row) for row in answer['rows']]
+        members = [FleetMember(*raw) for raw in answer['members']]
+        return self._merge(rows, answer.get('whole', {})), members
+
     def _merge(self, rows: list[NewsRow], whole: dict[str, int]) -> list[NewsRow]:
         fresh = self._rows.merge(row for row in rows if row.table not in whole)
         for table, version in whole.items():
--- a/packages/node/src/plantainloft_node/placing/placement.py
+++ b/packages/node/src/plantainloft_node/placing/placement.py
@@ -117,6 +117,7 @@
             return NoRoom(reason='no endpoint is usable')
         ordered = [*near, *far]
         if near and far and self._spills.is_too_fast(now, step=self.terms.spill_step):
+            # Shortly after a start: too many come back from far at once.
             ordered = [*far, *near]
         quick = [state for state in ordered if not state.is_slow(now)] or ordered
         choice = _first_with_room(quick, now) or _queued_at_first(quick, wanted, now)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -7,10 +7,11 @@
 
 from plantainloft_core.outcomes import Invalid
 from plantainloft_node.entry.observing import Observation
-from plantainloft_node.entry.settings import parse_entry_settings
+from plantainloft_node.entry.settings import EntrySettings, parse_entry_settings
 from plantainloft_node.entry.sharing import NewsSharing
 from plantainloft_node.entry.terms import own_member
 from plantainloft_node.fleet.members import GONE_AFTER_S, Beat, FleetMember, MemberBook
+from plantainloft_node.peering.links import Links
 from plantainloft_node.placing.affinity import score
 from plantainloft_node.replica.news import INSTANCES, News
 from plantainloft_platform.store import PlatformStore
@@ -22,6 +23,14 @@
     return FleetMember(name, incarnation, 'ankara', 'ank-a', f'{name}:80', f'{name}:90')
 
 
+def entry_settings(store: str) -> EntrySettings:
+    ports = (7901, 7902, 7903, 7904)
+    text = SETTINGS.format(name='e1', host='127.0.9.77', ports=ports, store=store, seeds='')
+    settings = parse_entry_settings(text)
+    assert not isinstance(settings, Invalid)
+    return settings
+
+
 async def listed_names(store: PlatformStore) -> list[str]:
     listed = await store.list_rows(INSTANCES)
     assert isinstance(listed, News)
@@ -32,6 +41,36 @@
     await store.put_row(INSTANCES, one.front, msgpack.packb(list(one)))
 
 
+async def test_news_in_another_format_does_not_end_the_process(
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Symptom: during a rolling upgrade instances end by themselves.
+
+    A peer of another version answers a call for news in a format that this
+    one does not read. The error left the task, and the process with it.
+    """
+
+    async def other_format(*called: object, **terms: object) -> object:
+        return {'rows': [['only a table']], 'members': 3}
+
+    monkeypatch.setattr(Links, 'call', other_format)
+    async with running_store() as (standin, tasks):
+        settings = entry_settings(standin.address)
+        observation = Observation(
+            store=PlatformStore(address=standin.address), region_by_zone=settings.region_by_zone
+        )
+        sharing = NewsSharing(
+            settings=settings,
+            members=MemberBook(me=own_member(settings)),
+            observation=observation,
+            tasks=tasks,
+        )
+        sharing.on_beat(Beat(member('e2'), True, False, {'endpoints': 9}, {}))
+        with anyio.fail_after(5):
+            while not any(getattr(line, 'kind', '') == 'bad_news' for line in caplog.records):
+                await anyio.sleep(0.05)
+
+
 async def test_a_row_that_changed_meanwhile_is_not_removed() -> None:
     """Symptom: an instance that has just started again is in no list.
 
@@ -55,12 +94,7 @@
     as after a cut so long that the others took it for gone.
     """
     async with running_store() as (standin, tasks):
-        ports = (7901, 7902, 7903, 7904)
-        text = SETTINGS.format(
-            name='e1', host='127.0.9.77', ports=ports, store=standin.address, seeds=''
-        )
-        settings = parse_entry_settings(text)
-        assert not isinstance(settings, Invalid)
+        settings = entry_settings(standin.address)
         store = PlatformStore(address=standin.address)
         members = MemberBook(me=own_member(settings))
         observation = Observation(store=store, region_by_zone=settings.region_by_zone)
