Windows of counts let go of events that nobody counts

Cause: events left a window only when it was counted. Requests of a service without repeats, and all requests once the spills of a start had fallen, were never counted again: the process grew with every request. Change: a window forgets what is old at each new event. Ruled out: mending the spills alone; the retry budget had the same leak. Before: 1,000 events kept of 1,000. After: the test keeps 2 at most.

--- a/packages/node/src/plantainloft_node/placing/budget.py
+++ b/packages/node/src/plantainloft_node/placing/budget.py
@@ -20,14 +20,23 @@
     def add(self, now: float) -> None:
         """Count one event at ``now``."""
         self._times.append(now)
+        # Events that nobody counts would be kept for good, and the process
+        # would grow with every request.
+        self._forget_old(now)
 
     def count(self, now: float) -> int:
         """Return the events in the window that ends at ``now``."""
-        times = self._times
+        self._forget_old(now)
+        return len(self._times)
+
+    def __len__(self) -> int:
+        """Return the events that are kept."""
+        return len(self._times)
+
+    def _forget_old(self, now: float) -> None:
         start = now - self._window_s
-        while times and times[0] <= start:
-            times.popleft()
-        return len(times)
+        while self._times and self._times[0] <= start:
+            self._times.popleft()
 
 
 class Allowance(NamedTuple):
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -9,7 +9,7 @@
 
 from plantainloft_core.discovery import EndpointRecord
 from plantainloft_core.routes import ServiceShare, ServiceSpec
-from plantainloft_node.placing.budget import Allowance, RetryBudget
+from plantainloft_node.placing.budget import Allowance, RetryBudget, WindowCount
 from plantainloft_node.placing.cold import cold_share
 from plantainloft_node.placing.endpoints import EndpointBook
 from plantainloft_node.placing.placement import (
@@ -338,3 +338,15 @@
     refused = placement.choose(wanted(left_s=0.5), SPEC, NOW)
     assert isinstance(refused, NoRoom)
     assert refused.reason == 'no endpoint answers in time'
+
+
+def test_events_that_nobody_counts_are_not_kept() -> None:
+    """Symptom: an instance's memory grows with every request, for good.
+
+    Events left a window only when it was counted; the requests of a service
+    without repeats, and those after the spills of a start, never were.
+    """
+    window = WindowCount(window_s=2.0)
+    for number in range(1000):
+        window.add(NOW + number)
+    assert len(window) <= 2
