Endpoints that start again under their id; rows of other writers

Cause: a row was taken for a newer word of the same incarnation whenever its id was known, so an endpoint that had started again kept the load, pace, warmth, ejections and connections of the one before. A row that was not understood was left out, and what the good row before it had said stayed in force. Found beside it: idle connections to endpoints that left were never closed (four descriptors each). Change: an incarnation is named by id, start (born) and address, and another one under the same id starts from nothing. A row that lacks a field, or has one of another type, names no endpoint, at once, also during trouble of the store. The pool of idle links keeps those of listed incarnations only.

--- a/packages/node/src/plantainloft_node/engine/pool.py
+++ b/packages/node/src/plantainloft_node/engine/pool.py
@@ -1,5 +1,7 @@
 """Idle connections to endpoints, kept for the next request."""
 
+from collections.abc import Collection
+
 from plantainloft_node.engine.endpoint_link import EndpointLink
 
 __all__ = ['LinkPool']
@@ -10,14 +12,18 @@
 
 
 class LinkPool:
-    """Idle links by endpoint id, the one used last first."""
+    """Idle links by endpoint incarnation, the one used last first."""
 
     def __init__(self) -> None:
-        self._idle_by_id: dict[str, list[EndpointLink]] = {}
+        self._idle_by_incarnation: dict[str, list[EndpointLink]] = {}
+
+    def __len__(self) -> int:
+        """Return the links that are kept."""
+        return sum(map(len, self._idle_by_incarnation.values()))
 
-    async def take(self, endpoint_id: str, now: float) -> EndpointLink | None:
+    async def take(self, incarnation: str, now: float) -> EndpointLink | None:
         """Return an idle link that still looks open, if there is one."""
-        idle = self._idle_by_id.get(endpoint_id, [])
+        idle = self._idle_by_incarnation.get(incarnation, [])
         while idle:
             link = idle.pop()
             if link.quiet(now):
@@ -25,14 +31,25 @@
             await link.close()
         return None
 
-    async def give(self, endpoint_id: str, link: EndpointLink) -> None:
+    async def give(self, incarnation: str, link: EndpointLink) -> None:
         """Keep a reusable link."""
-        idle = self._idle_by_id.setdefault(endpoint_id, [])
+        idle = self._idle_by_incarnation.setdefault(incarnation, [])
         idle.append(link)
         if len(idle) > IDLE_PER_ENDPOINT:
             await idle.pop(0).close()
 
-    async def drop(self, endpoint_id: str) -> None:
-        """Close the links to an endpoint that is gone."""
-        for link in self._idle_by_id.pop(endpoint_id, []):
+    async def drop(self, incarnation: str) -> None:
+        """Close the links to an endpoint."""
+        for link in self._idle_by_incarnation.pop(incarnation, []):
             await link.close()
+
+    async def keep_only(self, incarnations: Collection[str]) -> None:
+        """Close the links to all endpoints but ``incarnations``.
+
+        Nobody asks for a link to an endpoint that left, so nobody would
+        close it: the process would run out of descriptors by four for
+        each endpoint replaced, and reach a limit of 4,100 in three days at
+        370 a day.
+        """
+        for incarnation in self._idle_by_incarnation.keys() - set(incarnations):
+            await self.drop(incarnation)
--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -75,7 +75,7 @@
         if now - unanswered_since > state.pace.silent_after_s:
             # Given up without an answer: the endpoint's other kept
             # connections may have gone silent together with this one.
-            await self._pool.drop(state.record.id)
+            await self._pool.drop(state.record.incarnation)
 
     async def _send(self, state: EndpointState, sending: Sending) -> TryOutcome:
         link = await self._link(state)
@@ -96,7 +96,7 @@
         return outcome
 
     async def _link(self, state: EndpointState) -> EndpointLink | NotSent:
-        link = await self._pool.take(state.record.id, anyio.current_time())
+        link = await self._pool.take(state.record.incarnation, anyio.current_time())
         if link is not None:
             return link
         try:
@@ -166,7 +166,7 @@
         now = anyio.current_time()
         if not link.reusable(head, now):
             return False
-        await self._pool.give(state.record.id, link)
+        await self._pool.give(state.record.incarnation, link)
         return True
 
     def _learn(self, state: EndpointState, outcome: TryOutcome, *, began: float) -> None:
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -56,10 +56,11 @@
         self.members = MemberBook(me=own_member(settings))
         self.report = Report(observation=self.observation, members=self.members)
         self.placement = Placement(terms=placement_terms(settings), book=self.observation.book)
+        self._pool = LinkPool()
         self.front = Front(
             names=names,
             placement=self.placement,
-            sender=Sender(names=names, pool=LinkPool()),
+            sender=Sender(names=names, pool=self._pool),
             retries=retry_terms(settings),
             table=lambda: self.observation.beliefs.table,
             observe=self.report.observe,
@@ -72,7 +73,8 @@
     async def run(self) -> None:
         """Serve until SIGTERM, then stop gracefully."""
         settings = self._settings
-        log.info('Entry: starting.', extra={'kind': 'start', 'fields': {'zone': settings.zone}})
+        place = {'zone': settings.zone, 'region': settings.region}
+        log.info('Entry: starting.', extra={'kind': 'start', 'fields': place})
         # The handlers stand until the end. Taken down when the stop begins,
         # they would leave a second SIGTERM, or a SIGHUP, its default effect:
         # the process would end at once and cut what is under way.
@@ -104,6 +106,7 @@
             members=self.members,
             placement=self.placement,
             front=self.front,
+            pool=self._pool,
         )
         for follower in self.observation.followers.values():
             tasks.start_soon(follower.run)
--- a/packages/node/src/plantainloft_node/entry/upkeep.py
+++ b/packages/node/src/plantainloft_node/entry/upkeep.py
@@ -3,6 +3,7 @@
 import anyio
 
 from plantainloft_node.engine.front import Front
+from plantainloft_node.engine.pool import LinkPool
 from plantainloft_node.entry.observing import Observation
 from plantainloft_node.entry.terms import TICK_S
 from plantainloft_node.fleet.members import MemberBook
@@ -22,16 +23,19 @@
         members: MemberBook,
         placement: Placement,
         front: Front,
+        pool: LinkPool,
     ) -> None:
         self._observation = observation
         self._members = members
         self._placement = placement
         self._front = front
+        self._pool = pool
 
     async def run(self) -> None:
         """Tick until cancelled."""
         while True:
             self.tick(anyio.current_time())
+            await self._pool.keep_only(self._observation.book.incarnations())
             await anyio.sleep(TICK_S)
 
     def tick(self, now: float) -> None:
--- a/packages/node/src/plantainloft_node/placing/endpoints.py
+++ b/packages/node/src/plantainloft_node/placing/endpoints.py
@@ -101,17 +101,27 @@
         self.generation = 0
 
     def put(self, record: EndpointRecord, now: float) -> None:
-        """Add an incarnation, or take a newer row of one."""
+        """Add an incarnation, or take a newer row of one.
+
+        One that takes the place of another under its id knows nothing of
+        before: kept on, the old one's load, pace, warmth and ejections
+        would be believed of it.
+        """
         known = self.by_id.get(record.id)
-        if known is not None:
+        if known is not None and _is_same(known.record, record):
             known.take_record(record, now)
             return
+        self.drop(record.id)
         region = self._region_by_zone.get(record.zone, '')
         pace = self.pace_of(record.service)
         self.by_id[record.id] = EndpointState(record=record, region=region, pace=pace, now=now)
         self.ids_by_service.setdefault(record.service, set()).add(record.id)
         self.generation += 1
 
+    def incarnations(self) -> set[str]:
+        """Return the incarnations that are listed."""
+        return {state.record.incarnation for state in self.by_id.values()}
+
     def drop(self, endpoint_id: str) -> None:
         """Forget an incarnation that is gone."""
         state = self.by_id.pop(endpoint_id, None)
@@ -153,3 +163,11 @@
         for state in self.by_id.values():
             if state.record.zone in returned:
                 state.note_cold(now + warmup_s)
+
+
+def _is_same(known: EndpointRecord, record: EndpointRecord) -> bool:
+    return (known.incarnation, known.service, known.zone) == (
+        record.incarnation,
+        record.service,
+        record.zone,
+    )
--- a/packages/node/src/plantainloft_node/replica/beliefs.py
+++ b/packages/node/src/plantainloft_node/replica/beliefs.py
@@ -11,6 +11,7 @@
     Change,
     EndpointGone,
     EndpointListed,
+    EndpointUnreadable,
     NewsRow,
     RoutesDeclared,
     ZoneEvacuation,
@@ -83,6 +84,12 @@
             self._book.put(change.record, now)
             fields['draining'] = change.record.draining
             fields['cold_s'] = change.record.cold_s
+            fields['born_ms'] = change.record.born_ms
+        elif isinstance(change, EndpointUnreadable):
+            # No lapse of a row while the store is in trouble: somebody wrote.
+            self._drop_at_by_id.pop(change.endpoint_id, None)
+            self._book.drop(change.endpoint_id)
+            fields['problem'] = change.problem
         else:
             self._forget(change, now)
         log.info(
--- a/packages/node/src/plantainloft_node/replica/news.py
+++ b/packages/node/src/plantainloft_node/replica/news.py
@@ -20,6 +20,7 @@
     'Change',
     'EndpointGone',
     'EndpointListed',
+    'EndpointUnreadable',
     'HistoryLost',
     'News',
     'NewsRow',
@@ -83,7 +84,19 @@
     endpoint_id: str
 
 
-Change = RoutesDeclared | ZoneEvacuation | EndpointListed | EndpointGone
+@dataclass(frozen=True, slots=True, kw_only=True)
+class EndpointUnreadable:
+    """An endpoint's row that says nothing to go by; ``problem`` says why.
+
+    Another writer has replaced what the endpoint said of itself, so what
+    was known of it holds no longer.
+    """
+
+    endpoint_id: str
+    problem: str
+
+
+Change = RoutesDeclared | ZoneEvacuation | EndpointListed | EndpointGone | EndpointUnreadable
 
 
 class NewsStore(ABC):
--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -127,6 +127,7 @@
     book: EndpointBook
     front: Front
     connections: list[CallerConnection]
+    pool: LinkPool
 
     async def connect(self) -> SocketStream:
         host, _, port = self.address.partition(':')
@@ -186,10 +187,11 @@
     book = EndpointBook(region_by_zone={'a': 'ankara'})
     terms = PlacementTerms(region='ankara', instance='e1', cold_over=1.5, cold_slack=5.0)
     placement = Placement(terms=terms, book=book)
+    pool = LinkPool()
     front = Front(
         names=NAMES,
         placement=placement,
-        sender=Sender(names=NAMES, pool=LinkPool()),
+        sender=Sender(names=NAMES, pool=pool),
         retries=RetryTerms(ratio=0.2, extra=64.0, window_s=10.0),
         table=lambda: routes,
         observe=lambda name, outcome, seconds: None,
@@ -209,7 +211,7 @@
         listener = await anyio.create_tcp_listener(local_host='127.0.0.1', local_port=0)
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         tasks.start_soon(listener.serve, serve)
-        yield Entry(f'127.0.0.1:{port}', book, front, connections), endpoints
+        yield Entry(f'127.0.0.1:{port}', book, front, connections, pool), endpoints
         tasks.cancel_scope.cancel()
 
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -341,6 +341,23 @@
     assert endpoint.connections == 3
 
 
+async def test_links_to_endpoints_that_left_are_closed() -> None:
+    """Symptom: an instance runs out of descriptors after some days.
+
+    Endpoints come and go. Idle connections to those that left were kept,
+    since only another request to the same endpoint looked at them.
+    """
+    async with running_entry(echo) as (entry, _):
+        await entry.ask(get())
+        pool = entry.pool
+        assert len(pool) == 1
+        await pool.keep_only(entry.book.incarnations())
+        assert len(pool) == 1
+        entry.book.drop('i0')
+        await pool.keep_only(entry.book.incarnations())
+        assert len(pool) == 0
+
+
 async def test_a_silent_connection_is_found_by_probes() -> None:
     async with running_entry(echo) as (_, (endpoint,)):
         link = await connect(endpoint.address)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -27,6 +27,7 @@
     ENDPOINTS,
     EndpointGone,
     EndpointListed,
+    EndpointUnreadable,
     HistoryLost,
     News,
     NewsRow,
@@ -59,7 +60,7 @@
 
 def test_a_row_in_another_format_is_invalid_not_fatal() -> None:
     assert isinstance(decode_row(row('config', {'version': 1})), Invalid)
-    assert isinstance(decode_row(row('i-1', [], table=ENDPOINTS)), Invalid)
+    assert isinstance(decode_row(row('i-1', [], table=ENDPOINTS)), EndpointUnreadable)
 
 
 async def test_the_store_is_listed_and_followed() -> None:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -13,6 +13,7 @@
     Change,
     EndpointGone,
     EndpointListed,
+    EndpointUnreadable,
     News,
     NewsRow,
     RoutesDeclared,
@@ -34,6 +35,8 @@
         return RoutesDeclared(table=table)
     if news.content is None:
         return EndpointGone(endpoint_id=news.key)
+    if news.content == b'unreadable':
+        return EndpointUnreadable(endpoint_id=news.key, problem='no format at all')
     record = EndpointRecord(
         id=news.key,
         service=SERVICE,
@@ -41,7 +44,8 @@
         zone='a',
         slots=4,
         draining=news.content == b'draining',
-        cold_s=0.0,
+        cold_s=3.0 if news.content.startswith(b'born') else 0.0,
+        born_ms=int(news.content.removeprefix(b'born')) if news.content.startswith(b'born') else 0,
     )
     return EndpointListed(record=record)
 
@@ -112,6 +116,44 @@
     assert not book.by_id
 
 
+def test_an_unreadable_row_takes_the_place_of_a_good_one(
+    beliefs: Beliefs, book: EndpointBook
+) -> None:
+    """Symptom: an endpoint is used on though its row no longer names it.
+
+    Another writer replaced the row by one without format. It was left out
+    as not understood, and what the good one had said stayed in force; also
+    while the store was in trouble, when rows lapse by themselves.
+    """
+    beliefs.take([row('i1', 1), row('i2', 2), row('i3', 3)], NOW, source='store')
+    beliefs.note_trouble(NOW)
+    beliefs.take([row('i1', 4, b'unreadable'), row('i3', 5)], NOW, source='store')
+    assert set(book.by_id) == {'i2', 'i3'}
+    beliefs.take([row('i1', 6)], NOW, source='store')
+    assert set(book.by_id) == {'i1', 'i2', 'i3'}
+
+
+def test_an_endpoint_that_starts_again_under_its_id_is_known_for_nothing(
+    beliefs: Beliefs, book: EndpointBook
+) -> None:
+    """Symptom: an endpoint that has just started gets its full share, and crashes.
+
+    It was taken for the one before, warm, by turns ejected or slow, and with
+    connections that had ended with it.
+    """
+    beliefs.take([row('i1', 1, b'born 1000')], NOW, source='store')
+    before = book.by_id['i1']
+    before.in_flight = 3
+    before.health.note_unreachable(NOW + 60)
+    beliefs.take([row('i1', 2, b'born 1000')], NOW + 60, source='store')
+    assert book.by_id['i1'] is before
+    beliefs.take([row('i1', 3, b'born 2000')], NOW + 61, source='store')
+    after = book.by_id['i1']
+    assert after.record.incarnation != before.record.incarnation
+    assert after.is_cold(NOW + 62) and after.health.usable(NOW + 62)
+    assert after.in_flight == 0 and not after.is_slow(NOW + 62)
+
+
 def test_a_configuration_never_goes_back(beliefs: Beliefs) -> None:
     news = [NewsRow(DECLARATIONS, 'config', number, b'%d' % number) for number in (2, 1)]
     beliefs.take(news, NOW, source='store')
