More of the allowance of repeats is dealt out

Change: 0.85 of the part that grows with the requests, which each instance counts for itself and which adds up by itself; half of the fixed part as before, since an instance that starts anew uses it again.

--- a/packages/node/src/plantainloft_node/placing/budget.py
+++ b/packages/node/src/plantainloft_node/placing/budget.py
@@ -5,9 +5,14 @@
 
 __all__ = ['Allowance', 'RetryBudget', 'WindowCount']
 
-# Half of the allowance, so that instances that count apart (a new one, one
-# just restarted, one that is cut off) still stay within it together.
-SAFETY = 0.5
+# Parts of the allowance that are dealt out. Each instance repeats in
+# proportion to its own requests, so these parts add up by themselves; what
+# remains is for windows that begin between two counts. While all endpoints
+# of a service shed half of what they get, repeats are what this bounds.
+RATIO_DEALT = 0.85
+# The fixed part is dealt out again to an instance that starts anew and has
+# forgotten what it sent, so all of them may use it twice in a window.
+EXTRA_DEALT = 0.5
 
 
 class WindowCount:
@@ -71,8 +76,8 @@
     def left(self, now: float, allowance: Allowance) -> float:
         """Return how many repeats may be sent now."""
         instances = max(1, allowance.instances)
-        fixed = allowance.extra / instances
-        allowed = SAFETY * (allowance.ratio * self._requests.count(now) + fixed)
+        fixed = EXTRA_DEALT * allowance.extra / instances
+        allowed = RATIO_DEALT * allowance.ratio * self._requests.count(now) + fixed
         return allowed - self._repeats.count(now)
 
     def take(self, now: float, allowance: Allowance) -> bool:
