A request waits for an endpoint that remembers its object

Cause: a request whose endpoint had no free slot ran at once at the key's endpoint elsewhere. Between two reports the load of others faded to nothing, so endpoints looked idle. Change: placement expects an answer's time from the distance (how fast connections open), the work on objects that the endpoint remembers or does not, and the wait for a slot, all observed. The first in rank gets the request unless another that remembers answers sooner; one that does not gets it once the queues of those are full. Without a new report the load that others usually put there is believed. Late answers are logged with what was believed.

--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -2,10 +2,11 @@
 
 from collections.abc import Sequence
 from dataclasses import dataclass
+from typing import NamedTuple
 
 from plantainloft_node.engine.endpoint_link import AnswerHead, EndpointLink
 
-__all__ = ['Answered', 'Attempts', 'Failed', 'NotRun', 'NotSent', 'Refusal', 'TryOutcome']
+__all__ = ['Answered', 'Attempts', 'Failed', 'NotRun', 'NotSent', 'Placed', 'Refusal', 'TryOutcome']
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -58,6 +59,25 @@
     retry_after_s: float
 
 
+class Placed(NamedTuple):
+    """Where the newest try went, and what was believed of that endpoint.
+
+    ``load`` are the requests thought to be there, ``rank`` is 0 for the
+    key's first choice, ``remembered`` whether the endpoint worked on the
+    object lately, ``after_s`` the time from reading to sending.
+    """
+
+    endpoint_id: str
+    zone: str
+    region: str
+    slots: int
+    load: float
+    rank: int
+    cold: bool
+    remembered: bool
+    after_s: float
+
+
 class Attempts:
     """Keeps which endpoints a request went to, and how that ended."""
 
@@ -76,6 +96,7 @@
         self.waiting_for = ''
         # Endpoints looked at for a refusal, with the loads believed there.
         self.loads = ''
+        self.placed: Placed | None = None
 
     def note(self, endpoint_id: str, outcome: TryOutcome, *, ran_before: bool) -> None:
         """Take the outcome of one try at ``endpoint_id``.
--- /dev/null
+++ b/packages/node/src/plantainloft_node/engine/dispatch.py
@@ -0,0 +1,243 @@
+"""Get one request answered: place it, send it, and send it once more.
+
+What may be answered follows from what was sent. A refusal (503 with
+``Retry-After``) says that the request did not run and never will; it is
+given only while nothing was sent or endpoints said so themselves. After
+that, only the endpoint's own answer, 502 or 504 are true.
+"""
+
+import logging
+import random
+from http import HTTPStatus
+from typing import NamedTuple
+
+import anyio
+
+from plantainloft_core.routes import Route, RouteTable
+from plantainloft_node.engine.attempts import (
+    Answered,
+    Attempts,
+    Failed,
+    NotRun,
+    NotSent,
+    Placed,
+    Refusal,
+)
+from plantainloft_node.engine.dialect import HeaderNames
+from plantainloft_node.engine.endpoint_link import OutgoingRequest
+from plantainloft_node.engine.exchange import Exchange
+from plantainloft_node.engine.heads import Headers, passed_on
+from plantainloft_node.engine.replies import request_id
+from plantainloft_node.engine.sender import Sender, Sending
+from plantainloft_node.placing.budget import Allowance, RetryBudget
+from plantainloft_node.placing.demand import DemandMeter
+from plantainloft_node.placing.placement import Chosen, NoRoom, Placement, Wanted
+from plantainloft_node.placing.splitting import SplitTurns
+
+__all__ = ['Dispatcher', 'Judged', 'RetryTerms', 'come_back']
+
+log = logging.getLogger(__name__)
+
+MS = 1000.0
+# Endpoints that could not be connected to before the request is refused.
+MAX_UNSENT = 3
+MAX_MISDIRECTED = 2
+# A refused caller comes back after about the time in which endpoints
+# finish a round of requests, spread so that not all come at once.
+RETRY_MIN_S = 0.15
+RETRY_SPREAD_S = 0.35
+
+
+class RetryTerms(NamedTuple):
+    """Bounds on repeats to one service, over all instances."""
+
+    ratio: float
+    extra: float
+    window_s: float
+
+
+class Judged(NamedTuple):
+    """A request with its route and the moment it must be answered by."""
+
+    exchange: Exchange
+    route: Route
+    key: str
+    cutoff: float
+    body: bytes
+    whole: bool
+
+
+class Dispatcher:
+    """Sends requests to endpoints until one is answered or none may be."""
+
+    def __init__(
+        self, *, names: HeaderNames, placement: Placement, sender: Sender, retries: RetryTerms
+    ) -> None:
+        self._names = names
+        self._placement = placement
+        self._sender = sender
+        self.retries = retries
+        self._budget_by_service: dict[str, RetryBudget] = {}
+        self._turns_by_route: dict[str, SplitTurns] = {}
+        self.demand = DemandMeter()
+
+    def budgets_left(self, now: float) -> dict[str, float]:
+        """Return the repeats left by service."""
+        return {
+            service: budget.left(now, self._allowance())
+            for service, budget in self._budget_by_service.items()
+        }
+
+    async def obtain(
+        self, judged: Judged, table: RouteTable, attempts: Attempts
+    ) -> Answered | Refusal | Failed:
+        """Return the answer, or why there is none.
+
+        Cancel to give up; ``attempts`` then tells what may have run.
+        """
+        route = judged.route
+        turns = self._turns_by_route.setdefault(route.name, SplitTurns())
+        service = turns.next(route.shares)
+        budget = self._budget(service)
+        budget.note_request(anyio.current_time())
+        self.demand.note(service)
+        while True:
+            outcome = await self._try(judged, service, table, attempts)
+            if isinstance(outcome, Refusal):
+                return _after_refusal(outcome, attempts)
+            if isinstance(outcome, Answered | Failed):
+                if _is_final(outcome) or not self._again(judged, budget, attempts):
+                    return outcome
+            elif not self._another(judged, budget, attempts, outcome):
+                return _after_refusal(come_back('; '.join(attempts.why())), attempts)
+
+    async def _try(
+        self, judged: Judged, service: str, table: RouteTable, attempts: Attempts
+    ) -> Answered | NotSent | NotRun | Failed | Refusal:
+        now = anyio.current_time()
+        left_s = judged.cutoff - now
+        wanted = Wanted(judged.route, service, judged.key, frozenset(attempts.tried), left_s)
+        choice = self._placement.choose(wanted, table.services_by_name[service], now)
+        if isinstance(choice, NoRoom):
+            attempts.loads = choice.loads
+            return come_back(choice.reason)
+        self._placement.note_sent(choice.endpoint, now)
+        sending = self._sending(judged, choice, now)
+        ran_before = attempts.may_have_run
+        attempts.may_have_run = True
+        attempts.waiting_for = choice.endpoint.record.id
+        attempts.placed = _placed(choice, judged, now)
+        outcome = await self._sender.send(choice.endpoint, sending)
+        attempts.note(choice.endpoint.record.id, outcome, ran_before=ran_before)
+        if not isinstance(outcome, Answered):
+            log.info(
+                'Front: a try failed.',
+                extra={
+                    'kind': 'try',
+                    'fields': {
+                        'request': request_id(judged.exchange, self._names),
+                        'endpoint': choice.endpoint.record.id,
+                        'load': round(choice.load, 1),
+                        'outcome': type(outcome).__name__,
+                        'reason': outcome.reason,
+                    },
+                },
+            )
+        return outcome
+
+    def _again(self, judged: Judged, budget: RetryBudget, attempts: Attempts) -> bool:
+        """Return whether a request that may have run may be sent again."""
+        if not judged.route.idempotent or not judged.whole:
+            return False
+        return self._allowed(judged, budget, attempts)
+
+    def _another(
+        self,
+        judged: Judged,
+        budget: RetryBudget,
+        attempts: Attempts,
+        outcome: NotSent | NotRun,
+    ) -> bool:
+        """Return whether a request that did not run may be sent on."""
+        if isinstance(outcome, NotSent):
+            return attempts.unsent < MAX_UNSENT
+        return judged.whole and self._allowed(judged, budget, attempts)
+
+    def _allowed(self, judged: Judged, budget: RetryBudget, attempts: Attempts) -> bool:
+        if attempts.sent >= judged.route.max_attempts or attempts.misdirected > MAX_MISDIRECTED:
+            return False
+        now = anyio.current_time()
+        if now >= judged.cutoff:
+            return False
+        return budget.take(now, self._allowance())
+
+    def _allowance(self) -> Allowance:
+        return Allowance(
+            ratio=self.retries.ratio,
+            extra=self.retries.extra,
+            instances=self._placement.instance_count,
+        )
+
+    def _sending(self, judged: Judged, choice: Chosen, now: float) -> Sending:
+        names = self._names
+        exchange = judged.exchange
+        own = frozenset((names.deadline, names.target))
+        if judged.whole and exchange.header(b'transfer-encoding'):
+            own |= {b'content-length'}
+        headers: Headers = passed_on(exchange.headers, without=own)
+        left_ms = max(1, int((judged.cutoff - now) * MS))
+        headers.append((names.deadline, str(left_ms).encode()))
+        headers.append((names.target, choice.endpoint.record.id.encode()))
+        if exchange.header(b'transfer-encoding'):
+            headers.append((b'transfer-encoding', b'chunked'))
+        request = OutgoingRequest(
+            method=exchange.method,
+            target=exchange.target,
+            headers=headers,
+            body=judged.body,
+            whole=judged.whole,
+            request_id=exchange.header(names.request_id) or b'',
+        )
+        return Sending(
+            request=request,
+            rest=None if judged.whole else exchange.body,
+            key=judged.key,
+            had_room=choice.load < choice.endpoint.record.slots,
+        )
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = RetryBudget(window_s=self.retries.window_s)
+            self._budget_by_service[service] = budget
+        return budget
+
+
+def _placed(choice: Chosen, judged: Judged, now: float) -> Placed:
+    record = choice.endpoint.record
+    return Placed(
+        endpoint_id=record.id,
+        zone=record.zone,
+        region=choice.endpoint.region,
+        slots=record.slots,
+        load=round(choice.load, 1),
+        rank=choice.rank,
+        cold=choice.endpoint.is_cold(now),
+        remembered=choice.endpoint.keys.has(judged.key, now),
+        after_s=now - judged.exchange.received_at,
+    )
+
+
+def _is_final(outcome: Answered | Failed) -> bool:
+    return isinstance(outcome, Answered) and (
+        outcome.head.status < HTTPStatus.INTERNAL_SERVER_ERROR
+    )
+
+
+def come_back(reason: str) -> Refusal:
+    """Return a refusal that tells the caller when to come back."""
+    return Refusal(reason=reason, retry_after_s=RETRY_MIN_S + random.random() * RETRY_SPREAD_S)
+
+
+def _after_refusal(refusal: Refusal, attempts: Attempts) -> Refusal | Failed:
+    return Failed(reason=refusal.reason) if attempts.may_have_run else refusal
--- a/packages/node/src/plantainloft_node/engine/replies.py
+++ b/packages/node/src/plantainloft_node/engine/replies.py
@@ -9,9 +9,9 @@
 
 from plantainloft_core.routes import Route
 from plantainloft_node.engine.attempts import Answered, Attempts, Failed, Refusal
-from plantainloft_node.engine.callers import Exchange
 from plantainloft_node.engine.dialect import HeaderNames
 from plantainloft_node.engine.endpoint_link import BrokenAnswerError, EndpointLink
+from plantainloft_node.engine.exchange import Exchange
 from plantainloft_node.engine.heads import Headers, passed_on
 
 __all__ = ['OUT_OF_TIME', 'Replies', 'request_id']
@@ -74,7 +74,8 @@
             fields['endpoint'] = outcome.endpoint_id
             fields['status'] = outcome.head.status
             self._observe(route.name, 'answered', took_s)
-            self._log_end(exchange, 'answered', fields)
+            kind = 'late' if took_s > route.objective_s else 'answered'
+            self._log_end(exchange, kind, fields)
             await self._relay(exchange, outcome)
         elif isinstance(outcome, Refusal):
             self._observe(route.name, 'refused', took_s)
@@ -146,10 +147,21 @@
 
 
 def _fields(route: Route, attempts: Attempts, took_s: float) -> dict[str, object]:
-    return {
+    fields: dict[str, object] = {
         'route': route.name,
         'ms': round(took_s * MS),
         'key': attempts.key,
         'version': attempts.version,
         'tries': attempts.why(),
     }
+    placed = attempts.placed
+    if placed is not None:
+        fields['endpoint_zone'] = placed.zone
+        fields['endpoint_region'] = placed.region
+        fields['slots'] = placed.slots
+        fields['load'] = placed.load
+        fields['rank'] = placed.rank
+        fields['cold'] = placed.cold
+        fields['remembered'] = placed.remembered
+        fields['placed_ms'] = round(placed.after_s * MS)
+    return fields
--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -39,6 +39,8 @@
 
     request: OutgoingRequest
     rest: RequestBody | None
+    key: str = ''
+    had_room: bool = False
 
 
 class Sender:
@@ -60,7 +62,7 @@
             outcome = await self._send(state, sending)
         finally:
             await self._end(state, number, unanswered_since=began if outcome is None else None)
-        self._learn(state, outcome, began=began)
+        self._learn(state, outcome, sending, began=began)
         return outcome
 
     async def _end(
@@ -99,11 +101,14 @@
         link = await self._pool.take(state.record.incarnation, anyio.current_time())
         if link is not None:
             return link
+        began = anyio.current_time()
         try:
             with anyio.fail_after(CONNECT_S):
-                return await connect(state.record.address, id_header=self._names.request_id)
+                link = await connect(state.record.address, id_header=self._names.request_id)
         except (OSError, TimeoutError) as exc:
             return NotSent(reason=f'connecting: {type(exc).__name__}')
+        state.note_connected(anyio.current_time() - began)
+        return link
 
     async def _converse(
         self, state: EndpointState, link: EndpointLink, sending: Sending
@@ -169,7 +174,9 @@
         await self._pool.give(state.record.incarnation, link)
         return True
 
-    def _learn(self, state: EndpointState, outcome: TryOutcome, *, began: float) -> None:
+    def _learn(
+        self, state: EndpointState, outcome: TryOutcome, sending: Sending, *, began: float
+    ) -> None:
         now = anyio.current_time()
         if isinstance(outcome, NotSent):
             state.health.note_unreachable(now)
@@ -181,6 +188,7 @@
                 state.health.note_failed(now)
         else:
             state.note_answer(now - began, now)
+            state.note_work(sending.key, now - began, now, had_room=sending.had_room)
             self._learn_answer(state, outcome, now)
 
     def _learn_answer(self, state: EndpointState, outcome: Answered, now: float) -> None:
--- a/packages/node/src/plantainloft_node/entry/listening.py
+++ b/packages/node/src/plantainloft_node/entry/listening.py
@@ -5,7 +5,8 @@
 import anyio
 from anyio.abc import SocketStream
 
-from plantainloft_node.engine.callers import CallerConnection, Handler
+from plantainloft_node.engine.callers import CallerConnection
+from plantainloft_node.engine.exchange import Handler
 
 __all__ = ['Listeners']
 
--- a/packages/node/src/plantainloft_node/entry/lookups.py
+++ b/packages/node/src/plantainloft_node/entry/lookups.py
@@ -9,7 +9,7 @@
 import anyio
 
 from plantainloft_core.routes import CallerLimits
-from plantainloft_node.engine.callers import Exchange, Handler
+from plantainloft_node.engine.exchange import Exchange, Handler
 from plantainloft_node.fleet.members import FleetMember, MemberBook
 
 __all__ = ['LookupHandler', 'MetricsHandler', 'ReadyHandler', 'SmallHandler', 'front_addresses']
--- a/packages/node/src/plantainloft_node/entry/terms.py
+++ b/packages/node/src/plantainloft_node/entry/terms.py
@@ -2,7 +2,7 @@
 
 import time
 
-from plantainloft_node.engine.front import RetryTerms
+from plantainloft_node.engine.dispatch import RetryTerms
 from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.fleet.members import FleetMember
 from plantainloft_node.placing.placement import PlacementTerms
--- a/packages/node/src/plantainloft_node/placing/endpoints.py
+++ b/packages/node/src/plantainloft_node/placing/endpoints.py
@@ -2,6 +2,7 @@
 
 from plantainloft_core.discovery import EndpointRecord
 from plantainloft_node.placing.cold import ColdGate
+from plantainloft_node.placing.expecting import RecentKeys, WorkTimes, ZoneDistances
 from plantainloft_node.placing.health import EndpointHealth
 from plantainloft_node.placing.pace import EndpointPace, ServicePace
 
@@ -11,6 +12,11 @@
 # of this time and then fades: requests last a few tenths of a second, so
 # an older report says little about now.
 REPORT_FADES_S = 1.5
+# What remains of it is the load that others usually put there: reports come
+# about once a second, and an endpoint without a new one is not idle. It
+# fades as well, so that an endpoint that is passed over is tried again.
+USUAL_WEIGHT = 0.15
+USUAL_FADES_S = 6.0
 # An endpoint that no report told of yet is taken as one with this share
 # of its slots in use.
 UNKNOWN_LOAD = 0.3
@@ -29,10 +35,20 @@
     """One endpoint incarnation: its record, load, warmth and health."""
 
     def __init__(
-        self, *, record: EndpointRecord, region: str, pace: ServicePace, now: float
+        self,
+        *,
+        record: EndpointRecord,
+        region: str,
+        pace: ServicePace,
+        work: WorkTimes,
+        distances: ZoneDistances,
+        now: float,
     ) -> None:
         self.record = record
         self.pace = pace
+        self.keys = RecentKeys()
+        self._work = work
+        self._distances = distances
         self.region = region
         self.in_flight = 0
         self.health = EndpointHealth(pace=pace)
@@ -41,6 +57,7 @@
         self._known_since = now
         self._own_pace = EndpointPace()
         self._others = record.slots * UNKNOWN_LOAD
+        self._usual_others = self._others
         self._reported_at = now
 
     def take_record(self, record: EndpointRecord, now: float) -> None:
@@ -56,6 +73,7 @@
     def note_report(self, *, busy: int, now: float) -> None:
         """Take the endpoint's own count of requests running and waiting."""
         self._others = max(0.0, busy - self.in_flight)
+        self._usual_others += USUAL_WEIGHT * (self._others - self._usual_others)
         self._reported_at = now
 
     def note_answer(self, took_s: float, now: float) -> None:
@@ -63,6 +81,26 @@
         self.pace.note_answer(took_s)
         self._own_pace.note_answer(took_s, now)
 
+    def note_connected(self, after_s: float) -> None:
+        """Take the time in which a connection to it opened."""
+        self._distances.note(self.record.zone, after_s)
+
+    def note_work(self, key: str, took_s: float, now: float, *, had_room: bool) -> None:
+        """Take a whole answer on ``key``; ``had_room``: it did not wait there."""
+        remembered = self.keys.has(key, now)
+        if had_room:
+            away_s = self._distances.round_trip_s(self.record.zone)
+            self._work.note(max(0.0, took_s - away_s), remembered=remembered)
+        self.keys.note(key, now)
+
+    def expected_s(self, key: str, load: float, now: float) -> float:
+        """Return how long an answer on ``key`` will take with ``load`` there."""
+        slots = self.record.slots
+        ahead = max(0.0, load + 1 - slots) / slots
+        work_s = self._work.expected_s(remembered=self.keys.has(key, now))
+        wait_s = ahead * self._work.mean_s
+        return self._distances.round_trip_s(self.record.zone) + work_s + wait_s
+
     def note_given_up(self, after_s: float, now: float) -> None:
         """Take a request given up; its answer would have taken longer."""
         self._own_pace.note_given_up(after_s, now)
@@ -80,8 +118,10 @@
     def load(self, now: float) -> float:
         """Estimate the requests it holds now, ours and those of others."""
         age = now - self._reported_at
-        faded = max(0.0, 1 - age / REPORT_FADES_S)
-        return self.in_flight + self._others * faded
+        newest = max(0.0, 1 - age / REPORT_FADES_S)
+        usual = self._usual_others * max(0.0, 1 - age / USUAL_FADES_S)
+        others = newest * self._others + (1 - newest) * min(usual, self.record.slots)
+        return self.in_flight + others
 
     def is_cold(self, now: float) -> bool:
         """Return whether it must be sent no more than its cold rate."""
@@ -96,6 +136,8 @@
         self.by_id: dict[str, EndpointState] = {}
         self.ids_by_service: dict[str, set[str]] = {}
         self.pace_by_service: dict[str, ServicePace] = {}
+        self.work_by_service: dict[str, WorkTimes] = {}
+        self.distances = ZoneDistances()
         self.evacuated_zones: frozenset[str] = frozenset()
         # Counts changes to who is listed, for caches of rankings.
         self.generation = 0
@@ -113,8 +155,14 @@
             return
         self.drop(record.id)
         region = self._region_by_zone.get(record.zone, '')
-        pace = self.pace_of(record.service)
-        self.by_id[record.id] = EndpointState(record=record, region=region, pace=pace, now=now)
+        self.by_id[record.id] = EndpointState(
+            record=record,
+            region=region,
+            pace=self.pace_of(record.service),
+            work=self.work_by_service.setdefault(record.service, WorkTimes()),
+            distances=self.distances,
+            now=now,
+        )
         self.ids_by_service.setdefault(record.service, set()).add(record.id)
         self.generation += 1
 
--- a/packages/standins/src/plantainloft_standins/load_model.py
+++ b/packages/standins/src/plantainloft_standins/load_model.py
@@ -116,6 +116,7 @@
         self.asked_at = at
         self.returned = False
         self.sent_at = at
+        self.had_room = False
         self.sent = 0
         self.tried: set[str] = set()
         self.over = False
@@ -201,6 +202,7 @@
         self._state_by_request: dict[_Request, EndpointState] = {}
         for endpoint_id, endpoint in model.endpoint_by_id.items():
             self.book.put(_record(endpoint_id, endpoint.region, model.scenario.slots), 0.0)
+            self.book.distances.note(endpoint.region, 2 * model.delay(region, endpoint.region))
 
     def ask(self, request: _Request) -> None:
         """Handle a request that has arrived."""
@@ -218,6 +220,12 @@
         state.in_flight -= 1
         state.health.note_good(self._model.now)
         state.note_answer(self._model.now - request.sent_at, self._model.now)
+        state.note_work(
+            request.key,
+            self._model.now - request.sent_at,
+            self._model.now,
+            had_room=request.had_room,
+        )
         state.note_report(busy=busy, now=self._model.now)
         self._model.end(request, served=True)
 
@@ -235,6 +243,7 @@
         state.in_flight += 1
         self._state_by_request[request] = state
         request.sent_at = model.now
+        request.had_room = choice.load < state.record.slots
         request.tried.add(state.record.id)
         request.sent += 1
         delay = model.delay(self.region, endpoint.region)
--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -19,7 +19,8 @@
 )
 from plantainloft_node.engine.callers import CallerConnection
 from plantainloft_node.engine.dialect import HeaderNames
-from plantainloft_node.engine.front import Front, RetryTerms
+from plantainloft_node.engine.dispatch import Dispatcher, RetryTerms
+from plantainloft_node.engine.front import Front
 from plantainloft_node.engine.pool import LinkPool
 from plantainloft_node.engine.sender import Sender
 from plantainloft_node.placing.endpoints import EndpointBook
@@ -190,9 +191,12 @@
     pool = LinkPool()
     front = Front(
         names=NAMES,
-        placement=placement,
-        sender=Sender(names=NAMES, pool=pool),
-        retries=RetryTerms(ratio=0.2, extra=64.0, window_s=10.0),
+        dispatcher=Dispatcher(
+            names=NAMES,
+            placement=placement,
+            sender=Sender(names=NAMES, pool=pool),
+            retries=RetryTerms(ratio=0.2, extra=64.0, window_s=10.0),
+        ),
         table=lambda: routes,
         observe=lambda name, outcome, seconds: None,
     )
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -18,7 +18,8 @@
 from entry_fixtures import Conversation, RawEndpoint
 
 from plantainloft_core.routes import CallerLimits
-from plantainloft_node.engine.callers import CallerConnection, Exchange, Handler
+from plantainloft_node.engine.callers import CallerConnection
+from plantainloft_node.engine.exchange import Exchange, Handler
 
 JSON_TYPE = [(b'content-type', b'application/json')]
 OPERATOR = 'op'
