--- a/packages/ctl/src/plantainloft_ctl/main.py
+++ b/packages/ctl/src/plantainloft_ctl/main.py
@@ -7,6 +7,7 @@
 from plantainloft_ctl.commands.burn import Burn
 from plantainloft_ctl.commands.explain import Explain
 from plantainloft_ctl.commands.history import History
+from plantainloft_ctl.commands.losses import Losses
 from plantainloft_ctl.commands.show import Show
 from plantainloft_ctl.commands.status import Status
 from plantainloft_ctl.commands.submit import Submit
@@ -18,7 +19,7 @@
 class Plantainctl:
     """The operator tool of plantainloft."""
 
-    command: cappa.Subcommands[Show | Submit | History | Burn | Explain | Status]
+    command: cappa.Subcommands[Show | Submit | History | Burn | Explain | Losses | Status]
 
 
 def main() -> None:
--- a/packages/ctl/src/plantainloft_ctl/plot.py
+++ b/packages/ctl/src/plantainloft_ctl/plot.py
@@ -1,4 +1,4 @@
-"""Draw the service-level burn report as a PNG bar chart."""
+"""Draw reports as PNG bar charts."""
 
 from pathlib import Path
 
@@ -9,12 +9,16 @@
 from matplotlib import pyplot as plt
 
 from plantainloft_ctl.burn import BurnRow
+from plantainloft_ctl.losses import LossTable
 
-__all__ = ['plot_burn']
+__all__ = ['plot_burn', 'plot_losses']
 
 WIDTH_IN = 6.0
 HEIGHT_IN = 3.5
 DPI = 100
+# Wide enough for a day's moments side by side.
+TIMELINE_WIDTH_IN = 12.0
+UPRIGHT = 90.0
 
 
 def plot_burn(rows: list[BurnRow], path: Path) -> None:
@@ -31,3 +35,21 @@
     figure.tight_layout()
     figure.savefig(path)
     plt.close(figure)
+
+
+def plot_losses(table: LossTable, path: Path) -> None:
+    """Write the losses of each moment, stacked by reason, to ``path`` (PNG)."""
+    figure, axes = plt.subplots(figsize=(TIMELINE_WIDTH_IN, HEIGHT_IN), dpi=DPI)
+    moments = [group.name.strip() for group in table.groups]
+    bottoms = [0 for _ in moments]
+    for reason in table.reasons:
+        counts = [group.count_by_reason.get(reason, 0) for group in table.groups]
+        axes.bar(moments, counts, bottom=bottoms, label=reason)
+        bottoms = [below + count for below, count in zip(bottoms, counts, strict=True)]
+    axes.set_ylabel('requests')
+    axes.set_title('requests not answered within their objective')
+    axes.tick_params(axis='x', labelrotation=UPRIGHT)
+    axes.legend(fontsize='small')
+    figure.tight_layout()
+    figure.savefig(path)
+    plt.close(figure)
