--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,15 +8,15 @@
 import pytest
 from entry_fixtures import RawEndpoint
 from platform_standin import (
+    ENDPOINT_TABLE,
     OPERATOR,
-    SERVERS,
     EntryDeployment,
     EntryProcessHandle,
     StoreDoor,
     answer_all,
     config,
+    endpoint_row,
     running_store,
-    server,
 )
 
 from plantainloft_core.table_client import TableClient
@@ -87,7 +87,9 @@
         endpoints = [RawEndpoint(script=answer_all), RawEndpoint(script=answer_all)]
         for endpoint, service in zip(endpoints, ('desk', 'other'), strict=True):
             await tasks.start(lambda *, task_status, one=endpoint: one.run(task_status=task_status))
-            store.put(SERVERS, f'i-{service}', server(endpoint.address, service=service))
+            store.put(
+                ENDPOINT_TABLE, f'i-{service}', endpoint_row(endpoint.address, service=service)
+            )
         store.put(OPERATOR, 'config', config(3))
         doors = [StoreDoor(store=store) for _ in range(2)]
         for number, door in enumerate(doors, start=1):
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -23,7 +23,7 @@
 
 JSON_TYPE = [(b'content-type', b'application/json')]
 OPERATOR = 'op'
-SERVERS = 'servers'
+ENDPOINT_TABLE = 'servers'
 SIGNED = b'HTTP/1.1 200 OK\r\nX-Plantainloft-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok'
 
 
@@ -242,7 +242,7 @@
     }
 
 
-def server(
+def endpoint_row(
     address: str,
     *,
     state: str = 'ready',
@@ -250,7 +250,7 @@
     service: str = 'desk',
     slots: int = 4,
 ) -> dict[str, Any]:
-    """A backend's row."""
+    """What an endpoint's row says."""
     return {
         'address': address,
         'info': {'service': service, 'version': 'v1', 'zone': zone, 'slots': slots},
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -6,7 +6,7 @@
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
-from platform_standin import server
+from platform_standin import endpoint_row
 
 from plantainloft_core.outcomes import Invalid
 from plantainloft_node.replica.news import (
@@ -47,7 +47,7 @@
 
 def changed(path: tuple[str, ...], found: object) -> dict[str, Any]:
     """A good row with another value at ``path``."""
-    document = server('10.0.0.1:80')
+    document = endpoint_row('10.0.0.1:80')
     inner = document
     for name in path[:-1]:
         inner = inner[name]
@@ -56,19 +56,19 @@
 
 
 def test_the_time_of_its_start_is_read() -> None:
-    listed = decoded({**server('10.0.0.1:80'), 'born': BORN_MS})
+    listed = decoded({**endpoint_row('10.0.0.1:80'), 'born': BORN_MS})
     assert isinstance(listed, EndpointListed)
     assert listed.record.born_ms == BORN_MS
     assert listed.record.incarnation != listed.record._replace(born_ms=BORN_MS + 1).incarnation
 
 
 def test_a_row_without_the_time_of_its_start_holds() -> None:
-    assert isinstance(decoded(server('10.0.0.1:80')), EndpointListed)
+    assert isinstance(decoded(endpoint_row('10.0.0.1:80')), EndpointListed)
 
 
 @pytest.mark.parametrize('path', FIELDS)
 def test_a_row_that_lacks_a_field_names_no_endpoint(path: tuple[str, ...]) -> None:
-    document = server('10.0.0.1:80')
+    document = endpoint_row('10.0.0.1:80')
     inner = document
     for name in path[:-1]:
         inner = inner[name]
--- a/tests/test_from_id_to_cause.py
+++ b/tests/test_from_id_to_cause.py
@@ -4,15 +4,15 @@
 import pytest
 from entry_fixtures import Conversation
 from platform_standin import (
+    ENDPOINT_TABLE,
     OPERATOR,
-    SERVERS,
     SIGNED,
     EntryDeployment,
     call,
     config,
+    endpoint_row,
     followed,
     named,
-    server,
     until,
 )
 
@@ -40,12 +40,12 @@
 
     endpoint = deployment.endpoints[0]
     endpoint.script = slow
-    deployment.store.put(SERVERS, 'i-desk', server(endpoint.address, slots=1))
+    deployment.store.put(ENDPOINT_TABLE, 'i-desk', endpoint_row(endpoint.address, slots=1))
     entry = deployment.entries[0]
 
     async def has_news() -> bool:
         rows = [line['row_version'] for line in entry.lines() if line.get('row') == 'i-desk']
-        return bool(rows) and max(rows) == deployment.store.rows[(SERVERS, 'i-desk')]['ver']
+        return bool(rows) and max(rows) == deployment.store.rows[(ENDPOINT_TABLE, 'i-desk')]['ver']
 
     await until(has_news, True)
     async with anyio.create_task_group() as tasks:
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -7,17 +7,17 @@
 import pytest
 from entry_fixtures import Conversation, RawEndpoint
 from platform_standin import (
+    ENDPOINT_TABLE,
     OPERATOR,
-    SERVERS,
     SIGNED,
     EntryDeployment,
     call,
     config,
+    endpoint_row,
     followed,
     named,
     running_store,
     served_by,
-    server,
     until,
 )
 
@@ -53,7 +53,7 @@
     assert declared.table.services_by_name['desk'].cold_rate == 11.0
     assert decode_row(row('evacuate/ank-a', {})) == ZoneEvacuation(zone='ank-a', evacuated=True)
     assert decode_row(row('evacuate/ank-a', None)) == ZoneEvacuation(zone='ank-a', evacuated=False)
-    listed = decode_row(row('i-1', server('10.0.0.1:80', state='draining'), table=ENDPOINTS))
+    listed = decode_row(row('i-1', endpoint_row('10.0.0.1:80', state='draining'), table=ENDPOINTS))
     assert isinstance(listed, EndpointListed) and listed.record.draining
     assert decode_row(row('i-1', None, table=ENDPOINTS)) == EndpointGone(endpoint_id='i-1')
 
@@ -67,13 +67,13 @@
     async with running_store() as (standin, tasks):
         store = PlatformStore(address=standin.address)
         for number in range(3):
-            standin.put(SERVERS, f'i-{number}', server('10.0.0.1:80'))
+            standin.put(ENDPOINT_TABLE, f'i-{number}', endpoint_row('10.0.0.1:80'))
         listed = await store.list_rows(ENDPOINTS)
         assert isinstance(listed, News) and len(listed.rows) == 3
 
         async def later() -> None:
             await anyio.sleep(0.05)
-            standin.remove(SERVERS, 'i-1')
+            standin.remove(ENDPOINT_TABLE, 'i-1')
 
         tasks.start_soon(later)
         news = await store.changes(ENDPOINTS, after=listed.version, wait_s=2.0)
