Polls of the store wait four seconds, so a swallowed one is overdue in time

Cause: a store that is silent for a while never answers the polls that it gets then, and their connections stay whole.

--- a/packages/node/src/plantainloft_node/entry/observing.py
+++ b/packages/node/src/plantainloft_node/entry/observing.py
@@ -1,5 +1,6 @@
 """The observe stage: rows from the store or peers become beliefs."""
 
+from collections.abc import Callable
 from types import MappingProxyType
 
 from plantainloft_node.placing.endpoints import EndpointBook
@@ -19,7 +20,14 @@
 class Observation:
     """The copy of the rows, those who keep it, and what follows from it."""
 
-    def __init__(self, *, store: NewsStore, region_by_zone: dict[str, str]) -> None:
+    def __init__(
+        self,
+        *,
+        store: NewsStore,
+        region_by_zone: dict[str, str],
+        wait_s: Callable[[], float],
+    ) -> None:
+        """``wait_s`` returns how long a poll of the store waits for a change."""
         self.store = store
         self.book = EndpointBook(region_by_zone=region_by_zone)
         self.rows = RowCopy()
@@ -31,6 +39,7 @@
                 rows=self.rows,
                 beliefs=self.beliefs,
                 pause_s=pause_s,
+                wait_s=wait_s,
             )
             for table, pause_s in PAUSE_BY_TABLE.items()
         }
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -12,6 +12,7 @@
 from plantainloft_node.entry.listening import Listeners
 from plantainloft_node.entry.lookups import LookupHandler, MetricsHandler, ReadyHandler
 from plantainloft_node.entry.observing import Observation
+from plantainloft_node.entry.polling import poll_wait_s
 from plantainloft_node.entry.report import Report
 from plantainloft_node.entry.serving import build_serving
 from plantainloft_node.entry.settings import EntrySettings
@@ -49,8 +50,12 @@
         self._settings = settings
         self._leaving = False
         self._listeners = Listeners()
-        self.observation = Observation(store=store, region_by_zone=settings.region_by_zone)
         self.members = MemberBook(me=own_member(settings))
+        self.observation = Observation(
+            store=store,
+            region_by_zone=settings.region_by_zone,
+            wait_s=lambda: poll_wait_s(self.members, anyio.current_time()),
+        )
         self.report = Report(observation=self.observation, members=self.members)
         self.serving = build_serving(
             settings=settings,
--- a/packages/node/src/plantainloft_node/replica/follower.py
+++ b/packages/node/src/plantainloft_node/replica/follower.py
@@ -2,6 +2,7 @@
 
 import logging
 import random
+from collections.abc import Callable
 
 import anyio
 
@@ -14,9 +15,6 @@
 
 log = logging.getLogger(__name__)
 
-# A poll waits this long for a change. Every call is paid for; a connection
-# that went silent is ended by its keep-alive probes long before.
-WAIT_S = 10.0
 BACKOFF_MIN_S = 0.2
 BACKOFF_MAX_S = 1.0
 
@@ -32,13 +30,18 @@
         rows: RowCopy,
         beliefs: Beliefs,
         pause_s: float,
+        wait_s: Callable[[], float],
     ) -> None:
-        """``pause_s``: wait after each change, to take several at once."""
+        """``pause_s``: wait after each change, to take several at once.
+
+        ``wait_s`` returns how long a poll waits for a change.
+        """
         self._table = table
         self._store = store
         self._rows = rows
         self._beliefs = beliefs
         self._pause_s = pause_s
+        self._wait_s = wait_s
         self._after: int | None = None
         self._backoff_s = BACKOFF_MIN_S
         self.in_touch = False
@@ -90,7 +93,7 @@
     async def _ask(self) -> News | HistoryLost | Unreachable:
         if self._after is None:
             return await self._store.list_rows(self._table)
-        return await self._store.changes(self._table, after=self._after, wait_s=WAIT_S)
+        return await self._store.changes(self._table, after=self._after, wait_s=self._wait_s())
 
     def _take(self, news: News, now: float) -> None:
         if self._after is None:
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -57,7 +57,9 @@
     async with running_store() as (standin, tasks):
         settings = entry_settings(standin.address)
         observation = Observation(
-            store=PlatformStore(address=standin.address), region_by_zone=settings.region_by_zone
+            store=PlatformStore(address=standin.address),
+            region_by_zone=settings.region_by_zone,
+            wait_s=lambda: 4.0,
         )
         sharing = NewsSharing(
             settings=settings,
@@ -97,7 +99,9 @@
         settings = entry_settings(standin.address)
         store = PlatformStore(address=standin.address)
         members = MemberBook(me=own_member(settings))
-        observation = Observation(store=store, region_by_zone=settings.region_by_zone)
+        observation = Observation(
+            store=store, region_by_zone=settings.region_by_zone, wait_s=lambda: 4.0
+        )
         sharing = NewsSharing(
             settings=settings, members=members, observation=observation, tasks=tasks
         )
