One copy of the modelled load that tests and the ablation play

Cause: bench/ablation.py repeated the workloads and the scenario of tests/test_overload.py; changed in one, the other would have measured another load.

--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -19,10 +19,9 @@
 from plantainloft_node.placing.budget import RetryBudget
 from plantainloft_node.placing.spilling import SpillFall
 from plantainloft_standins import load_model
+from plantainloft_standins.deployments import near_scenario
 from plantainloft_standins.load_model import Scenario, Workload, play, worth_earned
 
-READS = Workload('reads', 268.0, 0.36, 0.234, 1.2, 2, 1.0, 66)
-WRITES = Workload('writes', 134.0, 0.48, 0.384, 1.2, 1, 2.0, 33)
 ORDERS = Workload('orders', 55.0, 0.34, 0.27, 1.5, 0, 3.0, 24)
 HOLDS = Workload('holds', 66.0, 0.64, 0.47, 3.0, 1, 2.0, 24)
 LOOKUPS = Workload('lookups', 215.0, 0.48, 0.37, 2.5, 2, 1.0, 53)
@@ -49,24 +48,9 @@
     replacement: Any
 
 
-def _near() -> Scenario:
-    """Regions 20 ms apart, a third of the callers at a fourteenth of the slots."""
-    return Scenario(
-        endpoints_by_region={'west': 12, 'east': 14, 'south': 2},
-        instances_per_region=4,
-        slots=4,
-        queue=12,
-        remembered=43,
-        warm_part=0.3,
-        far_s=0.02,
-        length_s=15.0,
-        workloads=(READS, WRITES),
-    )
-
-
 def _far() -> Scenario:
     """Regions 55 ms apart, a third of the callers at a tenth of the slots."""
-    return _near()._replace(
+    return near_scenario()._replace(
         endpoints_by_region={'west': 16, 'east': 22, 'south': 4},
         far_s=0.055,
         workloads=(LOOKUPS, HOLDS, ORDERS),
@@ -88,8 +72,8 @@
 def loads() -> list[Load]:
     """Return the scenarios to play."""
     return [
-        Load('near, usual', _near()),
-        Load('near, double', _near()._replace(rate=_times(2.0))),
+        Load('near, usual', near_scenario()),
+        Load('near, double', near_scenario()._replace(rate=_times(2.0))),
         Load('far, usual', _far()),
         Load('far, double', _far()._replace(rate=_times(2.0))),
         Load('far, burst', _far()._replace(rate=_burst)),
--- a/packages/standins/src/plantainloft_standins/deployments.py
+++ b/packages/standins/src/plantainloft_standins/deployments.py
@@ -7,7 +7,18 @@
 from types import MappingProxyType
 from typing import Any, NamedTuple
 
-__all__ = ['DEPLOYMENTS', 'FULL_DEPLOYMENTS', 'Deployment', 'ServicePlan', 'initial_patch']
+from plantainloft_standins.load_model import Scenario, Workload
+
+__all__ = [
+    'DEPLOYMENTS',
+    'FULL_DEPLOYMENTS',
+    'READS',
+    'WRITES',
+    'Deployment',
+    'ServicePlan',
+    'initial_patch',
+    'near_scenario',
+]
 
 
 class ServicePlan(NamedTuple):
@@ -133,3 +144,42 @@
         for zone in deployment.zones(region)
         for index in range(plan.per_zone)
     ]
+
+
+# Two kinds of request to one service, as at the larger of today's sites:
+# reads that may wait less and count less, writes that count twice.
+READS = Workload(
+    name='reads',
+    per_s=268.0,
+    work_s=0.36,
+    objective_s=0.234,
+    timeout_s=1.2,
+    priority=2,
+    worth=1.0,
+    objects=66,
+)
+WRITES = Workload(
+    name='writes',
+    per_s=134.0,
+    work_s=0.48,
+    objective_s=0.384,
+    timeout_s=1.2,
+    priority=1,
+    worth=2.0,
+    objects=33,
+)
+
+
+def near_scenario() -> Scenario:
+    """Regions 20 ms apart, a third of the callers at a fourteenth of the slots."""
+    return Scenario(
+        endpoints_by_region={'west': 12, 'east': 14, 'south': 2},
+        instances_per_region=4,
+        slots=4,
+        queue=12,
+        remembered=43,
+        warm_part=0.3,
+        far_s=0.02,
+        length_s=15.0,
+        workloads=(READS, WRITES),
+    )
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -2,53 +2,19 @@
 
 import pytest
 
+from plantainloft_standins.deployments import READS, WRITES, near_scenario
 from plantainloft_standins.load_model import (
     LoadModel,
     Scenario,
-    Workload,
     largest_shift,
     play,
     worth_earned,
 )
 
-# Two kinds of request to one service, as at the larger of today's sites:
-# reads that may wait less and count less, writes that count twice.
-READS = Workload(
-    name='reads',
-    per_s=268.0,
-    work_s=0.36,
-    objective_s=0.234,
-    timeout_s=1.2,
-    priority=2,
-    worth=1.0,
-    objects=66,
-)
-WRITES = Workload(
-    name='writes',
-    per_s=134.0,
-    work_s=0.48,
-    objective_s=0.384,
-    timeout_s=1.2,
-    priority=1,
-    worth=2.0,
-    objects=33,
-)
-
 
 def scenario(**terms: object) -> Scenario:
     """A third of the callers in a region with a fourteenth of the slots."""
-    known: dict[str, object] = {
-        'endpoints_by_region': {'west': 12, 'east': 14, 'south': 2},
-        'instances_per_region': 4,
-        'slots': 4,
-        'queue': 12,
-        'remembered': 43,
-        'warm_part': 0.3,
-        'far_s': 0.02,
-        'length_s': 15.0,
-        'workloads': (READS, WRITES),
-    }
-    return Scenario(**{**known, **terms})  # type: ignore[arg-type]
+    return near_scenario()._replace(**terms)  # type: ignore[arg-type]
 
 
 def shares(model: LoadModel) -> dict[str, float]:
