--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -24,6 +24,8 @@
 from plantainloft_standins.deployments import DEPLOYMENTS, Deployment, ServicePlan
 from plantainloft_standins.table import TableService, make_app
 
+pytest_plugins = ['known_red', 'pytester']
+
 # The same examples every run: a verdict must not change by luck.
 hypothesis.settings.register_profile('same', derandomize=True, deadline=None)
 hypothesis.settings.load_profile('same')
