Logs tell whether an endpoint is used on after its row went, and why

Cause: an incident (a request reached an endpoint 2.65 s after it had left, allowed 2.5 s) could not be traced: the log says that a row went, not whether the endpoint was dropped with it, nor when the store had last failed. Change: the line of the removal carries `used_on_s` and `store_failed_s_ago`; a line of kind `dropped` tells the end. Ruled out: nothing yet; what was decided is the same as before.

--- a/packages/node/src/plantainloft_node/replica/beliefs.py
+++ b/packages/node/src/plantainloft_node/replica/beliefs.py
@@ -41,13 +41,14 @@
         self._decode = decode
         self._evacuated: frozenset[str] = frozenset()
         self._drop_at_by_id: dict[str, float] = {}
-        self._troubled_until = 0.0
+        # When the store last failed to answer; None: never.
+        self._store_failed_at: float | None = None
         self.table: RouteTable = NO_ROUTES
         self.table_since = 0.0
 
     def note_trouble(self, now: float) -> None:
         """The store failed to answer just now."""
-        self._troubled_until = now + LAPSE_GRACE_S
+        self._store_failed_at = now
 
     def take(self, rows: Iterable[NewsRow], now: float, *, source: str) -> None:
         """Take rows that are news."""
@@ -68,6 +69,11 @@
             if now >= due:
                 self._drop_at_by_id.pop(endpoint_id)
                 self._book.drop(endpoint_id)
+                log.info(
+                    'Replica: endpoint %s dropped, its row is not back.',
+                    endpoint_id,
+                    extra={'kind': 'dropped', 'fields': {'row': endpoint_id}},
+                )
 
     def _apply(self, change: Change, row: NewsRow, now: float, source: str) -> None:
         fields: dict[str, object] = {'row': row.key, 'row_version': row.version, 'source': source}
@@ -91,7 +97,8 @@
             self._book.drop(change.endpoint_id)
             fields['problem'] = change.problem
         else:
-            self._forget(change, now)
+            fields['store_failed_s_ago'] = self._store_failed_s_ago(now)
+            fields['used_on_s'] = self._forget(change, now)
         log.info(
             'Replica: %s.',
             type(change).__name__,
@@ -112,9 +119,18 @@
         warmup_s = max(warmups, default=DEFAULT_WARMUP_S)
         self._book.set_evacuated(zones, warmup_s=warmup_s, now=now)
 
-    def _forget(self, change: EndpointGone, now: float) -> None:
+    def _forget(self, change: EndpointGone, now: float) -> float:
+        """Return for how many seconds the endpoint is used on."""
         state = self._book.by_id.get(change.endpoint_id)
-        if state is not None and not state.record.draining and now < self._troubled_until:
+        failed_s_ago = self._store_failed_s_ago(now)
+        troubled = failed_s_ago is not None and failed_s_ago < LAPSE_GRACE_S
+        if state is not None and not state.record.draining and troubled:
             self._drop_at_by_id[change.endpoint_id] = now + LAPSE_GRACE_S
-            return
+            return LAPSE_GRACE_S
         self._book.drop(change.endpoint_id)
+        return 0.0
+
+    def _store_failed_s_ago(self, now: float) -> float | None:
+        if self._store_failed_at is None:
+            return None
+        return round(now - self._store_failed_at, 3)
