A row that went is a lapse only by when the store came back

Cause: an instance with a failed call in the last 2.3 s took a removed row for lapsed and used its endpoint for 2.3 s from when it heard. The class: a time counted from when an instance hears, and judged by its own luck with the store, where the moment of the event and its peers' knowledge count. Change: (1) the grace counts from when the store is known to be back, told by when answered calls were sent; calls given up late are no new trouble; (2) calls to a store that fails do not wait, so its return is known 4 s sooner; (3) a peer that was served all the while decides: its news says what it doubts, and an instance in doubt asks; not one from beyond a cut that has just healed; (4) a peer's doubt is taken over. The list of instances is a module of its own now. Ruled out: no grace (endpoints vanish for 2 s after each outage); age in the news; counting lapses; health checks; the store's state in every beat (design/platform.md). Three more: a healed cut, a doubt handed on, a call held through refusals.

--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -9,6 +9,7 @@
 
 from plantainloft_core.outcomes import Invalid
 from plantainloft_node.engine.dialect import HeaderNames
+from plantainloft_node.entry.instance_list import InstanceList
 from plantainloft_node.entry.listening import Listeners
 from plantainloft_node.entry.lookups import LookupHandler, MetricsHandler, ReadyHandler
 from plantainloft_node.entry.observing import Observation
@@ -106,7 +107,8 @@
         )
         for follower in self.observation.followers.values():
             tasks.start_soon(follower.run)
-        for part in (beats, sharing, upkeep):
+        instances = InstanceList(members=self.members, store=self.observation.store)
+        for part in (beats, sharing, instances, upkeep):
             tasks.start_soon(part.run)
         return beats
 
--- a/packages/node/src/plantainloft_node/entry/sharing.py
+++ b/packages/node/src/plantainloft_node/entry/sharing.py
@@ -9,7 +9,6 @@
 from typing import Any
 
 import anyio
-import msgpack
 from anyio.abc import TaskGroup
 
 from plantainloft_core.outcomes import Unreachable
@@ -19,8 +18,9 @@
 from plantainloft_node.peering.links import Links
 from plantainloft_node.peering.listener import serve_peers
 from plantainloft_node.peering.messages import Traffic
-from plantainloft_node.placing.affinity import score
-from plantainloft_node.replica.news import INSTANCES, News, NewsRow
+from plantainloft_node.replica.beliefs import Told
+from plantainloft_node.replica.news import ENDPOINTS, News, NewsRow
+from plantainloft_node.replica.store_watch import LAPSE_GRACE_S
 
 __all__ = ['NewsSharing']
 
@@ -31,15 +31,15 @@
 LAG_S = 0.35
 CALL_S = 1.5
 NEWS_CALL = 'news'
+# Asks which removed rows the peer knows not to have lapsed. No more than so
+# many at once: more go together only where they lapsed, and bytes are paid for.
+GONE_CALL = 'gone'
+MAX_ASKED = 16
 _MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
-# The list of instances in the store is read anew this often; those that
-# run make themselves known by their beats.
-LIST_EVERY_S = 30.0
-LIST_RETRY_S = 1.0
 
 
 class NewsSharing:
-    """Asks peers for rows, answers theirs, and keeps the list of instances."""
+    """Asks peers for rows and answers theirs."""
 
     def __init__(
         self,
@@ -54,7 +54,6 @@
         self._rows = observation.rows
         self._beliefs = observation.beliefs
         self._followers = observation.followers
-        self._store = observation.store
         self._tasks = tasks
         self._traffic = Traffic()
         self._links = Links(tasks=tasks, traffic=self._traffic)
@@ -67,52 +66,16 @@
         return tuple(f'{host}:{port}' for host in hosts)
 
     async def run(self) -> None:
-        """Serve peers and keep the list of instances until cancelled."""
-        self._tasks.start_soon(self._serve)
-        await self._register()
-        while True:
-            listed = await self._store.list_rows(INSTANCES)
-            if isinstance(listed, Unreachable):
-                await anyio.sleep(LIST_RETRY_S)
-                continue
-            await self._take_list(listed)
-            await anyio.sleep(LIST_EVERY_S)
+        """Answer peers until cancelled."""
+        handler_by_kind = {NEWS_CALL: self._tell, GONE_CALL: self._tell_gone}
+        await serve_peers(self._settings.control, handler_by_kind, traffic=self._traffic)
 
     def on_beat(self, beat: Beat) -> None:
-        """Look whether the sender knows rows that are missing here."""
-        if not self._asking and self._lags(beat):
+        """Look whether the sender knows more than is known here."""
+        if not self._asking and (self._lags(beat) or self._beliefs.doubted):
             self._asking = True
             self._tasks.start_soon(self._catch_up, beat)
 
-    async def _take_list(self, listed: News) -> None:
-        now = anyio.current_time()
-        row_by_name: dict[str, NewsRow] = {}
-        for row in listed.rows:
-            member = _member(row)
-            if member is not None:
-                row_by_name[member.name] = row
-                self._members.learn(member, now)
-        self._members.listed = True
-        if self._members.me.name not in row_by_name:
-            # Taken for gone by the others after a long cut.
-            await self._register()
-        gone = [name for name in row_by_name if self._members.is_gone(name, now)]
-        for name in gone:
-            await self._strike_off(row_by_name[name], name)
-        for name in self._members.forget_gone(now):
-            log.info(
-                'Fleet: %s is forgotten.',
-                name,
-                extra={'kind': 'member', 'fields': {'member': name, 'up': False}},
-            )
-
-    async def _strike_off(self, row: NewsRow, name: str) -> None:
-        # One instance does it, the same for all that know the same others;
-        # the row's version keeps it from striking off a new start.
-        others = self._members.sharing(anyio.current_time())
-        if max(others, key=lambda other: score(name, other)) == self._members.me.name:
-            await self._store.remove_row(row)
-
     def _lags(self, beat: Beat) -> bool:
         mine = self._rows.newest_by_table
         return any(version > mine.get(table, 0) for table, version in beat.newest_by_table.items())
@@ -121,24 +84,40 @@
         await anyio.sleep(LAG_S)
         if self._lags(beat):
             await self._ask(beat.member)
+        elif self._beliefs.doubted and self._knows_better(beat.member):
+            await self._ask_gone(beat.member)
         self._asking = False
 
-    async def _ask(self, member: FleetMember) -> None:
-        answer = await self._links.call(
-            self._call_address(member),
-            NEWS_CALL,
-            self._rows.newest_by_table,
-            timeout_s=CALL_S,
-        )
+    def _knows_better(self, member: FleetMember) -> bool:
+        """Return whether the peer's word on removed rows goes before one's own.
+
+        One from beyond a cut that has just healed saw the rows of this side
+        lapse, though their endpoints live and reach this instance.
+        """
+        return self._members.heard_for_s(member.name, anyio.current_time()) >= LAPSE_GRACE_S
+
+    async def _ask_gone(self, member: FleetMember) -> None:
+        asked = dict(list(self._beliefs.doubted.items())[-MAX_ASKED:])
+        answer = await self._call(member, GONE_CALL, asked)
+        if isinstance(answer, list):
+            self._beliefs.settle([key for key in answer if key in asked], source=member.name)
+
+    async def _call(self, member: FleetMember, kind: str, content: Any) -> Any:
+        answer = await self._links.call(self._call_address(member), kind, content, timeout_s=CALL_S)
         if isinstance(answer, Unreachable):
             log.info(
-                'Fleet: no news from %s.',
+                'Fleet: no answer from %s.',
                 member.name,
                 extra={'kind': 'news', 'fields': {'reason': answer.reason}},
             )
+        return answer
+
+    async def _ask(self, member: FleetMember) -> None:
+        answer = await self._call(member, NEWS_CALL, self._rows.newest_by_table)
+        if isinstance(answer, Unreachable):
             return
         try:
-            fresh, others = self._read_news(answer)
+            fresh, others, told = self._read_news(answer, member)
         except _MALFORMED as exc:
             # A peer of another version, during a rolling upgrade. Let out
             # of here, the error would end this process as well.
@@ -149,7 +128,7 @@
             )
             return
         now = anyio.current_time()
-        self._beliefs.take(fresh, now, source=member.name)
+        self._beliefs.take(fresh, now, source=member.name, told=told)
         for other in others:
             self._members.learn(other, now)
         self._members.listed = True
@@ -157,10 +136,19 @@
         for table in changed:
             self._followers[table].poke()
 
-    def _read_news(self, answer: Any) -> tuple[list[NewsRow], list[FleetMember]]:
+    def _read_news(
+        self, answer: Any, member: FleetMember
+    ) -> tuple[list[NewsRow], list[FleetMember], Told]:
         rows = [NewsRow(*row) for row in answer['rows']]
         members = [FleetMember(*raw) for raw in answer['members']]
-        return self._merge(rows, answer.get('whole', {})), members
+        # Peers of an earlier version do not say what they doubt.
+        doubted = frozenset(answer.get('doubted', ()))
+        fresh = self._merge(rows, answer.get('whole', {}))
+        gone: frozenset[str] = frozenset()
+        if 'doubted' in answer and self._knows_better(member):
+            removed = {row.key for row in fresh if row.table == ENDPOINTS and row.content is None}
+            gone = frozenset(removed - doubted)
+        return fresh, members, Told(gone=gone, doubted=doubted)
 
     def _merge(self, rows: list[NewsRow], whole: dict[str, int]) -> list[NewsRow]:
         fresh = self._rows.merge(row for row in rows if row.table not in whole)
@@ -173,9 +161,6 @@
         host = member.front.rpartition(':')[0]
         return f'{host}:{self._settings.control.rpartition(":")[2]}'
 
-    async def _serve(self) -> None:
-        await serve_peers(self._settings.control, {NEWS_CALL: self._tell}, traffic=self._traffic)
-
     async def _tell(self, newest_by_table: Any) -> Any:
         counted = self._members.counted(anyio.current_time())
         whole = self._rows.cut_off(newest_by_table)
@@ -184,22 +169,13 @@
             'rows': [list(row) for row in self._rows.since(known)],
             'whole': {table: self._rows.newest_by_table[table] for table in whole},
             'members': [list(member) for member in (*counted, self._members.me)],
+            'doubted': list(self._beliefs.doubted),
         }
 
-    async def _register(self) -> None:
-        content: bytes = msgpack.packb(list(self._members.me))
-        while True:
-            outcome = await self._store.put_row(INSTANCES, self._members.me.front, content)
-            if outcome is None:
-                return
-            await anyio.sleep(LIST_RETRY_S)
-
-
-def _member(row: NewsRow) -> FleetMember | None:
-    if row.content is None:
-        return None
-    try:
-        return FleetMember(*msgpack.unpackb(row.content))
-    except (ValueError, TypeError, msgpack.UnpackException):
-        log.warning('Fleet: row %s is no instance.', row.key, extra={'kind': 'bad_row'})
-        return None
+    async def _tell_gone(self, asked: Any) -> Any:
+        doubted = self._beliefs.doubted
+        return [
+            key
+            for key, version in asked.items()
+            if key not in doubted and self._rows.is_removed(ENDPOINTS, key, version)
+        ]
--- a/packages/node/src/plantainloft_node/fleet/members.py
+++ b/packages/node/src/plantainloft_node/fleet/members.py
@@ -46,8 +46,11 @@
 
 
 class _Heard(NamedTuple):
+    """The newest beat; ``since``: heard without a gap from then on."""
+
     beat: Beat
     at: float
+    since: float
 
 
 class MemberBook:
@@ -82,8 +85,9 @@
         if known is not None and not repeats and not self._replaces(beat.member, known, now):
             return False
         fresh = not self.is_up(name, now)
+        since = now if fresh else self._heard_by_name[name].since
         self._known_by_name[name] = beat.member
-        self._heard_by_name[name] = _Heard(beat=beat, at=now)
+        self._heard_by_name[name] = _Heard(beat=beat, at=now, since=since)
         return fresh
 
     def is_up(self, name: str, now: float) -> bool:
@@ -91,6 +95,10 @@
         heard = self._heard_by_name.get(name)
         return heard is not None and now - heard.at < DOWN_AFTER_S
 
+    def heard_for_s(self, name: str, now: float) -> float:
+        """Return for how long ``name`` has been heard without a gap."""
+        return now - self._heard_by_name[name].since if self.is_up(name, now) else 0.0
+
     def everyone(self) -> list[FleetMember]:
         """Return every instance known but this one."""
         return list(self._known_by_name.values())
--- a/packages/node/src/plantainloft_node/replica/follower.py
+++ b/packages/node/src/plantainloft_node/replica/follower.py
@@ -63,6 +63,7 @@
 
     async def _poll(self) -> None:
         outcome: News | HistoryLost | Unreachable | None = None
+        sent_at = anyio.current_time()
         async with anyio.create_task_group() as tasks:
             tasks.start_soon(self._cancel_when_poked, tasks.cancel_scope)
             outcome = await self._ask()
@@ -71,8 +72,10 @@
             return
         now = anyio.current_time()
         if isinstance(outcome, Unreachable):
-            await self._lost(outcome.reason, now)
+            self._beliefs.store.note_failed(sent_at=sent_at)
+            await self._lost(outcome.reason)
             return
+        self._beliefs.store.note_answered(sent_at=sent_at)
         if not self.in_touch:
             self.in_touch = True
             log.info('Store: %s followed again.', self._table, extra={'kind': 'store_regained'})
@@ -93,7 +96,11 @@
     async def _ask(self) -> News | HistoryLost | Unreachable:
         if self._after is None:
             return await self._store.list_rows(self._table)
-        return await self._store.changes(self._table, after=self._after, wait_s=self._wait_s())
+        # A store that goes silent swallows what it is sent. Asked to wait, a
+        # call sent into an outage is given up seconds after it, and until then
+        # nobody knows that the store is back.
+        wait_s = self._wait_s() if self.in_touch else 0.0
+        return await self._store.changes(self._table, after=self._after, wait_s=wait_s)
 
     def _take(self, news: News, now: float) -> None:
         if self._after is None:
@@ -103,8 +110,7 @@
         self._after = news.version
         self._beliefs.take(fresh, now, source='store')
 
-    async def _lost(self, reason: str, now: float) -> None:
-        self._beliefs.note_trouble(now)
+    async def _lost(self, reason: str) -> None:
         if self.in_touch:
             log.warning(
                 'Store: %s not followed.',
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -38,6 +38,7 @@
     NewsRow,
     NewsStore,
 )
+from plantainloft_node.replica.store_watch import StoreWatch
 from plantainloft_platform.documents import decode_row
 
 pytestmark = pytest.mark.anyio
@@ -46,6 +47,7 @@
 # How long a row that went may count as lapsed.
 LAPSE_S = 2.3
 Outcome = News | HistoryLost | Unreachable
+NOW = 1000.0
 # Listeners of an earlier test may still have its addresses.
 HOSTS = itertools.count(100)
 
@@ -154,13 +156,22 @@
 
 @pytest.fixture
 async def pair() -> AsyncIterator[Pair]:
-    """Two instances that both know the endpoints ``i-1`` and ``i-2``."""
+    """Two instances that hear each other and know the same two endpoints."""
     async with AsyncExitStack() as stack:
         first = await stack.enter_async_context(running_instance(next(HOSTS)))
         second = await stack.enter_async_context(running_instance(next(HOSTS)))
+        hear_each_other(first, second, for_s=LAPSE_S + 0.1)
         yield first, second
 
 
+def hear_each_other(first: Instance, second: Instance, *, for_s: float) -> None:
+    """Let each have heard the other's beats for so long."""
+    now = anyio.current_time()
+    for at in (now - for_s, now - for_s / 2, now):
+        first.members.hear(second.beat(), at)
+        second.members.hear(first.beat(), at)
+
+
 async def fail_a_poll(instance: Instance) -> None:
     """Let the poll of endpoints fail that waits, and wait for the next one."""
     calls = instance.store.calls_by_table[ENDPOINTS]
@@ -239,3 +250,54 @@
     second.sharing.on_beat(first.beat())
     await anyio.sleep(0.8)
     assert first.uses('i-1') and second.uses('i-1')
+
+
+async def test_a_peer_from_beyond_a_cut_that_has_just_healed_is_not_believed() -> None:
+    """Symptom: a region has no endpoint left when it is joined to the others again.
+
+    Cut off from the store, its endpoints could not renew their rows, which
+    lapsed. The peers on the other side were served all the while and know the
+    rows to be gone. They are the first to tell the instances of the region,
+    whose endpoints live and reach them, and are listed again 2 s later.
+    """
+    async with AsyncExitStack() as stack:
+        cut_off = await stack.enter_async_context(running_instance(next(HOSTS)))
+        beyond = await stack.enter_async_context(running_instance(next(HOSTS)))
+        await fail_a_poll(cut_off)
+        beyond.store.say(ENDPOINTS, LEFT)
+        await until(lambda: not beyond.uses('i-1'))
+        hear_each_other(cut_off, beyond, for_s=0.0)
+        cut_off.sharing.on_beat(beyond.beat())
+        await until(lambda: cut_off.knows_gone('i-1'))
+        cut_off.sharing.on_beat(beyond.beat())
+        await anyio.sleep(0.8)
+        assert cut_off.uses('i-1')
+
+
+async def test_a_doubt_is_handed_on_with_the_row(pair: Pair) -> None:
+    """Symptom: an instance drops all endpoints after an outage of the store.
+
+    Its polls were sent just before the outage and swallowed, and are not given
+    up yet when a peer, which knows of the outage, hands on the rows that lapsed.
+    """
+    unaware, aware = pair
+    await fail_a_poll(aware)
+    aware.store.say(ENDPOINTS, LEFT)
+    await until(lambda: aware.knows_gone('i-1'))
+    unaware.sharing.on_beat(aware.beat())
+    await until(lambda: unaware.knows_gone('i-1'))
+    assert unaware.uses('i-1')
+
+
+def test_a_call_held_while_later_ones_failed_shows_nothing_before_those() -> None:
+    """Symptom: no endpoint left after an outage in which the store refused calls.
+
+    One poll was held from before the outage to its end, and brings the rows
+    that lapsed meanwhile. Taken as service since it was sent, it would make
+    them look like endpoints that left.
+    """
+    watch = StoreWatch()
+    watch.note_failed(sent_at=NOW + 3)
+    watch.note_answered(sent_at=NOW)
+    assert watch.may_have_lapsed(NOW + 4)
+    assert not watch.may_have_lapsed(NOW + 3 + LAPSE_S)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -6,6 +6,7 @@
 from platform_standin import SETTINGS, running_store
 
 from plantainloft_core.outcomes import Invalid
+from plantainloft_node.entry.instance_list import InstanceList
 from plantainloft_node.entry.observing import Observation
 from plantainloft_node.entry.settings import EntrySettings, parse_entry_settings
 from plantainloft_node.entry.sharing import NewsSharing
@@ -99,12 +100,6 @@
         settings = entry_settings(standin.address)
         store = PlatformStore(address=standin.address)
         members = MemberBook(me=own_member(settings))
-        observation = Observation(
-            store=store, region_by_zone=settings.region_by_zone, wait_s=lambda: 4.0
-        )
-        sharing = NewsSharing(
-            settings=settings, members=members, observation=observation, tasks=tasks
-        )
         now = anyio.current_time()
         # One of those that are up strikes off, by the names: here this one.
         gone = next(name for name in map(str, range(9)) if score(name, 'e1') > score(name, 'e2'))
@@ -112,7 +107,7 @@
         members.hear(Beat(member('e2'), True, False, {}, {}), now)
         for name in (gone, 'e2'):
             await put(store, member(name))
-        tasks.start_soon(sharing.run)
+        tasks.start_soon(InstanceList(members=members, store=store).run)
         with anyio.fail_after(10):
             while await listed_names(store) != ['e1', 'e2']:
                 await anyio.sleep(0.05)
