--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -305,8 +305,8 @@
 
     One poll is swallowed by the outage, another waits from before it to its
     end and brings the rows that lapsed meanwhile. Taken as service since it
-    was sent, it would make them look like endpoints that left. (Seen in a
-    whole day: 27 of 40 endpoints dropped at once by some instances.)
+    was sent, it would make them look like endpoints that left. (Seen in a whole
+    day: ten of twelve instances dropped two endpoints at once.)
     """
     watch = StoreWatch()
     watch.note_failed(due_at=NOW + 0.3)
