Two relays an availability zone carry the fleet's news, in place of all to all

Change: an instance tells two of its availability zone, first in rank among those that are up (fleet.relaying, fleet.ranking). They report whom they hear, with ages, to all who tell them and to the relays of the other zones, and pass those reports on (fleet.intake). Entries are 6 bytes; who does not know a key asks for the instances. Demand is summed by zone before it travels. Datagrams are read strictly: another format, a name that does not fit the address, or a number that does not grow changes nothing. Up and down is logged once a round.

Ruled out: beats a fifth as often (found later, still grows with the square); rumours with random peers (found later at the same number of datagrams); lists of who went instead of ages (two relays would contradict each other).

Tests: tests/test_relaying.py on the model, new with the change; the play of leaving endpoints (standins.leaving_model) sends the real datagrams now, its tests are as they were.

--- a/packages/node/src/plantainloft_node/entry/fleet_parts.py
+++ b/packages/node/src/plantainloft_node/entry/fleet_parts.py
@@ -33,7 +33,7 @@
     sharing = NewsSharing(calls=calls, members=members, observation=observation, tasks=tasks)
     probes = StoreProbes(calls=calls, members=members, observation=observation)
     beats = BeatExchange(
-        members=members, state=state, on_beat=sharing.on_beat, seeds=seed_peers(settings)
+        members=members, state=state, on_hint=sharing.on_hint, seeds=seed_peers(settings)
     )
     instances = InstanceList(members=members, store=observation.store)
     tasks.start_soon(calls.serve, {NEWS_CALL: sharing.tell, PROBE_CALL: probes.tell})
--- a/packages/node/src/plantainloft_node/entry/polling.py
+++ b/packages/node/src/plantainloft_node/entry/polling.py
@@ -29,7 +29,7 @@
     All instances rank those that are up alike, so about as many poll
     promptly as are needed, whoever fails.
     """
-    names = [beat.member.name for beat in members.beats(now)]
+    names = [member.name for member in members.up(now)]
     mine = _rank(members.me.name)
     ahead = sum(1 for name in names if _rank(name) > mine)
     return PROMPT_WAIT_S if ahead < PROMPT_INSTANCES else LONG_WAIT_S
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -157,7 +157,7 @@
         fields = {'open': self.serving.front.in_progress}
         log.info('Entry: stopping.', extra={'kind': 'stop', 'fields': fields})
         self._listeners.lead_away()
-        await beats.send_round()
+        await beats.send_round(to_all=True)
         quiet_at = began + CACHED_LOOKUPS * self._settings.lookup_ttl_s
         end_at = began + self._settings.grace_s - STOP_MARGIN_S
         now = began
--- a/packages/node/src/plantainloft_node/entry/report.py
+++ b/packages/node/src/plantainloft_node/entry/report.py
@@ -32,7 +32,7 @@
         beliefs = self._observation.beliefs
         metrics.put('configuration_version', beliefs.table.version)
         metrics.put('configuration_age_seconds', now - beliefs.table_since)
-        metrics.put('members_up', len(self._members.beats(now)) + 1)
+        metrics.put('members_up', len(self._members.up(now)) + 1)
         metrics.put('requests_in_progress', front.in_progress)
         for service, left in dispatcher.budgets_left(now).items():
             metrics.put('retry_budget_left', left, service=service)
--- a/packages/node/src/plantainloft_node/entry/sharing.py
+++ b/packages/node/src/plantainloft_node/entry/sharing.py
@@ -14,6 +14,7 @@
 from plantainloft_core.outcomes import Unreachable
 from plantainloft_node.entry.observing import Observation
 from plantainloft_node.entry.peer_calls import PeerCalls
+from plantainloft_node.fleet.intake import Hint
 from plantainloft_node.fleet.members import Beat, FleetMember, MemberBook
 from plantainloft_node.replica.news import News, NewsRow
 
@@ -49,9 +50,13 @@
 
     def on_beat(self, beat: Beat) -> None:
         """Look whether the sender knows rows that are missing here."""
-        if not self._asking and self._lags(beat):
+        self.on_hint(Hint(beat.member, beat.newest_by_table, ()))
+
+    def on_hint(self, hint: Hint) -> None:
+        """Look whether a peer knows rows or instances that are missing here."""
+        if not self._asking and self._lacks(hint):
             self._asking = True
-            self._tasks.start_soon(self._catch_up, beat)
+            self._tasks.start_soon(self._catch_up, hint)
 
     async def tell(self, newest_by_table: Any) -> Any:
         """Return the rows newer than those that a peer knows."""
@@ -64,14 +69,16 @@
             'members': [list(member) for member in (*counted, self._members.me)],
         }
 
-    def _lags(self, beat: Beat) -> bool:
+    def _lacks(self, hint: Hint) -> bool:
         mine = self._rows.newest_by_table
-        return any(version > mine.get(table, 0) for table, version in beat.newest_by_table.items())
+        if any(version > mine.get(table, 0) for table, version in hint.newest_by_table.items()):
+            return True
+        return not all(self._members.known.name_of(key) is not None for key in hint.keys)
 
-    async def _catch_up(self, beat: Beat) -> None:
+    async def _catch_up(self, hint: Hint) -> None:
         await anyio.sleep(LAG_S)
-        if self._lags(beat):
-            await self._ask(beat.member)
+        if self._lacks(hint):
+            await self._ask(hint.member)
         self._asking = False
 
     async def _ask(self, member: FleetMember) -> None:
--- a/packages/node/src/plantainloft_node/entry/store_probes.py
+++ b/packages/node/src/plantainloft_node/entry/store_probes.py
@@ -90,8 +90,8 @@
         saw the rows of this side lapse, though their endpoints live.
         """
         now = anyio.current_time()
-        heard = [beat.member for beat in self._members.beats(now)]
-        known = [one for one in heard if self._members.heard_for_s(one.name, now) >= LAPSE_GRACE_S]
+        up = self._members.up(now)
+        known = [one for one in up if self._members.signs.up_for_s(one.name, now) >= LAPSE_GRACE_S]
         return random.sample(known, min(MAX_ASKED, len(known)))
 
     async def _ask(self, member: FleetMember) -> None:
--- a/packages/node/src/plantainloft_node/entry/upkeep.py
+++ b/packages/node/src/plantainloft_node/entry/upkeep.py
@@ -5,6 +5,7 @@
 from plantainloft_node.entry.observing import Observation
 from plantainloft_node.entry.serving import Serving
 from plantainloft_node.entry.terms import TICK_S
+from plantainloft_node.fleet.demand import demand_of_zones
 from plantainloft_node.fleet.members import MemberBook
 from plantainloft_node.placing.demand import RegionDemand, demand_by_region
 
@@ -40,9 +41,6 @@
         self._placement.update_instances(self._members.sharing(now))
         self._placement.update_ejections(now)
         self._demand.tick(TICK_S)
-        mine = RegionDemand(self._members.me.region, self._demand.rate_by_service)
-        others = [
-            RegionDemand(beat.member.region, beat.rate_by_service)
-            for beat in self._members.beats(now)
-        ]
-        self._placement.update_regions(demand_by_region([mine, *others]))
+        zones = demand_of_zones(self._members, self._demand.rate_by_service, now)
+        demand = [RegionDemand(zone.region, zone.rate_by_service) for zone in zones]
+        self._placement.update_regions(demand_by_region(demand))
--- a/packages/node/src/plantainloft_node/fleet/beats.py
+++ b/packages/node/src/plantainloft_node/fleet/beats.py
@@ -1,49 +1,60 @@
-"""Beats between entry instances, as datagrams.
+"""The fleet's datagrams: rounds of them sent, and others' received.
 
 A datagram needs no connection, so none can go silent, and one slow peer
-holds up nobody. What a beat only hints at (newer rows) is asked for by a
+holds up nobody. What a report only hints at (newer rows) is asked for by a
 call on a stream.
 """
 
 import logging
+import random
 from collections.abc import Callable
-from typing import Any
 
 import anyio
-import msgpack
 from anyio.abc import UDPSocket
 
-from plantainloft_node.fleet.members import Beat, FleetMember, MemberBook
+from plantainloft_node.fleet.intake import Hint, Intake
+from plantainloft_node.fleet.members import MemberBook
+from plantainloft_node.fleet.relaying import Message, Relaying
+from plantainloft_node.fleet.reports import Beat
 
-__all__ = ['BeatExchange']
+__all__ = ['BEAT_S', 'BeatExchange']
 
 log = logging.getLogger(__name__)
 
 BEAT_S = 0.5
-# Other regions are told every other time; their bytes cost more and they
-# are not named to this region's callers.
-FAR_EVERY = 2
-_MALFORMED = (ValueError, TypeError, IndexError, msgpack.UnpackException)
+# News that others should hear of now come many at once when a zone starts;
+# so long is waited for further ones.
+URGENT_AFTER_S = 0.1
+# A stranger that sends rubbish is logged this often at most.
+BAD_LOG_EVERY_S = 10.0
 
 
 class BeatExchange:
-    """Sends this instance's beats and takes those of the others."""
+    """Sends this instance's rounds and takes the datagrams of the others."""
 
     def __init__(
         self,
         *,
         members: MemberBook,
         state: Callable[[], Beat],
-        on_beat: Callable[[Beat], None],
+        on_hint: Callable[[Hint], None],
         seeds: tuple[str, ...],
     ) -> None:
         self._members = members
-        self._state = state
-        self._on_beat = on_beat
-        self._seeds = seeds
+        self._on_hint = on_hint
+        self._intake = Intake(members=members)
+        self._relaying = Relaying(
+            members=members,
+            intake=self._intake,
+            state=state,
+            seeds=seeds,
+            chance=random.Random(),
+        )
         self._socket: UDPSocket | None = None
         self._sending = anyio.Lock()
+        self._urgent = anyio.Event()
         self._was_up: set[str] = set()
+        self._bad_logged_at = float('-inf')
 
     async def run(self) -> None:
         """Send and receive until cancelled."""
@@ -54,87 +65,64 @@
             tasks.start_soon(self._send_rounds)
             await self._receive(socket)
 
-    async def send_round(self, *, far: bool = True) -> None:
-        """Tell the others now."""
-        packed = _pack(self._state())
-        targets = {
-            member.peer
-            for member in self._members.everyone()
-            if far or member.region == self._members.me.region
-        }
-        if not targets:
-            targets = set(self._seeds)
-        for address in targets - {self._members.me.peer}:
-            await self._send(packed, address)
+    async def send_round(self, *, to_all: bool = False) -> None:
+        """Tell the others now; ``to_all``: also those who are not due yet."""
+        for message in self._relaying.round(anyio.current_time(), to_all=to_all):
+            await self._send(message)
 
     async def _send_rounds(self) -> None:
-        number = 0
+        to_all = True
         while True:
-            await self.send_round(far=not number % FAR_EVERY)
+            await self.send_round(to_all=to_all)
             self._log_changes()
-            number += 1
-            await anyio.sleep(BEAT_S)
-
-    async def _send(self, packed: bytes, address: str) -> None:
-        host, _, port = address.rpartition(':')
+            with anyio.move_on_after(BEAT_S):
+                await self._urgent.wait()
+            to_all = self._urgent.is_set()
+            if to_all:
+                await anyio.sleep(URGENT_AFTER_S)
+                self._urgent = anyio.Event()
+
+    async def _send(self, message: Message) -> None:
+        host, _, port = message.address.rpartition(':')
         if self._socket is None:
             return
         try:
             async with self._sending:
-                await self._socket.sendto(packed, host, int(port))
+                await self._socket.sendto(message.packed, host, int(port))
         except OSError as exc:
-            log.debug('Fleet: beat to %s not sent (%s).', address, exc)
+            log.debug('Fleet: datagram to %s not sent (%s).', message.address, exc)
 
     async def _receive(self, socket: UDPSocket) -> None:
         while True:
-            packed, _ = await socket.receive()
-            beat = _unpack(packed)
-            if beat is None:
-                log.warning('Fleet: a datagram is no beat.', extra={'kind': 'bad_beat'})
+            packed, (host, _) = await socket.receive()
+            now = anyio.current_time()
+            taken = self._intake.take(packed, host, now)
+            if taken is None:
+                self._log_bad(host, now)
                 continue
-            fresh = self._members.hear(beat, anyio.current_time())
-            if fresh and beat.member.name != self._members.me.name:
-                await self._send(_pack(self._state()), beat.member.peer)
-            self._on_beat(beat)
+            if taken.is_urgent:
+                self._urgent.set()
+            for hint in taken.hints:
+                self._on_hint(hint)
+
+    def _log_bad(self, host: str, now: float) -> None:
+        if now - self._bad_logged_at < BAD_LOG_EVERY_S:
+            return
+        self._bad_logged_at = now
+        log.warning(
+            'Fleet: a datagram from %s is not understood.', host, extra={'kind': 'bad_beat'}
+        )
 
     def _log_changes(self) -> None:
         now = anyio.current_time()
-        up = {
-            member.name
-            for member in self._members.everyone()
-            if self._members.is_up(member.name, now)
-        }
-        for name in up ^ self._was_up:
+        up = {member.name for member in self._members.up(now)}
+        came, went = up - self._was_up, self._was_up - up
+        if came or went:
             log.info(
-                'Fleet: %s is %s.',
-                name,
-                'up' if name in up else 'down',
-                extra={'kind': 'member', 'fields': {'member': name, 'up': name in up}},
+                'Fleet: %d came up, %d went down, %d are up.',
+                len(came),
+                len(went),
+                len(up),
+                extra={'kind': 'member', 'fields': {'up': sorted(came), 'down': sorted(went)}},
             )
         self._was_up = up
-
-
-def _pack(beat: Beat) -> bytes:
-    rates = {service: round(rate, 1) for service, rate in beat.rate_by_service.items()}
-    packed: bytes = msgpack.packb(
-        [
-            list(beat.member),
-            beat.ready,
-            beat.leaving,
-            beat.newest_by_table,
-            rates,
-        ]
-    )
-    return packed
-
-
-def _unpack(packed: bytes) -> Beat | None:
-    try:
-        return _beat(msgpack.unpackb(packed))
-    except _MALFORMED:
-        return None
-
-
-def _beat(raw: Any) -> Beat:
-    member, *rest = raw
-    return Beat(FleetMember(*member), *rest)
--- /dev/null
+++ b/packages/node/src/plantainloft_node/fleet/known.py
@@ -0,0 +1,49 @@
+"""The entry instances known by name, each as of its newest start."""
+
+from plantainloft_node.fleet.reports import FleetMember, member_key
+
+__all__ = ['KnownMembers']
+
+
+class KnownMembers:
+    """All instances known but this one, by name and by key."""
+
+    def __init__(self, *, me: FleetMember) -> None:
+        self.me = me
+        self._member_by_name: dict[str, FleetMember] = {}
+        self._name_by_key: dict[int, str] = {member_key(me): me.name}
+
+    def get(self, name: str) -> FleetMember | None:
+        """Return the instance known as ``name``."""
+        return self._member_by_name.get(name)
+
+    def name_of(self, key: int) -> str | None:
+        """Return the name that ``key`` stands for, this instance's included."""
+        return self._name_by_key.get(key)
+
+    def everyone(self) -> list[FleetMember]:
+        """Return every instance known but this one."""
+        return list(self._member_by_name.values())
+
+    def by_zone(self) -> dict[str, list[FleetMember]]:
+        """Return all instances, this one included, by availability zone."""
+        by_zone: dict[str, list[FleetMember]] = {self.me.zone: [self.me]}
+        for member in self._member_by_name.values():
+            by_zone.setdefault(member.zone, []).append(member)
+        return by_zone
+
+    def put(self, member: FleetMember) -> bool:
+        """Take ``member``; return whether it replaces another start of it."""
+        known = self._member_by_name.get(member.name)
+        if known == member:
+            return False
+        if known is not None:
+            self._name_by_key.pop(member_key(known), None)
+        self._member_by_name[member.name] = member
+        self._name_by_key[member_key(member)] = member.name
+        return known is not None and known.incarnation != member.incarnation
+
+    def drop(self, name: str) -> None:
+        """Forget ``name``."""
+        known = self._member_by_name.pop(name)
+        self._name_by_key.pop(member_key(known), None)
--- /dev/null
+++ b/packages/node/src/plantainloft_node/fleet/liveness.py
@@ -0,0 +1,74 @@
+"""Signs of life of other instances, heard from them or told by others."""
+
+from typing import NamedTuple
+
+__all__ = ['Sign', 'SignBook']
+
+
+class Sign(NamedTuple):
+    """The newest sign of an instance, in seconds of this instance's clock.
+
+    ``at``: when somebody heard it; ``until``: taken for up till then;
+    ``since``: up without a gap from then on.
+    """
+
+    ready: bool
+    leaving: bool
+    at: float
+    until: float
+    since: float
+
+
+class SignBook:
+    """The newest sign of each instance; older ones never replace newer."""
+
+    def __init__(self) -> None:
+        self._sign_by_name: dict[str, Sign] = {}
+
+    def note(
+        self, name: str, *, ready: bool, leaving: bool, at: float, until: float, now: float
+    ) -> bool:
+        """Take a sign; return whether ``name`` was not up before."""
+        before = self._sign_by_name.get(name)
+        if before is None:
+            self._sign_by_name[name] = Sign(ready, leaving, at, until, since=at)
+            return True
+        was_up = now < before.until
+        self._sign_by_name[name] = Sign(
+            ready=ready if at >= before.at else before.ready,
+            # Nobody who leaves stays after all. Told by two at once, the one
+            # that has not heard of it yet would bring callers back.
+            leaving=leaving or before.leaving,
+            at=max(at, before.at),
+            until=max(until, before.until),
+            since=before.since if was_up else at,
+        )
+        return not was_up
+
+    def drop(self, name: str) -> None:
+        """Forget the signs of ``name``: it is gone, or has started again."""
+        self._sign_by_name.pop(name, None)
+
+    def get(self, name: str) -> Sign | None:
+        """Return the newest sign of ``name``, however old."""
+        return self._sign_by_name.get(name)
+
+    def is_up(self, name: str, now: float) -> bool:
+        """Return whether ``name`` is up."""
+        sign = self._sign_by_name.get(name)
+        return sign is not None and now < sign.until
+
+    def is_leaving(self, name: str) -> bool:
+        """Return whether ``name`` has said that it leaves."""
+        sign = self._sign_by_name.get(name)
+        return sign is not None and sign.leaving
+
+    def is_staying(self, name: str) -> bool:
+        """Return whether ``name`` was last ready and does not leave."""
+        sign = self._sign_by_name.get(name)
+        return sign is not None and sign.ready and not sign.leaving
+
+    def up_for_s(self, name: str, now: float) -> float:
+        """Return for how long ``name`` has been up without a gap."""
+        sign = self._sign_by_name.get(name)
+        return now - sign.since if sign is not None and now < sign.until else 0.0
--- a/packages/node/src/plantainloft_node/fleet/members.py
+++ b/packages/node/src/plantainloft_node/fleet/members.py
@@ -1,13 +1,23 @@
-"""Which entry instances there are, by the beats they send."""
+"""Which entry instances there are, and which of them are up."""
 
-from typing import NamedTuple
+from plantainloft_node.fleet.heard import HeardBeats, ZoneDemand, ZoneDemands
+from plantainloft_node.fleet.known import KnownMembers
+from plantainloft_node.fleet.liveness import SignBook
+from plantainloft_node.fleet.reports import Beat, FleetMember, ZoneEntry, ZoneReport
 
-__all__ = ['GONE_AFTER_S', 'Beat', 'FleetMember', 'MemberBook']
+__all__ = ['DOWN_AFTER_S', 'GONE_AFTER_S', 'Beat', 'FleetMember', 'MemberBook']
 
 # Beats come twice a second and some are lost: an instance is taken as
 # down when three in a row are missing. Callers that are sent to one that
 # is down wait a whole second for a connection.
 DOWN_AFTER_S = 1.8
+# The same for an instance that others told of, counted from when they heard
+# it: their reports come twice a second as well, and two tell the same.
+TOLD_DOWN_AFTER_S = 2.3
+# Between regions reports come once a second, and inside an availability zone
+# they are passed on every other.
+FAR_DOWN_AFTER_S = 3.0
+PASSED_ON_DOWN_AFTER_S = 5.5
 # One that was not heard for so long no longer counts for shared limits.
 FORGET_AFTER_S = 60.0
 # One that was not heard for so long is replaced, not cut off: the longest
@@ -16,50 +26,15 @@
 GONE_AFTER_S = 7200.0
 
 
-class FleetMember(NamedTuple):
-    """An entry instance: where it is, and its start (``incarnation``).
-
-    ``front`` is the address callers use, ``peer`` the one for beats and
-    calls between instances; both ``host:port``.
-    """
-
-    name: str
-    incarnation: int
-    region: str
-    zone: str
-    front: str
-    peer: str
-
-
-class Beat(NamedTuple):
-    """What an instance says of itself twice a second.
-
-    ``newest_by_table`` are the newest row versions that it knows,
-    ``rate_by_service`` its callers' requests a second.
-    """
-
-    member: FleetMember
-    ready: bool
-    leaving: bool
-    newest_by_table: dict[str, int]
-    rate_by_service: dict[str, float]
-
-
-class _Heard(NamedTuple):
-    """The newest beat; ``since``: heard without a gap from then on."""
-
-    beat: Beat
-    at: float
-    since: float
-
-
 class MemberBook:
-    """All instances known, and when each was heard."""
+    """All instances known, and when each was heard, or last told of."""
 
     def __init__(self, *, me: FleetMember) -> None:
         self.me = me
-        self._heard_by_name: dict[str, _Heard] = {}
-        self._known_by_name: dict[str, FleetMember] = {}
+        self.known = KnownMembers(me=me)
+        self.signs = SignBook()
+        self.heard = HeardBeats()
+        self.demands = ZoneDemands()
         self._learned_at_by_name: dict[str, float] = {}
         # Whether a list of all instances was read since the start.
         self.listed = False
@@ -68,10 +43,10 @@
         """Add an instance that others told of; return whether it is new."""
         if member.name == self.me.name:
             return False
-        known = self._known_by_name.get(member.name)
+        known = self.known.get(member.name)
         if known is not None and not self._replaces(member, known, now):
             return False
-        self._known_by_name[member.name] = member
+        self._identify(member)
         self._learned_at_by_name[member.name] = now
         return known is None
 
@@ -80,36 +55,54 @@
         name = beat.member.name
         if name == self.me.name:
             return False
-        known = self._known_by_name.get(name)
+        known = self.known.get(name)
         repeats = known is not None and known.incarnation == beat.member.incarnation
         if known is not None and not repeats and not self._replaces(beat.member, known, now):
             return False
-        fresh = not self.is_up(name, now)
-        since = now if fresh else self._heard_by_name[name].since
-        self._known_by_name[name] = beat.member
-        self._heard_by_name[name] = _Heard(beat=beat, at=now, since=since)
-        return fresh
+        self._identify(beat.member)
+        self.heard.put(beat, now)
+        return self.signs.note(
+            name,
+            ready=beat.ready,
+            leaving=beat.leaving,
+            at=now,
+            until=now + DOWN_AFTER_S,
+            now=now,
+        )
+
+    def take_report(self, report: ZoneReport, now: float, *, passed_on_s: float | None) -> None:
+        """Take what a report says of others.
+
+        ``passed_on_s``: for how long one who passed it on had held it, in
+        seconds; ``None`` if it comes from its sender.
+        """
+        sender = report.beat.member
+        for member in (sender, *report.introduced):
+            self.learn(member, now)
+        limit_s = _limit_s(self.me, sender, is_passed_on=passed_on_s is not None)
+        sent_at = now - (passed_on_s or 0.0)
+        for entry in report.entries:
+            self._take_entry(entry, sent_at, limit_s, now)
+        if report.entries:
+            demand = ZoneDemand(sender.region, report.zone_rate_by_service)
+            self.demands.put(sender.zone, demand, at=sent_at, until=sent_at + limit_s)
 
     def is_up(self, name: str, now: float) -> bool:
-        """Return whether ``name`` was heard lately."""
-        heard = self._heard_by_name.get(name)
-        return heard is not None and now - heard.at < DOWN_AFTER_S
-
-    def heard_for_s(self, name: str, now: float) -> float:
-        """Return for how long ``name`` has been heard without a gap."""
-        return now - self._heard_by_name[name].since if self.is_up(name, now) else 0.0
+        """Return whether ``name`` was heard lately, here or by who tells of it."""
+        return self.signs.is_up(name, now)
 
     def everyone(self) -> list[FleetMember]:
         """Return every instance known but this one."""
-        return list(self._known_by_name.values())
+        return self.known.everyone()
 
     def counted(self, now: float) -> list[FleetMember]:
         """Return the others that count for shared limits."""
-        return [member for name, member in self._known_by_name.items() if self._counts(name, now)]
+        return [member for member in self.everyone() if self._counts(member.name, now)]
 
     def is_gone(self, name: str, now: float) -> bool:
         """Return whether ``name`` was known here and is long silent."""
-        return name in self._known_by_name and now - self._last_sign(name, now) >= GONE_AFTER_S
+        known = self.known.get(name)
+        return known is not None and now - self._last_sign(name, now) >= GONE_AFTER_S
 
     def forget_gone(self, now: float) -> list[str]:
         """Forget the instances that are gone; return their names.
@@ -117,26 +110,21 @@
         Addresses are not used again: in years of replaced instances, beats
         would go to thousands of them.
         """
-        gone = [name for name in self._known_by_name if self.is_gone(name, now)]
+        gone = [one.name for one in self.everyone() if self.is_gone(one.name, now)]
         for name in gone:
-            self._known_by_name.pop(name)
-            self._heard_by_name.pop(name, None)
+            self.known.drop(name)
+            self.signs.drop(name)
+            self.heard.drop(name)
             self._learned_at_by_name.pop(name, None)
         return gone
 
+    def up(self, now: float) -> list[FleetMember]:
+        """Return the others that are up."""
+        return [member for member in self.everyone() if self.signs.is_up(member.name, now)]
+
     def serving(self, now: float) -> list[FleetMember]:
         """Return the others that are up, ready and not leaving."""
-        return [
-            heard.beat.member
-            for heard in self._heard_by_name.values()
-            if now - heard.at < DOWN_AFTER_S and heard.beat.ready and not heard.beat.leaving
-        ]
-
-    def beats(self, now: float) -> list[Beat]:
-        """Return the last beats of the others that are up."""
-        return [
-            heard.beat for heard in self._heard_by_name.values() if now - heard.at < DOWN_AFTER_S
-        ]
+        return [member for member in self.up(now) if self.signs.is_staying(member.name)]
 
     def sharing(self, now: float) -> dict[str, str]:
         """Return the regions of those among whom limits are shared out.
@@ -153,6 +141,22 @@
         sharing = sorted((*self.counted(now), self.me))
         return {member.name: member.region for member in sharing}
 
+    def _identify(self, member: FleetMember) -> None:
+        if self.known.put(member):
+            # What the former start said, that it leaves for one, is past.
+            self.signs.drop(member.name)
+            self.heard.drop(member.name)
+
+    def _take_entry(self, entry: ZoneEntry, sent_at: float, limit_s: float, now: float) -> None:
+        name = self.known.name_of(entry.key)
+        at = sent_at - entry.age_s
+        # One heard too long ago says nothing; noted, it would begin a gap.
+        if name is None or name == self.me.name or at + limit_s <= now:
+            return
+        self.signs.note(
+            name, ready=entry.ready, leaving=entry.leaving, at=at, until=at + limit_s, now=now
+        )
+
     def _replaces(self, member: FleetMember, known: FleetMember, now: float) -> bool:
         # Incarnations are numbered by the time of day. Restarted after its
         # clock was set back, an instance has a smaller number than before;
@@ -163,15 +167,20 @@
         return member.incarnation < known.incarnation and not self.is_up(known.name, now)
 
     def _last_sign(self, name: str, now: float) -> float:
-        heard = self._heard_by_name.get(name)
-        learned_at = self._learned_at_by_name.get(name, now if heard is None else heard.at)
-        return learned_at if heard is None else max(heard.at, learned_at)
+        sign = self.signs.get(name)
+        learned_at = self._learned_at_by_name.get(name, now if sign is None else sign.at)
+        return learned_at if sign is None else max(sign.at, learned_at)
 
     def _counts(self, name: str, now: float) -> bool:
-        heard = self._heard_by_name.get(name)
-        if heard is None:
+        sign = self.signs.get(name)
+        if sign is None:
             return now - self._learned_at_by_name.get(name, now) < FORGET_AFTER_S
-        silent_s = now - heard.at
-        if heard.beat.leaving and silent_s >= DOWN_AFTER_S:
+        if sign.leaving and now >= sign.until:
             return False
-        return silent_s < FORGET_AFTER_S
+        return now - sign.at < FORGET_AFTER_S
+
+
+def _limit_s(me: FleetMember, sender: FleetMember, *, is_passed_on: bool) -> float:
+    if sender.region == me.region:
+        return TOLD_DOWN_AFTER_S
+    return PASSED_ON_DOWN_AFTER_S if is_passed_on else FAR_DOWN_AFTER_S
--- /dev/null
+++ b/packages/node/src/plantainloft_node/fleet/reports.py
@@ -0,0 +1,68 @@
+"""What instances say of themselves and of those they hear."""
+
+from typing import NamedTuple
+
+from plantainloft_node.placing.affinity import score
+
+__all__ = ['Beat', 'FleetMember', 'ZoneEntry', 'ZoneReport', 'member_key']
+
+
+class FleetMember(NamedTuple):
+    """An entry instance: where it is, and its start (``incarnation``).
+
+    ``front`` is the address callers use, ``peer`` the one for beats and
+    calls between instances; both ``host:port``.
+    """
+
+    name: str
+    incarnation: int
+    region: str
+    zone: str
+    front: str
+    peer: str
+
+
+class Beat(NamedTuple):
+    """What an instance says of itself twice a second.
+
+    ``newest_by_table`` are the newest row versions that it knows,
+    ``rate_by_service`` its callers' requests a second.
+    """
+
+    member: FleetMember
+    ready: bool
+    leaving: bool
+    newest_by_table: dict[str, int]
+    rate_by_service: dict[str, float]
+
+
+class ZoneEntry(NamedTuple):
+    """An instance as the reporter last heard it, ``age_s`` seconds ago."""
+
+    key: int
+    ready: bool
+    leaving: bool
+    age_s: float
+
+
+class ZoneReport(NamedTuple):
+    """A beat, and the availability zone as its sender hears it.
+
+    ``number`` grows from report to report of one start of the sender.
+    ``entries`` are the instances of the sender's availability zone that it
+    hears itself, and ``zone_rate_by_service`` their callers' requests a second;
+    both are empty in the report of an instance that nobody beats to.
+    ``introduced`` are instances that have just come, whole, so that whoever is
+    told of their keys need not ask.
+    """
+
+    number: int
+    beat: Beat
+    zone_rate_by_service: dict[str, float]
+    entries: tuple[ZoneEntry, ...]
+    introduced: tuple[FleetMember, ...]
+
+
+def member_key(member: FleetMember) -> int:
+    """Return the 32-bit number that stands for one start of an instance."""
+    return score(member.name, str(member.incarnation))
--- a/packages/standins/src/plantainloft_standins/leaving_model.py
+++ b/packages/standins/src/plantainloft_standins/leaving_model.py
@@ -19,8 +19,10 @@
 from plantainloft_node.entry.sharing import NEWS_CALL, NewsSharing
 from plantainloft_node.entry.store_probes import PROBE_CALL, StoreProbes
 from plantainloft_node.entry.terms import TICK_S
-from plantainloft_node.fleet.beats import BEAT_S, FAR_EVERY
+from plantainloft_node.fleet.beats import BEAT_S
+from plantainloft_node.fleet.intake import Intake
 from plantainloft_node.fleet.members import Beat, FleetMember, MemberBook
+from plantainloft_node.fleet.relaying import Message, Relaying
 from plantainloft_node.peering.listener import Handler
 from plantainloft_node.replica.news import DECLARATIONS, ENDPOINTS
 from plantainloft_standins.store_model import ModelStore, Outage, StoreAccess
@@ -138,6 +140,14 @@
             calls=calls, members=self.members, observation=self.observation, tasks=tasks
         )
         self.probes = StoreProbes(calls=calls, members=self.members, observation=self.observation)
+        self._intake = Intake(members=self.members)
+        self.relaying = Relaying(
+            members=self.members,
+            intake=self._intake,
+            state=self.beat,
+            seeds=(),
+            chance=random.Random(me.name),
+        )
         network.handler_by_call[(me.name, NEWS_CALL)] = self.sharing.tell
         network.handler_by_call[(me.name, PROBE_CALL)] = self.probes.tell
 
@@ -149,6 +159,11 @@
     def beat(self) -> Beat:
         return Beat(self.members.me, True, False, dict(self.observation.rows.newest_by_table), {})
 
+    def receive(self, packed: bytes, host: str) -> None:
+        taken = self._intake.take(packed, host, anyio.current_time())
+        for hint in taken.hints if taken else ():
+            self.sharing.on_hint(hint)
+
 
 class _Play:
     """One play of a scenario."""
@@ -158,7 +173,7 @@
         self._random = random.Random(scenario.seed)
         self._store = ModelStore(outages=scenario.outages)
         self._network = _Network(scenario=scenario)
-        self._instances: list[_Instance] = []
+        self._instance_by_name: dict[str, _Instance] = {}
         self._left_at_by_id: dict[str, float] = {}
         self._used_until: dict[tuple[str, str], float] = {}
         self._lapses: dict[tuple[str, str], Lapse] = {}
@@ -184,36 +199,37 @@
                 for (name, left), until in self._used_until.items()
             ],
             lapses=list(self._lapses.values()),
-            calls=sum(one.access.calls for one in self._instances),
+            calls=sum(one.access.calls for one in self._instance_by_name.values()),
         )
 
     def _build(self, tasks: TaskGroup) -> None:
         for region in range(self._scenario.regions):
             for number in range(self._scenario.per_region):
                 name = f'e{region}-{number}'
-                me = FleetMember(name, 1, f'r{region}', f'r{region}-a', f'{name}:80', name)
+                me = FleetMember(name, 1, f'r{region}', f'r{region}-a', f'{name}:80', f'{name}:90')
                 instance = _Instance(me=me, store=self._store, network=self._network, tasks=tasks)
-                self._instances.append(instance)
-        for instance in self._instances:
+                self._instance_by_name[name] = instance
+        listed = [one.members.me for one in self._instance_by_name.values()]
+        for instance in self._instance_by_name.values():
+            for member in listed:
+                instance.members.learn(member, 0.0)
             instance.start(tasks)
             tasks.start_soon(self._send_beats, instance, tasks)
 
     async def _send_beats(self, sender: _Instance, tasks: TaskGroup) -> None:
         await anyio.sleep(self._random.random() * BEAT_S)
-        number = 0
         while True:
-            for receiver in self._instances:
-                near = receiver.members.me.region == sender.members.me.region
-                due = near or not number % FAR_EVERY
-                if receiver is not sender and due and self._random.random() >= self._scenario.loss:
-                    tasks.start_soon(self._deliver, sender.beat(), receiver)
-            number += 1
+            for message in sender.relaying.round(anyio.current_time()):
+                if self._random.random() >= self._scenario.loss:
+                    tasks.start_soon(self._deliver, message, sender)
             await anyio.sleep(BEAT_S)
 
-    async def _deliver(self, beat: Beat, receiver: _Instance) -> None:
-        await anyio.sleep(self._network.one_way_s(beat.member, receiver.members.me))
-        receiver.members.hear(beat, anyio.current_time())
-        receiver.sharing.on_beat(beat)
+    async def _deliver(self, message: Message, sender: _Instance) -> None:
+        name = message.address.rpartition(':')[0]
+        receiver = self._instance_by_name[name]
+        me = sender.members.me
+        await anyio.sleep(self._network.one_way_s(me, receiver.members.me))
+        receiver.receive(message.packed, me.name)
 
     async def _configure(self) -> None:
         # The operator's write waits while the store is away for all.
@@ -243,7 +259,7 @@
         while True:
             await anyio.sleep(TICK_S)
             now = anyio.current_time()
-            for instance in self._instances:
+            for instance in self._instance_by_name.values():
                 instance.observation.beliefs.tick(now)
                 self._look(instance, now)
 
--- /dev/null
+++ b/tests/test_relaying.py
@@ -0,0 +1,311 @@
+"""The fleet tells two of each availability zone, and everybody knows of all.
+
+Played on a model of the network in virtual time with the real decisions.
+"""
+
+import random
+from collections.abc import Callable
+
+import pytest
+
+from plantainloft_node.fleet.datagrams import PackedReport, pack_datagrams
+from plantainloft_node.fleet.intake import Intake
+from plantainloft_node.fleet.members import Beat, FleetMember, MemberBook
+from plantainloft_node.fleet.ranking import relays_in
+from plantainloft_node.fleet.report_codec import pack_report
+from plantainloft_node.fleet.reports import ZoneReport
+from plantainloft_standins.fleet_model import FleetModel, FleetShape
+
+SMALL = FleetShape()
+MEDIUM = FleetShape(instances=12)
+LARGE = FleetShape(zones=3, instances=22)
+LARGER = FleetShape(zones=3, instances=33)
+
+# What the users allow for an instance that is gone: its region's callers wait a
+# second for it, and no look-up may name it later than the second time.
+NEAR_FOUND_S = 3.5
+FOUND_S = 7.0
+SETTLED_S = 10.0
+
+
+@pytest.fixture
+def settled() -> Callable[[FleetShape], FleetModel]:
+    """Return a way to make a fleet whose instances all know each other."""
+
+    def make(shape: FleetShape) -> FleetModel:
+        model = FleetModel(shape=shape)
+        model.start_all()
+        model.run_for(SETTLED_S)
+        assert model.disagreeing() == {}
+        return model
+
+    return make
+
+
+Settled = Callable[[FleetShape], FleetModel]
+
+
+def relays_of(model: FleetModel, zone: str) -> list[str]:
+    asked = next(one for name, one in model.instance_by_name.items() if name.startswith(zone))
+    members = asked.members.known.by_zone()[zone]
+    return [one.name for one in relays_in(members, asked.members, model.now)]
+
+
+def stop(model: FleetModel, *names: str) -> None:
+    for name in names:
+        model.instance_by_name[name].runs = False
+
+
+def knowing(model: FleetModel, name: str) -> set[str]:
+    """Return who takes ``name`` for up, among the others that run."""
+    return {one for one in model.running() if one != name and name in model.up_at(one)}
+
+
+def in_region(model: FleetModel, region: str) -> set[str]:
+    return {name for name in model.running() if name.startswith(region)}
+
+
+@pytest.mark.parametrize('listed', [True, False])
+@pytest.mark.parametrize('shape', [SMALL, MEDIUM, LARGE])
+def test_all_know_each_other_soon_after_a_start(shape: FleetShape, listed: bool) -> None:
+    """With the list of instances in the store, or by the seeds alone."""
+    model = FleetModel(shape=shape, listed=listed)
+    model.start_all()
+    model.run_for(SETTLED_S)
+    assert len(model.running()) == shape.regions * shape.zones * shape.instances
+    assert model.disagreeing() == {}
+
+
+def test_what_an_instance_reads_and_sends_stays_level(settled: Settled) -> None:
+    """Symptom: a day with 195 instances takes more processor time than it may.
+
+    Everybody told everybody: each instance read 260 datagrams a second.
+    """
+    read_by_size = {}
+    for shape in (SMALL, MEDIUM, LARGE, LARGER):
+        model = settled(shape)
+        before = {name: one.traffic for name, one in model.instance_by_name.items()}
+        model.run_for(5)
+        after = {name: one.traffic for name, one in model.instance_by_name.items()}
+        seconds = 5 * len(after)
+        read = sum(after[name].received - before[name].received for name in after) / seconds
+        crossing = sum(
+            after[name].bytes_between_zones - before[name].bytes_between_zones for name in after
+        )
+        read_by_size[len(after)] = read
+        assert read <= 20
+        assert len(after) == 12 or crossing / seconds <= 1000
+    assert read_by_size[297] <= 1.2 * read_by_size[72]
+
+
+@pytest.mark.parametrize('shape', [SMALL, MEDIUM, LARGE])
+def test_a_killed_instance_is_found_by_all(settled: Settled, shape: FleetShape) -> None:
+    model = settled(shape)
+    gone = 'r1-z0-1'
+    stop(model, gone)
+    model.run_for(NEAR_FOUND_S)
+    assert not knowing(model, gone) & in_region(model, 'r1')
+    model.run_for(FOUND_S - NEAR_FOUND_S)
+    assert knowing(model, gone) == set()
+
+
+def test_no_instance_that_runs_is_taken_for_down_though_datagrams_are_lost(
+    settled: Settled,
+) -> None:
+    model = settled(MEDIUM._replace(loss=0.05, seed=3))
+    for _ in range(120):
+        model.run_for(0.25)
+        assert model.disagreeing() == {}
+
+
+def test_the_relays_of_a_zone_are_lost_at_once(settled: Settled) -> None:
+    """Symptom: for seconds, callers of a zone are all led to one instance.
+
+    Both relays are killed at once. Whoever waits until they are down, and
+    then for the next ones to answer, knows of nobody else meanwhile.
+    """
+    model = settled(MEDIUM)
+    lost = relays_of(model, 'r0-z0')
+    stop(model, *lost)
+    left = [name for name in model.running() if name.startswith('r0-z0')]
+    for _ in range(24):
+        model.run_for(0.25)
+        for name in left:
+            assert set(left) <= model.up_at(name)
+    assert model.disagreeing(left) == {}
+    model.run_for(FOUND_S - 6)
+    assert model.disagreeing() == {}
+
+
+def test_a_zone_that_was_cut_off_is_found_again(settled: Settled) -> None:
+    model = settled(MEDIUM)
+    model.passes = lambda one, other: (one.zone == 'r1-z1') == (other.zone == 'r1-z1')
+    model.run_for(FOUND_S)
+    outside = [name for name in model.running() if not name.startswith('r1-z1')]
+    assert all(not name.startswith('r1-z1') for one in outside for name in model.up_at(one))
+    model.passes = lambda one, other: True
+    model.run_for(FOUND_S)
+    assert model.disagreeing() == {}
+
+
+def test_the_halves_of_a_zone_find_each_other_again(settled: Settled) -> None:
+    """Symptom: after a cut inside a zone, half of its instances get no callers.
+
+    Each half has relays of its own, which know nothing of the other half's
+    members; found by nobody, they stay apart after the cut.
+    """
+    model = settled(FleetShape(regions=1, zones=1, instances=12))
+
+    def is_odd(member: FleetMember) -> bool:
+        return int(member.name.rpartition('-')[2]) % 2 == 1
+
+    model.passes = lambda one, other: is_odd(one) == is_odd(other)
+    model.run_for(FOUND_S)
+    assert len(model.up_at('r0-z0-1')) == 6
+    model.passes = lambda one, other: True
+    model.run_for(SETTLED_S)
+    assert model.disagreeing() == {}
+
+
+def test_an_instance_that_is_not_heard_is_named_to_nobody(settled: Settled) -> None:
+    """Datagrams to it pass, those from it do not."""
+    model = settled(MEDIUM)
+    mute = 'r2-z1-4'
+    model.passes = lambda one, other: one.name != mute
+    model.run_for(FOUND_S)
+    assert knowing(model, mute) == set()
+
+
+def test_zones_that_cannot_reach_each_other_are_known_to_those_between(
+    settled: Settled,
+) -> None:
+    model = settled(MEDIUM)
+    apart = {'r0-z0', 'r0-z1'}
+    model.passes = lambda one, other: one.zone == other.zone or {one.zone, other.zone} != apart
+    model.run_for(FOUND_S)
+    between = [name for name in model.running() if not name.startswith('r0')]
+    assert model.disagreeing(between) == {}
+
+
+def test_all_start_again_at_once(settled: Settled) -> None:
+    model = settled(MEDIUM)
+    names = model.running()
+    stop(model, *names)
+    model.run_for(1)
+    for name in names:
+        model.start(name)
+    model.run_for(SETTLED_S)
+    assert model.disagreeing() == {}
+    for one in model.instance_by_name.values():
+        assert {member.incarnation for member in one.members.up(model.now)} == {2}
+
+
+def test_an_instance_that_was_stopped_for_seconds_is_known_again(settled: Settled) -> None:
+    model = settled(MEDIUM)
+    frozen = relays_of(model, 'r1-z0')[0]
+    stop(model, frozen)
+    model.run_for(FOUND_S)
+    assert knowing(model, frozen) == set()
+    model.wake(frozen)
+    model.run_for(FOUND_S)
+    assert model.disagreeing() == {}
+
+
+@pytest.mark.parametrize('shape', [SMALL, MEDIUM, LARGE])
+def test_all_hear_in_time_that_an_instance_leaves(settled: Settled, shape: FleetShape) -> None:
+    """Symptom: callers are sent to an instance that is about to end.
+
+    A leaving instance goes on serving for a few seconds; look-ups are to stop
+    naming it long before.
+    """
+    model = settled(shape)
+    for number, name in enumerate(('r0-z0-0', relays_of(model, 'r1-z1')[0])):
+        model.leave(name)
+        model.run_for(1)
+        region = f'r{number}'
+        for one in in_region(model, region) - {name}:
+            members = model.instance_by_name[one].members
+            assert name not in {member.name for member in members.serving(model.now)}
+        model.run_for(3)
+        for other, instance in model.instance_by_name.items():
+            serving = {member.name for member in instance.members.serving(model.now)}
+            assert other == name or name not in serving
+
+
+@pytest.mark.parametrize('seed', range(6))
+def test_views_agree_again_after_a_series_of_faults(seed: int) -> None:
+    """Kills, stops, restarts and cuts in a drawn order, overlapping."""
+    chance = random.Random(seed)
+    model = FleetModel(shape=FleetShape(instances=5, loss=0.03, seed=seed))
+    model.start_all()
+    model.run_for(5)
+    names = sorted(model.instance_by_name)
+    for _ in range(30):
+        hit = chance.sample(names, chance.choice((1, 1, 2, 8)))
+        fault = chance.choice(('stop', 'start', 'wake', 'cut', 'heal'))
+        if fault == 'stop':
+            stop(model, *hit)
+        elif fault == 'cut':
+            cut = set(hit)
+            model.passes = lambda one, other, cut=cut: (one.name in cut) == (other.name in cut)
+        elif fault == 'heal':
+            model.passes = lambda one, other: True
+        else:
+            for name in hit:
+                if fault == 'start':
+                    model.start(name)
+                elif not model.instance_by_name[name].runs:
+                    model.wake(name)
+        model.run_for(chance.uniform(0.1, 3))
+    model.passes = lambda one, other: True
+    model.run_for(15)
+    assert model.running()
+    assert model.disagreeing() == {}
+
+
+def member(name: str, *, incarnation: int = 1) -> FleetMember:
+    return FleetMember(name, incarnation, 'ankara', 'a', f'{name}:80', f'{name}:90')
+
+
+def datagram(name: str, *, number: int = 1, sender: str = '', leaving: bool = False) -> bytes:
+    beat = Beat(member(name), True, leaving, {}, {})
+    report = PackedReport(pack_report(ZoneReport(number, beat, {}, (), ())), 0.0)
+    return pack_datagrams(sender or name, wants_reports=True, reports=[report])[0]
+
+
+@pytest.mark.parametrize(
+    'packed',
+    [
+        b'',
+        b'\x00',
+        b'rubbish' * 40,
+        datagram('e2')[:-3],
+        datagram('e2').replace(b'ankara', b'\x93\x01\x02\x03\x04\x05'),
+        datagram('e2') + b'\x00',
+    ],
+)
+def test_a_datagram_that_is_not_understood_changes_nothing(packed: bytes) -> None:
+    book = MemberBook(me=member('e1'))
+    intake = Intake(members=book)
+    assert intake.take(packed, 'e2', 1.0) is None
+    assert book.everyone() == []
+
+
+def test_a_datagram_under_the_name_of_another_changes_nothing() -> None:
+    book = MemberBook(me=member('e1'))
+    intake = Intake(members=book)
+    intake.take(datagram('e2', leaving=True), 'stranger', 1.0)
+    assert book.everyone() == []
+    intake.take(datagram('e2'), 'e2', 1.0)
+    intake.take(datagram('e2', number=9, leaving=True), 'stranger', 1.1)
+    assert [one.name for one in book.serving(1.2)] == ['e2']
+
+
+def test_a_datagram_that_comes_again_is_no_sign_of_life() -> None:
+    book = MemberBook(me=member('e1'))
+    intake = Intake(members=book)
+    packed = datagram('e2', number=5)
+    intake.take(packed, 'e2', 1.0)
+    intake.take(packed, 'e2', 2.5)
+    intake.take(datagram('e2', number=4), 'e2', 2.6)
+    assert book.serving(3.0) == []
