Only the relays follow the store; the others rest and hear from them

Change: the two relays of an availability zone follow the store (entry.polling.StoreDuty); the others rest and ask them for rows as soon as a report shows newer ones, which is sent at once. Where nobody follows, the instances of the zone begin to one after the other in rank. Reports tell who follows and for how long the store has served, so that those who rest tell lapsed rows from endpoints that left; in doubt they have peers probe the store, those in touch with it first. An instance whose call failed calls until it is answered. The list of instances is read anew by those who follow, by others every ten minutes. Instances are asked for by a call of their own, no longer sent with every answer to a question for rows.

--- a/packages/node/src/plantainloft_node/entry/fleet_parts.py
+++ b/packages/node/src/plantainloft_node/entry/fleet_parts.py
@@ -2,20 +2,25 @@
 
 from collections.abc import Callable
 
+import anyio
 from anyio.abc import TaskGroup
 
 from plantainloft_node.entry.instance_list import InstanceList
 from plantainloft_node.entry.observing import Observation
 from plantainloft_node.entry.peer_calls import PeerCalls
 from plantainloft_node.entry.settings import EntrySettings
-from plantainloft_node.entry.sharing import NEWS_CALL, NewsSharing
+from plantainloft_node.entry.sharing import MEMBERS_CALL, NEWS_CALL, NewsSharing
 from plantainloft_node.entry.store_probes import PROBE_CALL, StoreProbes
 from plantainloft_node.entry.terms import seed_peers
 from plantainloft_node.fleet.beats import BeatExchange
 from plantainloft_node.fleet.members import Beat, MemberBook
+from plantainloft_node.replica.rows import RowCopy
 
 __all__ = ['start_fleet_parts']
 
+# Rows that change together are told of together.
+NEWS_PAUSE_S = 0.1
+
 
 def start_fleet_parts(
     *,
@@ -36,7 +41,21 @@
         members=members, state=state, on_hint=sharing.on_hint, seeds=seed_peers(settings)
     )
     instances = InstanceList(members=members, store=observation.store)
-    tasks.start_soon(calls.serve, {NEWS_CALL: sharing.tell, PROBE_CALL: probes.tell})
+    handler_by_kind = {
+        NEWS_CALL: sharing.tell,
+        MEMBERS_CALL: sharing.tell_members,
+        PROBE_CALL: probes.tell,
+    }
+    tasks.start_soon(calls.serve, handler_by_kind)
+    tasks.start_soon(_tell_news, observation.rows, beats)
     for part in (beats, probes, instances):
         tasks.start_soon(part.run)
     return beats
+
+
+async def _tell_news(rows: RowCopy, beats: BeatExchange) -> None:
+    """Tell those who rest as soon as there are newer rows."""
+    while True:
+        await rows.change()
+        await beats.tell_readers()
+        await anyio.sleep(NEWS_PAUSE_S)
--- a/packages/node/src/plantainloft_node/entry/instance_list.py
+++ b/packages/node/src/plantainloft_node/entry/instance_list.py
@@ -6,6 +6,7 @@
 import msgpack
 
 from plantainloft_core.outcomes import Unreachable
+from plantainloft_node.entry.polling import StoreDuty
 from plantainloft_node.fleet.members import FleetMember, MemberBook
 from plantainloft_node.placing.affinity import score
 from plantainloft_node.replica.news import INSTANCES, News, NewsRow, NewsStore
@@ -14,9 +15,10 @@
 
 log = logging.getLogger(__name__)
 
-# The list is read anew this often; those that run make themselves known by
-# their beats.
+# The list is read anew this often by those who follow the store, and this often
+# by the others; those that run make themselves known by their beats.
 LIST_EVERY_S = 30.0
+RESTING_LIST_EVERY_S = 600.0
 LIST_RETRY_S = 1.0
 
 
@@ -26,6 +28,7 @@
     def __init__(self, *, members: MemberBook, store: NewsStore) -> None:
         self._members = members
         self._store = store
+        self._duty = StoreDuty(members=members)
 
     async def run(self) -> None:
         """Register, then read the list now and then until cancelled."""
@@ -36,7 +39,8 @@
                 await anyio.sleep(LIST_RETRY_S)
                 continue
             await self._take(listed)
-            await anyio.sleep(LIST_EVERY_S)
+            rests = self._duty.rests(anyio.current_time())
+            await anyio.sleep(RESTING_LIST_EVERY_S if rests else LIST_EVERY_S)
 
     async def _take(self, listed: News) -> None:
         now = anyio.current_time()
--- a/packages/node/src/plantainloft_node/entry/observing.py
+++ b/packages/node/src/plantainloft_node/entry/observing.py
@@ -14,9 +14,15 @@
 # Changes of endpoints come in bursts (a release, a zone that restarts).
 # A pause after each answer takes several with the next call; an endpoint
 # that leaves is heeded well within the 2.5 s that it goes on serving.
+# Longer ago makes no difference to anybody.
+LONG_SERVED_S = 3600.0
 PAUSE_BY_TABLE = MappingProxyType({DECLARATIONS: 0.1, ENDPOINTS: 0.8})
 
 
+def _never() -> bool:
+    return False
+
+
 class Observation:
     """The copy of the rows, those who keep it, and what follows from it."""
 
@@ -26,8 +32,13 @@
         store: NewsStore,
         region_by_zone: dict[str, str],
         wait_s: Callable[[], float],
+        rests: Callable[[], bool] = _never,
     ) -> None:
-        """``wait_s`` returns how long a poll of the store waits for a change."""
+        """``wait_s`` returns how long a poll of the store waits for a change.
+
+        ``rests`` returns whether others follow the store for this instance.
+        """
+        self._others_follow = rests
         self.store = store
         self.book = EndpointBook(region_by_zone=region_by_zone)
         self.rows = RowCopy()
@@ -40,6 +51,25 @@
                 beliefs=self.beliefs,
                 pause_s=pause_s,
                 wait_s=wait_s,
+                rests=self.rests,
             )
             for table, pause_s in PAUSE_BY_TABLE.items()
         }
+
+    def rests(self) -> bool:
+        """Return whether others follow the store for this instance.
+
+        After a failure it calls until the store has answered it: only that
+        shows when the store was back.
+        """
+        return self._others_follow() and not self.beliefs.store.is_failing
+
+    def follows(self) -> bool:
+        """Return whether this instance follows the store and is in touch."""
+        followers = self.followers.values()
+        return not self.rests() and all(one.in_touch and one.has_listed for one in followers)
+
+    def store_served_s(self, now: float) -> float | None:
+        """Return for how long the store has served, an hour at most."""
+        served_s = self.beliefs.store.served_s(now)
+        return None if served_s is None else min(served_s, LONG_SERVED_S)
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -13,7 +13,7 @@
 from plantainloft_node.entry.listening import Listeners
 from plantainloft_node.entry.lookups import LookupHandler, MetricsHandler, ReadyHandler
 from plantainloft_node.entry.observing import Observation
-from plantainloft_node.entry.polling import poll_wait_s
+from plantainloft_node.entry.polling import StoreDuty
 from plantainloft_node.entry.report import Report
 from plantainloft_node.entry.serving import build_serving
 from plantainloft_node.entry.settings import EntrySettings
@@ -51,10 +51,12 @@
         self._leaving = False
         self._listeners = Listeners()
         self.members = MemberBook(me=own_member(settings))
+        self._duty = StoreDuty(members=self.members)
         self.observation = Observation(
             store=store,
             region_by_zone=settings.region_by_zone,
-            wait_s=lambda: poll_wait_s(self.members, anyio.current_time()),
+            wait_s=lambda: self._duty.wait_s(anyio.current_time()),
+            rests=lambda: self._duty.rests(anyio.current_time()),
         )
         self.report = Report(observation=self.observation, members=self.members)
         self.serving = build_serving(
@@ -128,6 +130,8 @@
             leaving=self._leaving,
             newest_by_table=self.observation.rows.newest_by_table,
             rate_by_service=self.serving.dispatcher.demand.rate_by_service,
+            follows=self.observation.follows(),
+            store_served_s=self.observation.store_served_s(anyio.current_time()),
         )
 
     async def _wait_for_stop(self, signals: AsyncIterator[signal.Signals]) -> None:
--- a/packages/node/src/plantainloft_node/entry/sharing.py
+++ b/packages/node/src/plantainloft_node/entry/sharing.py
@@ -18,14 +18,17 @@
 from plantainloft_node.fleet.members import Beat, FleetMember, MemberBook
 from plantainloft_node.replica.news import News, NewsRow
 
-__all__ = ['NEWS_CALL', 'NewsSharing']
+__all__ = ['MEMBERS_CALL', 'NEWS_CALL', 'NewsSharing']
 
 log = logging.getLogger(__name__)
 
 # The own poll of the store usually brings a change within a few
 # milliseconds; only what is still missing after this is asked of a peer.
 LAG_S = 0.35
+# A peer that was cut off or has frozen does not answer; a second is asked.
+ASKED_AGAIN_S = 0.8
 NEWS_CALL = 'news'
+MEMBERS_CALL = 'members'
 _MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 
 
@@ -42,11 +45,13 @@
     ) -> None:
         self._calls = calls
         self._members = members
+        self._observation = observation
         self._rows = observation.rows
         self._beliefs = observation.beliefs
         self._followers = observation.followers
         self._tasks = tasks
-        self._asking = False
+        self._asking = 0
+        self._asked_at = 0.0
 
     def on_beat(self, beat: Beat) -> None:
         """Look whether the sender knows rows that are missing here."""
@@ -54,61 +59,83 @@
 
     def on_hint(self, hint: Hint) -> None:
         """Look whether a peer knows rows or instances that are missing here."""
-        if not self._asking and self._lacks(hint):
-            self._asking = True
+        now = anyio.current_time()
+        if hint.relayed is not None:
+            self._note_told(hint.member, hint.relayed.store_served_s, now)
+        waits = self._asking and now - self._asked_at < ASKED_AGAIN_S
+        if not waits and (self._lacks_rows(hint) or self._lacks_members(hint)):
+            self._asking += 1
+            self._asked_at = now
             self._tasks.start_soon(self._catch_up, hint)
 
     async def tell(self, newest_by_table: Any) -> Any:
         """Return the rows newer than those that a peer knows."""
-        counted = self._members.counted(anyio.current_time())
         whole = self._rows.cut_off(newest_by_table)
         known = {table: version for table, version in newest_by_table.items() if table not in whole}
         return {
             'rows': [list(row) for row in self._rows.since(known)],
             'whole': {table: self._rows.newest_by_table[table] for table in whole},
-            'members': [list(member) for member in (*counted, self._members.me)],
+            'store_served_s': self._observation.store_served_s(anyio.current_time()),
         }
 
-    def _lacks(self, hint: Hint) -> bool:
+    async def tell_members(self, _: Any) -> Any:
+        """Return all instances that count, this one included."""
+        counted = self._members.counted(anyio.current_time())
+        return [list(member) for member in (*counted, self._members.me)]
+
+    def _lacks_rows(self, hint: Hint) -> bool:
         mine = self._rows.newest_by_table
-        if any(version > mine.get(table, 0) for table, version in hint.newest_by_table.items()):
-            return True
-        return not all(self._members.known.name_of(key) is not None for key in hint.keys)
+        return any(version > mine.get(table, 0) for table, version in hint.newest_by_table.items())
+
+    def _lacks_members(self, hint: Hint) -> bool:
+        return any(self._members.known.name_of(key) is None for key in hint.keys)
 
     async def _catch_up(self, hint: Hint) -> None:
-        await anyio.sleep(LAG_S)
-        if self._lacks(hint):
+        if not self._observation.rests() or not self._lacks_rows(hint):
+            await anyio.sleep(LAG_S)
+        if self._lacks_rows(hint):
             await self._ask(hint.member)
-        self._asking = False
+        if self._lacks_members(hint):
+            await self._ask_members(hint.member)
+        self._asking -= 1
+
+    def _note_told(self, member: FleetMember, served_s: float | None, now: float) -> None:
+        if self._observation.rests():
+            self._beliefs.store.note_told(member.name, served_s, now)
 
     async def _ask(self, member: FleetMember) -> None:
         answer = await self._calls.call(member, NEWS_CALL, self._rows.newest_by_table)
         if isinstance(answer, Unreachable):
             return
         try:
-            fresh, others = self._read_news(answer)
+            fresh = self._read_news(answer)
         except _MALFORMED as exc:
-            # A peer of another version, during a rolling upgrade. Let out
-            # of here, the error would end this process as well.
-            log.warning(
-                'Fleet: news from %s not understood.',
-                member.name,
-                extra={'kind': 'bad_news', 'fields': {'problem': f'{type(exc).__name__}: {exc}'}},
-            )
+            _log_malformed(member, exc)
             return
         now = anyio.current_time()
+        self._note_told(member, answer.get('store_served_s'), now)
         self._beliefs.take(fresh, now, source=member.name)
-        for other in others:
-            self._members.learn(other, now)
-        self._members.listed = True
         changed = {row.table for row in fresh}
         for table in changed:
             self._followers[table].poke()
 
-    def _read_news(self, answer: Any) -> tuple[list[NewsRow], list[FleetMember]]:
+    async def _ask_members(self, member: FleetMember) -> None:
+        answer = await self._calls.call(member, MEMBERS_CALL, None)
+        if isinstance(answer, Unreachable):
+            return
+        try:
+            members = [FleetMember(*raw) for raw in answer]
+        except _MALFORMED as exc:
+            _log_malformed(member, exc)
+            return
+        now = anyio.current_time()
+        for one in members:
+            self._members.learn(one, now)
+        self._members.listed = True
+
+    def _read_news(self, answer: Any) -> list[NewsRow]:
         rows = [NewsRow(*row) for row in answer['rows']]
-        members = [FleetMember(*raw) for raw in answer['members']]
-        return self._merge(rows, answer.get('whole', {})), members
+        return self._merge(rows, answer.get('whole', {}))
 
     def _merge(self, rows: list[NewsRow], whole: dict[str, int]) -> list[NewsRow]:
         fresh = self._rows.merge(row for row in rows if row.table not in whole)
@@ -116,3 +143,13 @@
             listing = News(tuple(row for row in rows if row.table == table), version)
             fresh += self._rows.merge_listing(table, listing)
         return fresh
+
+
+def _log_malformed(member: FleetMember, exc: Exception) -> None:
+    # A peer of another version, during a rolling upgrade. Let out of its task,
+    # the error would end this process as well.
+    log.warning(
+        'Fleet: news from %s not understood.',
+        member.name,
+        extra={'kind': 'bad_news', 'fields': {'problem': f'{type(exc).__name__}: {exc}'}},
+    )
--- a/packages/node/src/plantainloft_node/entry/store_probes.py
+++ b/packages/node/src/plantainloft_node/entry/store_probes.py
@@ -87,12 +87,15 @@
         """Draw from those heard without a gap for the time of grace.
 
         One from beyond a cut that has just healed was served all the while and
-        saw the rows of this side lapse, though their endpoints live.
+        saw the rows of this side lapse, though their endpoints live. Those that
+        were last in touch with the store come first.
         """
         now = anyio.current_time()
         up = self._members.up(now)
         known = [one for one in up if self._members.signs.up_for_s(one.name, now) >= LAPSE_GRACE_S]
-        return random.sample(known, min(MAX_ASKED, len(known)))
+        drawn = random.sample(known, len(known))
+        drawn.sort(key=lambda one: self._members.signs.is_following(one.name), reverse=True)
+        return drawn[:MAX_ASKED]
 
     async def _ask(self, member: FleetMember) -> None:
         asked_at = anyio.current_time()
--- a/packages/node/src/plantainloft_node/fleet/beats.py
+++ b/packages/node/src/plantainloft_node/fleet/beats.py
@@ -70,6 +70,11 @@
         for message in self._relaying.round(anyio.current_time(), to_all=to_all):
             await self._send(message)
 
+    async def tell_readers(self) -> None:
+        """Tell those who rest while this instance follows the store."""
+        for message in self._relaying.to_readers(anyio.current_time()):
+            await self._send(message)
+
     async def _send_rounds(self) -> None:
         to_all = True
         while True:
--- a/packages/node/src/plantainloft_node/fleet/intake.py
+++ b/packages/node/src/plantainloft_node/fleet/intake.py
@@ -4,7 +4,7 @@
 
 from plantainloft_node.fleet.datagrams import Datagram, PackedReport, unpack_datagram
 from plantainloft_node.fleet.members import DOWN_AFTER_S, MemberBook
-from plantainloft_node.fleet.reports import FleetMember, ZoneReport
+from plantainloft_node.fleet.reports import Beat, FleetMember, ZoneReport
 
 __all__ = ['Hint', 'Intake', 'Taken']
 
@@ -17,11 +17,15 @@
 
 
 class Hint(NamedTuple):
-    """What ``member`` can be asked for: newer rows, and instances by key."""
+    """What ``member`` can be asked for: newer rows, and instances by key.
+
+    ``relayed`` is its beat if it relays for this instance.
+    """
 
     member: FleetMember
     newest_by_table: dict[str, int]
     keys: tuple[int, ...]
+    relayed: Beat | None = None
 
 
 class Taken(NamedTuple):
@@ -68,7 +72,7 @@
             member = item.report.beat.member
             if member.name == datagram.sender and _host(member.peer) == host:
                 if self._is_news(item.report, now):
-                    hints.append(_hint(member, item.report))
+                    hints.append(self._hint(item.report))
                     is_urgent |= self._take_own(item.report, item.packed, datagram, now)
             elif self._is_from(datagram.sender, host) and self._is_news(item.report, now):
                 hints += self._take_passed_on(item.report, datagram.sender, item.held_s, now)
@@ -114,9 +118,13 @@
         self, report: ZoneReport, sender: str, held_s: float, now: float
     ) -> list[Hint]:
         self._members.take_report(report, now, passed_on_s=held_s)
-        return [
-            _hint(member, report)._replace(newest_by_table={}) for member in self._known([sender])
-        ]
+        return [Hint(member, {}, _keys(report)) for member in self._known([sender])]
+
+    def _hint(self, report: ZoneReport) -> Hint:
+        beat = report.beat
+        relays = beat.member.zone == self._members.me.zone and bool(report.entries)
+        relayed = beat if relays else None
+        return Hint(beat.member, beat.newest_by_table, _keys(report), relayed)
 
     def _is_news(self, report: ZoneReport, now: float) -> bool:
         # Datagrams are doubled or overtaken on the way, and reports come on
@@ -151,9 +159,8 @@
         return not kept.is_far or now - last_at >= PASS_ON_FAR_EVERY_S - SLACK_S
 
 
-def _hint(member: FleetMember, report: ZoneReport) -> Hint:
-    keys = tuple(entry.key for entry in report.entries)
-    return Hint(member, report.beat.newest_by_table, keys)
+def _keys(report: ZoneReport) -> tuple[int, ...]:
+    return tuple(entry.key for entry in report.entries)
 
 
 def _younger(at_by_name: dict[str, float], than: float) -> dict[str, float]:
--- a/packages/node/src/plantainloft_node/fleet/liveness.py
+++ b/packages/node/src/plantainloft_node/fleet/liveness.py
@@ -8,12 +8,15 @@
 class Sign(NamedTuple):
     """The newest sign of an instance, in seconds of this instance's clock.
 
+    ``follows``: it follows the store and is in touch with it.
+
     ``at``: when somebody heard it; ``until``: taken for up till then;
     ``since``: up without a gap from then on.
     """
 
     ready: bool
     leaving: bool
+    follows: bool
     at: float
     until: float
     since: float
@@ -25,23 +28,20 @@
     def __init__(self) -> None:
         self._sign_by_name: dict[str, Sign] = {}
 
-    def note(
-        self, name: str, *, ready: bool, leaving: bool, at: float, until: float, now: float
-    ) -> bool:
+    def note(self, name: str, told: Sign, now: float) -> bool:
         """Take a sign; return whether ``name`` was not up before."""
         before = self._sign_by_name.get(name)
         if before is None:
-            self._sign_by_name[name] = Sign(ready, leaving, at, until, since=at)
+            self._sign_by_name[name] = told
             return True
         was_up = now < before.until
-        self._sign_by_name[name] = Sign(
-            ready=ready if at >= before.at else before.ready,
+        newest = told if told.at >= before.at else before
+        self._sign_by_name[name] = newest._replace(
             # Nobody who leaves stays after all. Told by two at once, the one
             # that has not heard of it yet would bring callers back.
-            leaving=leaving or before.leaving,
-            at=max(at, before.at),
-            until=max(until, before.until),
-            since=before.since if was_up else at,
+            leaving=told.leaving or before.leaving,
+            until=max(told.until, before.until),
+            since=before.since if was_up else told.at,
         )
         return not was_up
 
@@ -68,6 +68,11 @@
         sign = self._sign_by_name.get(name)
         return sign is not None and sign.ready and not sign.leaving
 
+    def is_following(self, name: str) -> bool:
+        """Return whether ``name`` was last in touch with the store."""
+        sign = self._sign_by_name.get(name)
+        return sign is not None and sign.follows
+
     def up_for_s(self, name: str, now: float) -> float:
         """Return for how long ``name`` has been up without a gap."""
         sign = self._sign_by_name.get(name)
--- a/packages/node/src/plantainloft_node/fleet/members.py
+++ b/packages/node/src/plantainloft_node/fleet/members.py
@@ -2,7 +2,7 @@
 
 from plantainloft_node.fleet.heard import HeardBeats, ZoneDemand, ZoneDemands
 from plantainloft_node.fleet.known import KnownMembers
-from plantainloft_node.fleet.liveness import SignBook
+from plantainloft_node.fleet.liveness import Sign, SignBook
 from plantainloft_node.fleet.reports import Beat, FleetMember, ZoneEntry, ZoneReport
 
 __all__ = ['DOWN_AFTER_S', 'GONE_AFTER_S', 'Beat', 'FleetMember', 'MemberBook']
@@ -61,14 +61,9 @@
             return False
         self._identify(beat.member)
         self.heard.put(beat, now)
-        return self.signs.note(
-            name,
-            ready=beat.ready,
-            leaving=beat.leaving,
-            at=now,
-            until=now + DOWN_AFTER_S,
-            now=now,
-        )
+        until = now + DOWN_AFTER_S
+        sign = Sign(beat.ready, beat.leaving, beat.follows, at=now, until=until, since=now)
+        return self.signs.note(name, sign, now)
 
     def take_report(self, report: ZoneReport, now: float, *, passed_on_s: float | None) -> None:
         """Take what a report says of others.
@@ -153,9 +148,9 @@
         # One heard too long ago says nothing; noted, it would begin a gap.
         if name is None or name == self.me.name or at + limit_s <= now:
             return
-        self.signs.note(
-            name, ready=entry.ready, leaving=entry.leaving, at=at, until=at + limit_s, now=now
-        )
+        until = at + limit_s
+        sign = Sign(entry.ready, entry.leaving, entry.follows, at=at, until=until, since=at)
+        self.signs.note(name, sign, now)
 
     def _replaces(self, member: FleetMember, known: FleetMember, now: float) -> bool:
         # Incarnations are numbered by the time of day. Restarted after its
--- a/packages/node/src/plantainloft_node/fleet/ranking.py
+++ b/packages/node/src/plantainloft_node/fleet/ranking.py
@@ -6,7 +6,7 @@
 from plantainloft_node.fleet.reports import FleetMember
 from plantainloft_node.placing.affinity import score
 
-__all__ = ['RELAYS', 'asked_in', 'down_in', 'relays_in']
+__all__ = ['RELAYS', 'asked_in', 'down_in', 'is_answering', 'ranked_in', 'relays_in']
 
 # With two an availability zone, one may be lost, slow or cut off without
 # anybody noticing.
@@ -21,7 +21,7 @@
 
     This instance counts as up; where nobody else is, it is a relay.
     """
-    return _ranked(zone, members, now)[:RELAYS]
+    return ranked_in(zone, members, now)[:RELAYS]
 
 
 def asked_in(zone: Iterable[FleetMember], members: MemberBook, now: float) -> list[FleetMember]:
@@ -33,10 +33,10 @@
     """
     asked: list[FleetMember] = []
     answering = 0
-    for member in _ranked(zone, members, now)[: RELAYS + STAND_BYS]:
+    for member in ranked_in(zone, members, now)[: RELAYS + STAND_BYS]:
         if answering < RELAYS:
             asked.append(member)
-            answering += member == members.me or _answers(member, members, now)
+            answering += member == members.me or is_answering(member, members, now)
     return [member for member in asked if member != members.me]
 
 
@@ -45,7 +45,8 @@
     return [one for one in zone if one != members.me and not members.is_up(one.name, now)]
 
 
-def _ranked(zone: Iterable[FleetMember], members: MemberBook, now: float) -> list[FleetMember]:
+def ranked_in(zone: Iterable[FleetMember], members: MemberBook, now: float) -> list[FleetMember]:
+    """Return those of ``zone`` that are up and stay, this instance included, by rank."""
     staying = [one for one in zone if one == members.me or _stays(one, members, now)]
     return sorted(staying, key=_rank, reverse=True)
 
@@ -54,7 +55,8 @@
     return score('relay', member.name), member.name
 
 
-def _answers(member: FleetMember, members: MemberBook, now: float) -> bool:
+def is_answering(member: FleetMember, members: MemberBook, now: float) -> bool:
+    """Return whether ``member`` was heard here a moment ago."""
     heard_at = members.heard.at(member.name)
     return heard_at is not None and now - heard_at < SILENT_AFTER_S
 
--- a/packages/node/src/plantainloft_node/fleet/relaying.py
+++ b/packages/node/src/plantainloft_node/fleet/relaying.py
@@ -91,6 +91,14 @@
             messages += self._messages([own], elsewhere, wants_reports=False)
         return messages
 
+    def to_readers(self, now: float) -> list[Message]:
+        """Return what to send now to those who want reports, if there are any."""
+        relays = relays_in(self._members.known.by_zone()[self._members.me.zone], self._members, now)
+        passive = [one.peer for one in self._intake.readers(now) if one not in relays]
+        if not passive:
+            return []
+        return self._messages([self._own_report(now, is_full=True)], passive, wants_reports=False)
+
     def _own_report(self, now: float, *, is_full: bool) -> PackedReport:
         self._number += 1
         beat = self._state()
@@ -152,4 +160,10 @@
 
 
 def _entry(beat: Beat, age_s: float) -> ZoneEntry:
-    return ZoneEntry(member_key(beat.member), beat.ready, beat.leaving, age_s)
+    return ZoneEntry(
+        key=member_key(beat.member),
+        ready=beat.ready,
+        leaving=beat.leaving,
+        follows=beat.follows,
+        age_s=age_s,
+    )
--- a/packages/node/src/plantainloft_node/fleet/report_codec.py
+++ b/packages/node/src/plantainloft_node/fleet/report_codec.py
@@ -16,6 +16,7 @@
 _ENTRY = struct.Struct('<IBB')
 _READY = 1
 _LEAVING = 2
+_FOLLOWS = 4
 _TENTHS = 10
 _MAX_TENTHS = 255
 
@@ -51,13 +52,16 @@
     )
 
 
-def _beat(member: Any, ready: Any, leaving: Any, newest: Any, rates: Any) -> Beat:
+def _beat(member: Any, flags: Any, newest: Any, rates: Any, served_s: Any) -> Beat:
+    ready, leaving, follows = (checked(flag, bool) for flag in flags)
     return Beat(
         member=_member(member),
-        ready=checked(ready, bool),
-        leaving=checked(leaving, bool),
+        ready=ready,
+        leaving=leaving,
         newest_by_table={checked(key, str): checked(newest[key], int) for key in newest},
         rate_by_service=_rates(rates),
+        follows=follows,
+        store_served_s=None if served_s is None else checked_number(served_s),
     )
 
 
@@ -75,16 +79,23 @@
 
 def _entries(packed: bytes) -> Iterator[ZoneEntry]:
     for key, flags, tenths in _ENTRY.iter_unpack(packed):
-        yield ZoneEntry(key, bool(flags & _READY), bool(flags & _LEAVING), tenths / _TENTHS)
+        yield ZoneEntry(
+            key=key,
+            ready=bool(flags & _READY),
+            leaving=bool(flags & _LEAVING),
+            follows=bool(flags & _FOLLOWS),
+            age_s=tenths / _TENTHS,
+        )
 
 
 def _packable(beat: Beat) -> list[Any]:
     rates = _rounded(beat.rate_by_service)
-    return [list(beat.member), beat.ready, beat.leaving, beat.newest_by_table, rates]
+    flags = [beat.ready, beat.leaving, beat.follows]
+    return [list(beat.member), flags, beat.newest_by_table, rates, beat.store_served_s]
 
 
 def _pack_entry(entry: ZoneEntry) -> bytes:
-    flags = _READY * entry.ready | _LEAVING * entry.leaving
+    flags = _READY * entry.ready | _LEAVING * entry.leaving | _FOLLOWS * entry.follows
     tenths = min(_MAX_TENTHS, round(entry.age_s * _TENTHS))
     return _ENTRY.pack(entry.key, flags, tenths)
 
--- a/packages/node/src/plantainloft_node/fleet/reports.py
+++ b/packages/node/src/plantainloft_node/fleet/reports.py
@@ -26,7 +26,10 @@
     """What an instance says of itself twice a second.
 
     ``newest_by_table`` are the newest row versions that it knows,
-    ``rate_by_service`` its callers' requests a second.
+    ``rate_by_service`` its callers' requests a second. ``follows`` says whether
+    it follows the store and is in touch with it; ``store_served_s`` for how long
+    the store has served as far as it knows, in seconds, ``None`` while it does
+    not.
     """
 
     member: FleetMember
@@ -34,6 +37,8 @@
     leaving: bool
     newest_by_table: dict[str, int]
     rate_by_service: dict[str, float]
+    follows: bool = False
+    store_served_s: float | None = None
 
 
 class ZoneEntry(NamedTuple):
@@ -42,6 +47,7 @@
     key: int
     ready: bool
     leaving: bool
+    follows: bool
     age_s: float
 
 
--- a/packages/node/src/plantainloft_node/replica/beliefs.py
+++ b/packages/node/src/plantainloft_node/replica/beliefs.py
@@ -119,6 +119,8 @@
         may_live = state is not None and not state.record.draining
         if may_live and self.store.may_have_lapsed(now):
             self._doubted_until_by_id[endpoint_id] = now + LAPSE_GRACE_S
+            if self.store.served_s(now) is None:
+                self.store.note_doubt()
             return LAPSE_GRACE_S
         self._doubted_until_by_id.pop(endpoint_id, None)
         self._book.drop(endpoint_id)
--- a/packages/node/src/plantainloft_node/replica/follower.py
+++ b/packages/node/src/plantainloft_node/replica/follower.py
@@ -17,6 +17,8 @@
 
 BACKOFF_MIN_S = 0.2
 BACKOFF_MAX_S = 1.0
+# While others follow the table, it is looked this often whether they still do.
+RESTED_S = 0.1
 
 
 class TableFollower:
@@ -31,10 +33,12 @@
         beliefs: Beliefs,
         pause_s: float,
         wait_s: Callable[[], float],
+        rests: Callable[[], bool],
     ) -> None:
         """``pause_s``: wait after each change, to take several at once.
 
-        ``wait_s`` returns how long a poll waits for a change.
+        ``wait_s`` returns how long a poll waits for a change, ``rests`` whether
+        others follow the table for this instance.
         """
         self._table = table
         self._store = store
@@ -42,6 +46,7 @@
         self._beliefs = beliefs
         self._pause_s = pause_s
         self._wait_s = wait_s
+        self._rests = rests
         self._after: int | None = None
         self._backoff_s = BACKOFF_MIN_S
         self.in_touch = False
@@ -58,9 +63,16 @@
     async def run(self) -> None:
         """Follow the table until cancelled."""
         while True:
+            while self.has_listed and self._rests():
+                await anyio.sleep(RESTED_S)
             self._poked = anyio.Event()
             await self._poll()
 
+    @property
+    def has_listed(self) -> bool:
+        """Whether the table was read since the start."""
+        return self._after is not None
+
     async def _poll(self) -> None:
         outcome: News | HistoryLost | Unreachable | None = None
         wait_s = self._poll_wait_s()
@@ -103,7 +115,9 @@
     async def _ask(self, wait_s: float) -> News | HistoryLost | Unreachable:
         if self._after is None:
             return await self._store.list_rows(self._table)
-        return await self._store.changes(self._table, after=self._after, wait_s=wait_s)
+        # After a rest the rows are newer than the last poll: peers sent them.
+        after = max(self._after, self._rows.newest_by_table.get(self._table, 0))
+        return await self._store.changes(self._table, after=after, wait_s=wait_s)
 
     def _take(self, news: News, now: float) -> None:
         if self._after is None:
--- a/packages/node/src/plantainloft_node/replica/rows.py
+++ b/packages/node/src/plantainloft_node/replica/rows.py
@@ -2,6 +2,8 @@
 
 from collections.abc import Iterable
 
+import anyio
+
 from plantainloft_node.replica.news import News, NewsRow
 
 __all__ = ['RowCopy']
@@ -23,6 +25,7 @@
     def __init__(self) -> None:
         self.row_by_key: dict[tuple[str, str], NewsRow] = {}
         self.newest_by_table: dict[str, int] = {}
+        self._changed = anyio.Event()
         # Keys of deletions, oldest first.
         self._deletions: dict[tuple[str, str], None] = {}
         self._dropped_to_by_table: dict[str, int] = {}
@@ -39,8 +42,15 @@
             self.newest_by_table[row.table] = max(newest, row.version)
             fresh.append(row)
         self._drop_deletions()
+        if fresh:
+            self._changed.set()
         return fresh
 
+    async def change(self) -> None:
+        """Wait until rows that are news are taken."""
+        await self._changed.wait()
+        self._changed = anyio.Event()
+
     def merge_listing(self, table: str, listing: News) -> list[NewsRow]:
         """Take a whole table; what it lacks was removed meanwhile.
 
--- a/packages/node/src/plantainloft_node/replica/store_watch.py
+++ b/packages/node/src/plantainloft_node/replica/store_watch.py
@@ -9,6 +9,7 @@
 
 import math
 from collections import deque
+from typing import NamedTuple
 
 import anyio
 
@@ -20,6 +21,18 @@
 # A failed poll is noticed 5.2 s after it was sent; in that time two followers
 # and a few probes are answered.
 KEPT_ANSWERS = 32
+# Those who follow the store for others speak twice a second.
+TOLD_HOLDS_S = 1.8
+
+
+class _Told(NamedTuple):
+    """For how long the store had served at ``at``, as another said."""
+
+    served_s: float | None
+    at: float
+
+    def served_s_at(self, now: float) -> float | None:
+        return None if self.served_s is None else self.served_s + now - self.at
 
 
 class StoreWatch:
@@ -32,6 +45,7 @@
         self._back_at: float | None = None
         self._served_at: deque[float] = deque(maxlen=KEPT_ANSWERS)
         self._failed = anyio.Event()
+        self._told_by_name: dict[str, _Told] = {}
 
     def note_answered(self, *, sent_at: float, now: float) -> None:
         """Take an answer: the store served when the call came, and now.
@@ -61,11 +75,26 @@
 
         ``asked_at``: until when that holds; a later failure is not explained.
         """
+        told = self._told_by_name.items()
+        self._told_by_name = {name: one for name, one in told if one.at > asked_at}
         if self._away_at is not None and self._away_at <= asked_at:
             self._back_at = _earlier(self._back_at, since)
 
+    def note_told(self, name: str, served_s: float | None, now: float) -> None:
+        """Take the word of ``name``, which follows the store for this instance.
+
+        ``served_s`` is what ``served_s`` returns there. The instance that rests
+        makes no calls that could fail; without this, it would take rows that
+        lapsed in an outage for those of endpoints that left.
+        """
+        self._told_by_name[name] = _Told(served_s, now)
+
+    def note_doubt(self) -> None:
+        """Have peers asked: rows went while those who follow are out of touch."""
+        self._failed.set()
+
     async def failure(self) -> None:
-        """Wait until a call fails."""
+        """Wait until a call fails, or rows are in doubt."""
         await self._failed.wait()
         self._failed = anyio.Event()
 
@@ -85,6 +114,12 @@
 
         Infinite if no call ever failed.
         """
+        told = [one for one in self._told_by_name.values() if now - one.at < TOLD_HOLDS_S]
+        served = [self._own_served_s(now), *(one.served_s_at(now) for one in told)]
+        known = [served_s for served_s in served if served_s is not None]
+        return min(known) if len(known) == len(served) else None
+
+    def _own_served_s(self, now: float) -> float | None:
         if self._away_at is None:
             return math.inf
         return None if self._back_at is None else now - self._back_at
--- a/packages/standins/src/plantainloft_standins/leaving_model.py
+++ b/packages/standins/src/plantainloft_standins/leaving_model.py
@@ -13,10 +13,11 @@
 from anyio.abc import TaskGroup
 
 from plantainloft_core.outcomes import Unreachable
+from plantainloft_node.entry.fleet_parts import NEWS_PAUSE_S
 from plantainloft_node.entry.observing import Observation
 from plantainloft_node.entry.peer_calls import PeerCalls
-from plantainloft_node.entry.polling import poll_wait_s
-from plantainloft_node.entry.sharing import NEWS_CALL, NewsSharing
+from plantainloft_node.entry.polling import StoreDuty
+from plantainloft_node.entry.sharing import MEMBERS_CALL, NEWS_CALL, NewsSharing
 from plantainloft_node.entry.store_probes import PROBE_CALL, StoreProbes
 from plantainloft_node.entry.terms import TICK_S
 from plantainloft_node.fleet.beats import BEAT_S
@@ -130,10 +131,12 @@
             round_trip_s=network.to_store_s(me),
             clock=anyio.current_time,
         )
+        duty = StoreDuty(members=self.members)
         self.observation = Observation(
             store=self.access,
             region_by_zone={'a': STORE_REGION},
-            wait_s=lambda: poll_wait_s(self.members, anyio.current_time()),
+            wait_s=lambda: duty.wait_s(anyio.current_time()),
+            rests=lambda: duty.rests(anyio.current_time()),
         )
         calls = _ModelCalls(me=me, network=network)
         self.sharing = NewsSharing(
@@ -149,6 +152,7 @@
             chance=random.Random(me.name),
         )
         network.handler_by_call[(me.name, NEWS_CALL)] = self.sharing.tell
+        network.handler_by_call[(me.name, MEMBERS_CALL)] = self.sharing.tell_members
         network.handler_by_call[(me.name, PROBE_CALL)] = self.probes.tell
 
     def start(self, tasks: TaskGroup) -> None:
@@ -157,7 +161,15 @@
         tasks.start_soon(self.probes.run)
 
     def beat(self) -> Beat:
-        return Beat(self.members.me, True, False, dict(self.observation.rows.newest_by_table), {})
+        return Beat(
+            member=self.members.me,
+            ready=True,
+            leaving=False,
+            newest_by_table=dict(self.observation.rows.newest_by_table),
+            rate_by_service={},
+            follows=self.observation.follows(),
+            store_served_s=self.observation.store_served_s(anyio.current_time()),
+        )
 
     def receive(self, packed: bytes, host: str) -> None:
         taken = self._intake.take(packed, host, anyio.current_time())
@@ -215,15 +227,25 @@
                 instance.members.learn(member, 0.0)
             instance.start(tasks)
             tasks.start_soon(self._send_beats, instance, tasks)
+            tasks.start_soon(self._tell_news, instance, tasks)
 
     async def _send_beats(self, sender: _Instance, tasks: TaskGroup) -> None:
         await anyio.sleep(self._random.random() * BEAT_S)
         while True:
-            for message in sender.relaying.round(anyio.current_time()):
-                if self._random.random() >= self._scenario.loss:
-                    tasks.start_soon(self._deliver, message, sender)
+            self._post(sender.relaying.round(anyio.current_time()), sender, tasks)
             await anyio.sleep(BEAT_S)
 
+    async def _tell_news(self, sender: _Instance, tasks: TaskGroup) -> None:
+        while True:
+            await sender.observation.rows.change()
+            self._post(sender.relaying.to_readers(anyio.current_time()), sender, tasks)
+            await anyio.sleep(NEWS_PAUSE_S)
+
+    def _post(self, messages: list[Message], sender: _Instance, tasks: TaskGroup) -> None:
+        for message in messages:
+            if self._random.random() >= self._scenario.loss:
+                tasks.start_soon(self._deliver, message, sender)
+
     async def _deliver(self, message: Message, sender: _Instance) -> None:
         name = message.address.rpartition(':')[0]
         receiver = self._instance_by_name[name]
--- a/tests/test_leaving_model.py
+++ b/tests/test_leaving_model.py
@@ -126,3 +126,67 @@
     scenario = away_for_all(1, manner, length_s=length_s)
     back_by = scenario.outages[0].end_s + RELISTED_S
     assert [one for one in play_leaving(scenario).lapses if one.at < back_by] == []
+
+
+def grown(scenario: LeavingScenario, seed: int) -> LeavingScenario:
+    """Return ``scenario`` with twelve instances a region, most of which rest.
+
+    Those that the store fails are drawn anew, in the same proportion.
+    """
+    rng = random.Random(seed)
+    names = [f'e{region}-{number}' for region in range(3) for number in range(12)]
+    outages = tuple(
+        outage._replace(instances=frozenset(rng.sample(names, 3 * len(outage.instances))))
+        for outage in scenario.outages
+    )
+    return scenario._replace(per_region=12, outages=outages)
+
+
+@pytest.mark.parametrize('manner', Manner)
+@pytest.mark.parametrize('seed', range(3))
+def test_those_who_rest_use_no_endpoint_that_left(seed: int, manner: Manner) -> None:
+    """Symptom: requests reach an endpoint 2.8 s after its row went.
+
+    Most instances hear of rows from two that follow the store for them. An
+    instance whose own calls failed rests again as soon as another is served,
+    and goes on taking rows that go for lapsed, since nothing shows it any more
+    that the store is back.
+    """
+    seen = play_leaving(grown(failed_third(seed, manner), seed))
+    assert [one for one in seen.leavings if one.used_s > DRAIN_S] == []
+
+
+@pytest.mark.parametrize('manner', Manner)
+def test_those_who_rest_leave_an_endpoint_in_time_after_an_outage(manner: Manner) -> None:
+    """The same, with the store away for all while they rest."""
+    for length_s in (1.0, 5.4):
+        seen = play_leaving(grown(away_for_all(3, manner, length_s=length_s), 3))
+        assert [one for one in seen.leavings if one.used_s > DRAIN_S] == []
+
+
+@pytest.mark.parametrize('manner', Manner)
+def test_those_who_rest_use_endpoints_on_whose_rows_lapsed(manner: Manner) -> None:
+    """They make no calls that could fail, and hear of the outage from others."""
+    scenario = grown(away_for_all(1, manner, length_s=8.0), 1)
+    back_by = scenario.outages[0].end_s + RELISTED_S
+    assert [one for one in play_leaving(scenario).lapses if one.at < back_by] == []
+
+
+@pytest.mark.parametrize('seed', range(4))
+def test_a_larger_fleet_leaves_endpoints_in_time_whatever_the_store_does(seed: int) -> None:
+    seen = play_leaving(grown(overlapping_outages(seed), seed))
+    assert [one for one in seen.leavings if one.used_s > DRAIN_S] == []
+
+
+def test_few_follow_the_store() -> None:
+    """Symptom: calls to the store grow with the fleet, and each is paid for.
+
+    Rows change every two seconds; each change ended the poll of every instance.
+    """
+    calls = {
+        per_region: play_leaving(LeavingScenario(seed=1, outages=(), per_region=per_region)).calls
+        for per_region in (4, 12, 24)
+    }
+    # What each start reads grows with the fleet, what is followed does not.
+    starts = 2 * 3 * (24 - 12)
+    assert calls[24] - starts <= 1.2 * calls[12]
