--- a/packages/standins/src/plantainloft_standins/leaving_model.py
+++ b/packages/standins/src/plantainloft_standins/leaving_model.py
@@ -81,11 +81,15 @@
 
 
 class Seen(NamedTuple):
-    """What one play showed; ``calls`` of the store by all instances."""
+    """What one play showed; ``calls`` of the store by all instances.
+
+    ``behind_at_end`` are those that do not know the newest configuration.
+    """
 
     leavings: list[Leaving]
     lapses: list[Lapse]
     calls: int
+    behind_at_end: list[str]
 
 
 class _Network:
@@ -229,8 +233,17 @@
             ],
             lapses=list(self._lapses.values()),
             calls=sum(one.access.calls for one in self._instance_by_name.values()),
+            behind_at_end=self._behind(),
         )
 
+    def _behind(self) -> list[str]:
+        newest = max(row.version for row in self._store.rows(DECLARATIONS))
+        return [
+            name
+            for name, one in self._instance_by_name.items()
+            if one.observation.rows.newest_by_table.get(DECLARATIONS, 0) < newest
+        ]
+
     def _build(self, tasks: TaskGroup) -> None:
         for region in range(self._scenario.regions):
             for number in range(self._scenario.per_region):
