Comments give reasons, and no figures of tuning

Cause: comments of the placing and of the probes justified constants by figures of the load model, which the users no longer want there. Change: the reason stays, the figures are in the messages of the commits that brought them.

--- a/packages/node/src/plantainloft_node/entry/store_probes.py
+++ b/packages/node/src/plantainloft_node/entry/store_probes.py
@@ -24,10 +24,9 @@
 log = logging.getLogger(__name__)
 
 PROBE_CALL = 'probe'
-# Peers asked at once, and one after the other until the store serves one. Of
-# twelve instances four may be failed together; two peers alone leave one failure
-# in twenty without a word, and an endpoint that left then gets requests for up
-# to 2.9 s (in the model, with a store silent to a third; 1.0 s with more asked).
+# Peers asked at once, and one after the other until the store serves one. Many
+# instances may be failed together; with too few asked, a failure often stays
+# without a word, and an endpoint that left gets requests for the whole grace.
 PEERS_AT_ONCE = 2
 MAX_ASKED = 6
 # A store that is slow answers within half a second, from another region within
--- a/packages/node/src/plantainloft_node/placing/budget.py
+++ b/packages/node/src/plantainloft_node/placing/budget.py
@@ -7,9 +7,7 @@
 
 # Parts of the allowance that are dealt out. Each instance repeats in
 # proportion to its own requests, so these parts add up by themselves; what
-# remains is for windows that begin between two counts. On a day on which all
-# endpoints of a service shed half of what they get for eight seconds, 0.048
-# of the requests are refused for good instead of 0.051 at a half.
+# remains is for windows that begin between two counts.
 RATIO_DEALT = 0.85
 # The fixed part is dealt out again to an instance that starts anew and has
 # forgotten what it sent, so all of them may use it twice in a window.
--- a/packages/node/src/plantainloft_node/placing/choosing.py
+++ b/packages/node/src/plantainloft_node/placing/choosing.py
@@ -65,9 +65,8 @@
 
     The first in rank gets the request unless another that is known to
     remember the object answers sooner; one that is not gets it only if the
-    queues of all that are known are full. On ordinary and heavy days
-    callers earn 0.856 instead of 0.834 of the worth by that, and 0.827 if
-    requests go to whoever is expected to answer first (means of four days).
+    queues of all that are known are full: a request that is quick elsewhere
+    today makes the next ones for its object slow there.
     """
     best: Chosen | None = None
     soonest_s = 0.0
@@ -84,10 +83,7 @@
         return NoRoom(reason='every endpoint is full', loads=_loads(group, now))
     # Queued behind others with too little time left, a request is given up
     # at work or in the queue: its caller is told after the whole wait, and
-    # not that it did not run, and a slot has worked for nobody. In the load
-    # model at twice the load, with urgent requests that may take 0.7 s,
-    # callers earn 0.615 of the worth instead of 0.549, and 622 instead of
-    # 1,001 of these requests fail (means of six seeds).
+    # not that it did not run, and a slot has worked for nobody.
     queued = best.load >= best.endpoint.record.slots
     if queued and _answered_after_s(best.endpoint, best.load) > wanted.left_s:
         return NoRoom(reason='no endpoint answers in time', loads=_loads(group, now))
--- a/packages/node/src/plantainloft_node/placing/endpoints.py
+++ b/packages/node/src/plantainloft_node/placing/endpoints.py
@@ -14,20 +14,15 @@
 REPORT_FADES_S = 1.5
 # What remains of it is the load that others usually put there: reports come
 # about once a second, and an endpoint without a new one is not idle. Taken
-# as idle, it draws requests into a queue that nobody sees: in the load model
-# at double load callers earn 0.39 of the worth instead of 0.47 (large
-# service, three seeds). It fades as well, so that an endpoint that is passed
-# over is tried again.
+# as idle, it draws requests into a queue that nobody sees. It fades as well, so
+# that an endpoint that is passed over is tried again.
 USUAL_WEIGHT = 0.15
 USUAL_FADES_S = 6.0
 # An endpoint that no report told of yet is taken as one with this share
 # of its slots in use.
 UNKNOWN_LOAD = 0.3
 # An endpoint whose answers take this many times the service's usual time
-# is slow. In the load model (a tenth to a half of the endpoints 5 or 12
-# times slower for half of the time) callers earn 0.013 to 0.028 more of
-# the worth by sending such an endpoint's keys elsewhere, and a third to a
-# half fewer requests fail; at 2.5 times and more the gain is a half of it.
+# is slow: its keys are sent elsewhere, where fewer of their requests fail.
 SLOW_FACTOR = 2.0
 # Time in which an endpoint comes to remember the objects of its keys: two
 # dozen objects at half a dozen requests a second.
--- a/packages/node/src/plantainloft_node/placing/placement.py
+++ b/packages/node/src/plantainloft_node/placing/placement.py
@@ -24,10 +24,7 @@
 # could not carry the load of more.
 MAX_EJECTED = 0.3
 # Endpoints that may serve one key: one in its region, one elsewhere. More
-# choices help a burst by a little and cost warmth everywhere: in the load
-# model, callers earn 0.79 of the worth asked for with 1 and 1, 0.69 with 3
-# and 1, 0.44 with 6 and 1, as the mean of four loads from ordinary to 2.2
-# times as much.
+# choices help a burst by a little and cost warmth everywhere.
 NEAR_CANDIDATES = 1
 FAR_CANDIDATES = 1
 
--- a/packages/node/src/plantainloft_node/placing/regions.py
+++ b/packages/node/src/plantainloft_node/placing/regions.py
@@ -17,9 +17,8 @@
 
 # A region's own callers may load it this much above the average of all
 # regions before the rest of them is sent on: near is a few tens of
-# milliseconds faster, and bytes between regions are paid for. In the load
-# model callers earn the same with 1.2, 1.6, 2.0 and 2.5 (0.778 to 0.780 of
-# the worth); more than 2.0 leaves a small region no room for a wave.
+# milliseconds faster, and bytes between regions are paid for. More leaves a
+# small region no room for a wave.
 LOCAL_MARGIN = 2.0
 # A region counts as having lost slots when fewer than this part is left of
 # what it had; that is forgotten over a few seconds of updates.
@@ -97,9 +96,7 @@
         keys would change between regions whose shares stay: to endpoints
         that do not remember them. Here the own region's keys are those of
         the lowest hashes, and the others are drawn by weighted hashes, so a
-        key moves only from where less is wanted to where more is. With
-        borders a key's region changed 431 times in 32 s of a calm day, for
-        303 keys, and 186 answers were late for it.
+        key moves only from where less is wanted to where more is.
         """
         if score(key, 'region') < self._shares.get(self._mine, 0.0) * _SCORE_RANGE:
             return self._mine
--- a/packages/node/src/plantainloft_node/placing/spilling.py
+++ b/packages/node/src/plantainloft_node/placing/spilling.py
@@ -3,12 +3,11 @@
 At a start all objects are cold and every free slot anywhere is needed, so
 a good part of the requests spills. Two seconds later the own region has
 room. Taken back at once, more of a region's traffic changes its region
-from one moment to the next than a shift may: 0.22 within two seconds in
-the load model, where 0.15 may. Let to fall slowly, it stays within that.
+from one moment to the next than a shift may. Let to fall slowly, it stays
+within that.
 
-Later spills are not bounded: on whole days with demand that goes in waves
-from region to region, bounds of 0.4 to 1.0 of the cap cost callers 0.02 to
-0.06 of the worth.
+Later spills are not bounded: with demand that goes in waves from region to
+region, a bound has callers refused while there is room elsewhere.
 """
 
 from plantainloft_node.placing.budget import WindowCount
