An answer that is no table does not end a process that rests

Cause: found by reading the change again. An instance that rests read which tables a peer's answer leaves out before the guard against answers in another format; a peer of another version that answers with something else would have ended its process, the symptom that test_sharing tells of.

Change: the rows and the tables left out are read in one place, behind the guard.

Ruled out: a second guard beside the first.

Before and after: the test of news in another format now plays both kinds of asking and a second format; one of its four cases failed before, all pass after.

--- a/packages/node/src/plantainloft_node/entry/sharing.py
+++ b/packages/node/src/plantainloft_node/entry/sharing.py
@@ -129,9 +129,8 @@
         if isinstance(answer, Unreachable):
             self._poll((ENDPOINTS,))
             return
-        left_out = answer.get('left_out', ())
+        left_out = self._take(member, answer)
         self._poll(left_out)
-        self._take(member, answer)
         if DECLARATIONS in left_out and not self._awaiting_large:
             self._awaiting_large = True
             self._tasks.start_soon(self._await_large, member)
@@ -152,18 +151,20 @@
         if not isinstance(answer, Unreachable):
             self._take(member, answer)
 
-    def _take(self, member: FleetMember, answer: Any) -> None:
+    def _take(self, member: FleetMember, answer: Any) -> tuple[str, ...]:
+        """Take the rows of an answer; return the tables that it leaves out."""
         try:
-            fresh = self._read_news(answer)
+            fresh, left_out = self._read_news(answer)
         except _MALFORMED as exc:
             _log_malformed(member, exc)
-            return
+            return ()
         now = anyio.current_time()
         self._note_told(member, answer.get('store_served_s'), now)
         self._beliefs.take(fresh, now, source=member.name)
         changed = {row.table for row in fresh}
         for table in changed:
             self._followers[table].poke()
+        return left_out
 
     def _poll(self, tables: Iterable[str]) -> None:
         """Have tables read from the store that no peer brings."""
@@ -186,9 +187,10 @@
             self._members.learn(one, now)
         self._members.listed = True
 
-    def _read_news(self, answer: Any) -> list[NewsRow]:
+    def _read_news(self, answer: Any) -> tuple[list[NewsRow], tuple[str, ...]]:
+        left_out = tuple(str(table) for table in answer.get('left_out', ()))
         rows = [NewsRow(*row) for row in answer['rows']]
-        return self._merge(rows, answer.get('whole', {}))
+        return self._merge(rows, answer.get('whole', {})), left_out
 
     def _merge(self, rows: list[NewsRow], whole: dict[str, int]) -> list[NewsRow]:
         fresh = self._rows.merge(row for row in rows if row.table not in whole)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -43,8 +43,10 @@
     await store.put_row(INSTANCES, one.front, msgpack.packb(list(one)))
 
 
+@pytest.mark.parametrize('rests', [False, True])
+@pytest.mark.parametrize('news', [{'rows': [['only a table']], 'members': 3}, ['no', 'table']])
 async def test_news_in_another_format_does_not_end_the_process(
-    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+    monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture, rests: bool, news: object
 ) -> None:
     """Symptom: during a rolling upgrade instances end by themselves.
 
@@ -53,7 +55,7 @@
     """
 
     async def other_format(*called: object, **terms: object) -> object:
-        return {'rows': [['only a table']], 'members': 3}
+        return news
 
     monkeypatch.setattr(Links, 'call', other_format)
     async with running_store() as (standin, tasks):
@@ -62,6 +64,7 @@
             store=PlatformStore(address=standin.address),
             region_by_zone=settings.region_by_zone,
             wait_s=lambda: 4.0,
+            rests=lambda: rests,
         )
         sharing = NewsSharing(
             calls=PeerCalls(settings=settings, tasks=tasks),
