Logs tell which request a connection broke under, and whether its endpoint ended

A try whose connection broke now logs the request's fingerprint (digests of method, host, path, query, body, and of the caller), and the endpoint is checked: one that ended accepts no further connection. One check a second and endpoint serves all runs that broke there; 'crash_check' lines tell the outcome. Nothing is decided by it yet.

--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -43,9 +43,13 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Failed:
-    """The request may have run; no whole answer came of it."""
+    """The request may have run; no whole answer came of it.
+
+    ``broke``: its connection to the endpoint ended before the answer did.
+    """
 
     reason: str
+    broke: bool = False
 
 
 TryOutcome = Answered | NotSent | NotRun | Failed
--- a/packages/node/src/plantainloft_node/engine/callers.py
+++ b/packages/node/src/plantainloft_node/engine/callers.py
@@ -11,7 +11,7 @@
 
 import anyio
 import h11
-from anyio.abc import SocketStream, TaskGroup
+from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
 from plantainloft_node.engine.bodies import BodyTooLargeError
 from plantainloft_node.engine.exchange import Connection, Exchange, Handler
@@ -43,6 +43,7 @@
         clock: Callable[[], float],
     ) -> None:
         self._stream = stream
+        self.peer_host = str(stream.extra(SocketAttribute.remote_address)[0])
         self._handler = handler
         self._clock = clock
         self._open: list[Exchange] = []
--- a/packages/node/src/plantainloft_node/engine/dialect.py
+++ b/packages/node/src/plantainloft_node/engine/dialect.py
@@ -17,7 +17,8 @@
     carries the endpoint incarnation that must run the request; ``not_run``
     is an endpoint's word that it did not run the request; ``signature`` is
     borne by each answer of an endpoint's own (``None``: answers bear none);
-    ``load`` carries requests running, waiting, and slots.
+    ``load`` carries requests running, waiting, and slots; ``credentials``
+    are the headers by which a caller is known.
     """
 
     request_id: bytes = b'x-request-id'
@@ -27,3 +28,4 @@
     not_run: bytes = b'x-not-run'
     signature: bytes | None = None
     load: bytes = b'x-load'
+    credentials: tuple[bytes, ...] = (b'authorization', b'api-key')
--- a/packages/node/src/plantainloft_node/engine/dispatch.py
+++ b/packages/node/src/plantainloft_node/engine/dispatch.py
@@ -33,6 +33,8 @@
 from plantainloft_node.placing.demand import DemandMeter
 from plantainloft_node.placing.placement import Chosen, NoRoom, Placement, Wanted
 from plantainloft_node.placing.splitting import SplitTurns
+from plantainloft_node.quarantine.crash_checks import BrokenRun, CrashChecks
+from plantainloft_node.quarantine.fingerprints import RequestFingerprint, fingerprint_of
 
 __all__ = ['Dispatcher', 'Judged', 'RetryTerms', 'come_back']
 
@@ -71,9 +73,16 @@
     """Sends requests to endpoints until one is answered or none may be."""
 
     def __init__(
-        self, *, names: HeaderNames, placement: Placement, sender: Sender, retries: RetryTerms
+        self,
+        *,
+        names: HeaderNames,
+        placement: Placement,
+        sender: Sender,
+        retries: RetryTerms,
+        crash_checks: CrashChecks,
     ) -> None:
         self._names = names
+        self._crash_checks = crash_checks
         self._placement = placement
         self._sender = sender
         self.retries = retries
@@ -130,21 +139,39 @@
         outcome = await self._sender.send(choice.endpoint, sending)
         attempts.note(choice.endpoint.record.id, outcome, ran_before=ran_before)
         if not isinstance(outcome, Answered):
-            log.info(
-                'Front: a try failed.',
-                extra={
-                    'kind': 'try',
-                    'fields': {
-                        'request': request_id(judged.exchange, self._names),
-                        'endpoint': choice.endpoint.record.id,
-                        'load': round(choice.load, 1),
-                        'outcome': type(outcome).__name__,
-                        'reason': outcome.reason,
-                    },
-                },
-            )
+            self._note_unanswered(judged, choice, outcome)
         return outcome
 
+    def _note_unanswered(
+        self, judged: Judged, choice: Chosen, outcome: NotSent | NotRun | Failed
+    ) -> None:
+        record = choice.endpoint.record
+        fields = {
+            'request': request_id(judged.exchange, self._names),
+            'endpoint': record.id,
+            'load': round(choice.load, 1),
+            'outcome': type(outcome).__name__,
+            'reason': outcome.reason,
+        }
+        if isinstance(outcome, Failed) and outcome.broke:
+            fingerprint = self._fingerprint(judged)
+            fields['fingerprint'] = str(fingerprint)
+            run = BrokenRun(fingerprint, fields['request'], record.incarnation, record.address)
+            self._crash_checks.note_broken(run)
+        log.info('Front: a try failed.', extra={'kind': 'try', 'fields': fields})
+
+    def _fingerprint(self, judged: Judged) -> RequestFingerprint:
+        exchange = judged.exchange
+        credentials = (exchange.header(name) or b'' for name in self._names.credentials)
+        return fingerprint_of(
+            method=exchange.method,
+            host=exchange.header(b'host') or b'',
+            target=exchange.target,
+            body=judged.body,
+            address=exchange.peer_host,
+            credentials=credentials,
+        )
+
     def _again(self, judged: Judged, budget: RetryBudget, attempts: Attempts) -> bool:
         """Return whether a request that may have run may be sent again."""
         if not judged.route.idempotent or not judged.whole:
--- a/packages/node/src/plantainloft_node/engine/exchange.py
+++ b/packages/node/src/plantainloft_node/engine/exchange.py
@@ -13,7 +13,12 @@
 
 
 class Connection(ABC):
-    """What an exchange needs of the connection that it came on."""
+    """What an exchange needs of the connection that it came on.
+
+    ``peer_host`` is the network address of the caller, without its port.
+    """
+
+    peer_host: str
 
     @abstractmethod
     async def send(self, encoded: bytes) -> None:
@@ -62,6 +67,11 @@
         """The target's query."""
         return self.target.partition(b'?')[2].decode('latin-1')
 
+    @property
+    def peer_host(self) -> str:
+        """The network address of the caller, without its port."""
+        return self._caller.peer_host
+
     async def answer(self, status: int, headers: Headers, body: bytes = b'') -> None:
         """Send a whole answer."""
         framed = [*headers, (b'content-length', str(len(body)).encode())]
--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -87,9 +87,9 @@
         try:
             outcome, kept = await self._converse(state, link, sending)
         except SEND_ERRORS as exc:
-            return Failed(reason=f'sending: {type(exc).__name__}')
+            return Failed(reason=f'sending: {type(exc).__name__}', broke=True)
         except BrokenAnswerError as exc:
-            return Failed(reason=exc.reason)
+            return Failed(reason=exc.reason, broke=True)
         finally:
             # Also when the caller left or time ran out: closing is how an
             # endpoint learns that the work is wanted no more.
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -104,6 +104,7 @@
         for follower in self.observation.followers.values():
             tasks.start_soon(follower.run)
         tasks.start_soon(upkeep.run)
+        tasks.start_soon(self.serving.crash_checks.run)
         return beats
 
     def _start_listeners(self, tasks: TaskGroup) -> None:
--- a/packages/node/src/plantainloft_node/entry/serving.py
+++ b/packages/node/src/plantainloft_node/entry/serving.py
@@ -12,6 +12,7 @@
 from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.entry.terms import placement_terms, retry_terms
 from plantainloft_node.placing.placement import Placement
+from plantainloft_node.quarantine.crash_checks import BrokenRun, CrashChecks
 
 __all__ = ['Serving', 'build_serving']
 
@@ -23,6 +24,7 @@
     pool: LinkPool
     dispatcher: Dispatcher
     front: Front
+    crash_checks: CrashChecks
 
     def take_settings(self, settings: EntrySettings) -> None:
         """Take bounds that have changed."""
@@ -36,11 +38,13 @@
     """Return the parts that answer callers by what ``observation`` believes."""
     placement = Placement(terms=placement_terms(settings), book=observation.book)
     pool = LinkPool()
+    crash_checks = CrashChecks(on_crash=_ignore_crash)
     dispatcher = Dispatcher(
         names=names,
         placement=placement,
         sender=Sender(names=names, pool=pool),
         retries=retry_terms(settings),
+        crash_checks=crash_checks,
     )
     front = Front(
         names=names,
@@ -48,4 +52,8 @@
         table=lambda: observation.beliefs.table,
         observe=report.observe,
     )
-    return Serving(placement, pool, dispatcher, front)
+    return Serving(placement, pool, dispatcher, front, crash_checks)
+
+
+def _ignore_crash(run: BrokenRun, now: float) -> None:
+    """Crashes are logged only."""
--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -25,6 +25,7 @@
 from plantainloft_node.engine.sender import Sender
 from plantainloft_node.placing.endpoints import EndpointBook
 from plantainloft_node.placing.placement import Placement, PlacementTerms
+from plantainloft_node.quarantine.crash_checks import CrashChecks
 
 NAMES = HeaderNames(signature=b'x-signature')
 Script = Callable[['Conversation'], Awaitable[None]]
@@ -189,6 +190,7 @@
     terms = PlacementTerms(region='ankara', instance='e1', cold_over=1.5, cold_slack=5.0)
     placement = Placement(terms=terms, book=book)
     pool = LinkPool()
+    crash_checks = CrashChecks(on_crash=lambda run, now: None)
     front = Front(
         names=NAMES,
         dispatcher=Dispatcher(
@@ -196,6 +198,7 @@
             placement=placement,
             sender=Sender(names=NAMES, pool=pool),
             retries=RetryTerms(ratio=0.2, extra=64.0, window_s=10.0),
+            crash_checks=crash_checks,
         ),
         table=lambda: routes,
         observe=lambda name, outcome, seconds: None,
@@ -215,6 +218,7 @@
         listener = await anyio.create_tcp_listener(local_host='127.0.0.1', local_port=0)
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         tasks.start_soon(listener.serve, serve)
+        tasks.start_soon(crash_checks.run)
         yield Entry(f'127.0.0.1:{port}', book, front, connections, pool), endpoints
         tasks.cancel_scope.cancel()
 
