Failing tests: repeats of a request that crashes endpoints go on at every instance

Two entry processes of the deployed program, and four of the product's own interface, each in front of endpoints that end while they run one request and are back after a second. The request comes eight times a second under new ids, at each instance in turn.

The endpoint stand-in has a path that crashes it for this.

--- a/packages/node/src/plantainloft_node/engine/dispatch.py
+++ b/packages/node/src/plantainloft_node/engine/dispatch.py
@@ -146,8 +146,9 @@
         self, judged: Judged, choice: Chosen, outcome: NotSent | NotRun | Failed
     ) -> None:
         record = choice.endpoint.record
-        fields = {
-            'request': request_id(judged.exchange, self._names),
+        sent_as = request_id(judged.exchange, self._names)
+        fields: dict[str, object] = {
+            'request': sent_as,
             'endpoint': record.id,
             'load': round(choice.load, 1),
             'outcome': type(outcome).__name__,
@@ -156,7 +157,7 @@
         if isinstance(outcome, Failed) and outcome.broke:
             fingerprint = self._fingerprint(judged)
             fields['fingerprint'] = str(fingerprint)
-            run = BrokenRun(fingerprint, fields['request'], record.incarnation, record.address)
+            run = BrokenRun(fingerprint, sent_as, record.incarnation, record.address)
             self._crash_checks.note_broken(run)
         log.info('Front: a try failed.', extra={'kind': 'try', 'fields': fields})
 
--- a/packages/standins/src/plantainloft_standins/__main__.py
+++ b/packages/standins/src/plantainloft_standins/__main__.py
@@ -38,6 +38,7 @@
     service_ms: Annotated[float, cappa.Arg(long=True)] = 5.0
     cold_s: Annotated[float, cappa.Arg(long=True)] = 0.0
     report_lag_s: Annotated[float, cappa.Arg(long=True)] = 0.5
+    fatal_path: Annotated[str, cappa.Arg(long=True)] = ''
 
     def __call__(self) -> None:
         settings = endpoint.EndpointSettings(
@@ -47,6 +48,7 @@
             service_s=self.service_ms / 1000,
             cold_s=self.cold_s,
             report_lag_s=self.report_lag_s,
+            fatal_path=self.fatal_path,
         )
         state = endpoint.EndpointState(settings=settings)
 
--- a/packages/standins/src/plantainloft_standins/cluster.py
+++ b/packages/standins/src/plantainloft_standins/cluster.py
@@ -124,6 +124,8 @@
                 str(plan.slots),
                 '--service-ms',
                 str(plan.service_ms),
+                '--fatal-path',
+                plan.fatal_path,
             ],
         )
         cluster.endpoints_by_name[name] = f'http://127.0.0.1:{port}'
--- a/packages/standins/src/plantainloft_standins/deployments.py
+++ b/packages/standins/src/plantainloft_standins/deployments.py
@@ -22,13 +22,17 @@
 
 
 class ServicePlan(NamedTuple):
-    """A service: endpoints per zone, slots each, service time in ms."""
+    """A service: endpoints per zone, slots each, service time in ms.
+
+    A request for ``fatal_path`` crashes its endpoint; empty: none does.
+    """
 
     name: str
     per_zone: int
     slots: int
     service_ms: float
     slo_ms: int
+    fatal_path: str = ''
 
 
 class Deployment(NamedTuple):
--- a/packages/standins/src/plantainloft_standins/endpoint.py
+++ b/packages/standins/src/plantainloft_standins/endpoint.py
@@ -5,12 +5,14 @@
 run is counted by its ``Idempotency-Key`` so tests can see doubles.
 ``GET /load`` reports requests in flight, lagging by ``report_lag_s``
 and, when ``mislead`` is set, reporting zero. ``POST /drain`` makes it
-refuse new work. ``GET /executions`` lists runs by key and, while
+refuse new work. A request whose path is the endpoint's ``fatal_path`` ends the
+process while it runs. ``GET /executions`` lists runs by key and, while
 draining, how long new work was still being offered.
 """
 
 import collections
 import logging
+import os
 import time
 from http import HTTPStatus
 from typing import Any, NamedTuple
@@ -27,10 +29,14 @@
 
 COLD_FACTOR = 4.0
 MS = 1000.0
+EXIT_CRASHED = 70
 
 
 class EndpointSettings(NamedTuple):
-    """How the stand-in behaves; times in seconds."""
+    """How the stand-in behaves; times in seconds.
+
+    A request for ``fatal_path`` crashes the endpoint; empty: none does.
+    """
 
     name: str
     slots: int
@@ -38,6 +44,7 @@
     service_s: float
     cold_s: float
     report_lag_s: float
+    fatal_path: str = ''
 
 
 class DrainRecord:
@@ -131,6 +138,8 @@
             async with state.slots:
                 state.runs_by_key[key] += 1
                 await anyio.sleep(state.service_time())
+                if request.path_params['path'] == state.settings.fatal_path:
+                    os._exit(EXIT_CRASHED)
         finally:
             state.inflight -= 1
             state.note_load()
--- a/packages/standins/src/plantainloft_standins/launch.py
+++ b/packages/standins/src/plantainloft_standins/launch.py
@@ -72,6 +72,10 @@
             env=env,
         )
 
+    def spawn_again(self, name: str) -> None:
+        """Start ``name``, which has ended, as it was started; do not wait."""
+        self.spawn(name, self._args_by_name[name])
+
     def wait_ready(self, name: str, url: str) -> None:
         """Wait until ``url`` answers at all (any status)."""
         deadline = time.monotonic() + READY_TIMEOUT_S
--- /dev/null
+++ b/tests/test_crashing_requests.py
@@ -0,0 +1,167 @@
+"""A request that crashes each endpoint that runs it, sent again and again."""
+
+import itertools
+import time
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager
+from functools import partial
+from pathlib import Path
+
+import anyio
+import httpx
+import pytest
+from crashing_endpoints import CrashingEndpoint, Trace
+from platform_standin import (
+    ENDPOINT_TABLE,
+    OPERATOR,
+    SIGNED,
+    EntryProcessHandle,
+    StoreStandin,
+    call,
+    config,
+    endpoint_row,
+    running_store,
+)
+
+from plantainloft_standins.cluster import Cluster, bring_up
+from plantainloft_standins.deployments import Deployment, ServicePlan
+
+# What the users allow after the third crash, from all instances together.
+CONTACT_S = 4.0
+MAX_LATER = 3
+REPEAT_EVERY_S = 0.125
+PLAYED_S = 9.0
+ENDPOINTS = 6
+
+
+class Fleet:
+    """Entry processes in front of endpoints that crash."""
+
+    def __init__(self, *, trace: Trace, entries: list[EntryProcessHandle]) -> None:
+        self.trace = trace
+        self.entries = entries
+        self.statuses: list[int] = []
+
+    async def repeat(self, path: str, *, seconds: float, number: str = 'f') -> None:
+        """Send a request again and again, at each instance in turn."""
+        async with anyio.create_task_group() as tasks:
+            entries = itertools.cycle(self.entries)
+            for turn in range(round(seconds / REPEAT_EVERY_S)):
+                tasks.start_soon(self.send, next(entries), path, f'{number}{turn}')
+                await anyio.sleep(REPEAT_EVERY_S)
+
+    async def send(self, entry: EntryProcessHandle, path: str, request_id: str) -> int:
+        more = f'X-Plantainloft-Request-Id: {request_id}\r\n'
+        answer = await call(entry.front, path, more=more)
+        status = int(answer.split(b' ', 2)[1]) if answer else 0
+        self.statuses.append(status)
+        return status
+
+
+@asynccontextmanager
+async def crashing_fleet(handles: list[EntryProcessHandle], path: Path) -> AsyncIterator[Fleet]:
+    trace = Trace()
+    async with running_store() as (store, tasks):
+        for number in range(ENDPOINTS):
+            endpoint = CrashingEndpoint(
+                name=f'i{number}',
+                trace=trace,
+                answer=SIGNED,
+                on_start=partial(relist, store),
+            )
+            await tasks.start(lambda *, task_status, one=endpoint: one.run(task_status=task_status))
+        store.put(OPERATOR, 'config', config(3))
+        for number in (1, 2):
+            handles.append(
+                EntryProcessHandle(
+                    number=number, store=store.address, work_dir=path, seeds='127.0.9.1:7801'
+                )
+            )
+        for handle in handles:
+            handle.start()
+        for handle in handles:
+            await handle.until_ready()
+        yield Fleet(trace=trace, entries=handles)
+
+
+def relist(store: StoreStandin, endpoint: CrashingEndpoint) -> None:
+    """List a new incarnation in place of the one before."""
+    number = endpoint.name.split('-')[0]
+    store.remove(ENDPOINT_TABLE, endpoint.name)
+    endpoint.name = f'{number}-{time.monotonic_ns()}'
+    store.put(ENDPOINT_TABLE, endpoint.name, endpoint_row(endpoint.address))
+
+
+@pytest.mark.anyio
+async def test_repeats_stop_at_all_instances_once_three_endpoints_have_crashed(
+    handles: list[EntryProcessHandle], tmp_path: Path
+) -> None:
+    """Each instance saw only its own share of the crashes, and forgot it."""
+    async with crashing_fleet(handles, tmp_path) as fleet:
+        await fleet.repeat('/files/fatal', seconds=PLAYED_S)
+        assert len(fleet.trace.fatal_after(CONTACT_S)) <= MAX_LATER
+
+
+CRASHING = Deployment(
+    name='crashing',
+    regions=('ankara', 'izmir'),
+    services=(
+        ServicePlan(
+            name='case-desk',
+            per_zone=2,
+            slots=4,
+            service_ms=100,
+            slo_ms=1000,
+            fatal_path='fatal',
+        ),
+    ),
+    region_capacity=80,
+)
+
+
+@pytest.fixture
+def crashing(tmp_path: Path) -> Iterator[Cluster]:
+    cluster = bring_up(CRASHING, work_dir=tmp_path)
+    yield cluster
+    cluster.processes.stop_all()
+
+
+class OwnInterface:
+    """Repeats a request through the product's own interface."""
+
+    def __init__(self, *, cluster: Cluster) -> None:
+        self._cluster = cluster
+        self._processes = cluster.processes
+        self._down_since: dict[str, float] = {}
+        self.crashes: list[float] = []
+
+    def watch(self) -> None:
+        """Count the endpoints that ended, and start them again after a while."""
+        now = time.monotonic()
+        for name in self._cluster.endpoints_by_name:
+            if self._processes.by_name[name].poll() is None:
+                continue
+            if name not in self._down_since:
+                self._down_since[name] = now
+                self.crashes.append(now)
+            elif now - self._down_since[name] > 1.0:
+                del self._down_since[name]
+                self._processes.spawn_again(name)
+
+    def repeat(self, path: str, *, seconds: float) -> None:
+        """Send a request again and again, at each instance in turn."""
+        entries = itertools.cycle(self._cluster.entries_by_name.values())
+        end_at = time.monotonic() + seconds
+        while time.monotonic() < end_at:
+            httpx.get(f'{next(entries)}/v1/forward/case-desk/{path}', timeout=10)
+            self.watch()
+            time.sleep(REPEAT_EVERY_S)
+
+
+def test_repeats_through_the_own_interface_stop_once_three_endpoints_have_crashed(
+    crashing: Cluster,
+) -> None:
+    own = OwnInterface(cluster=crashing)
+    own.repeat('fatal', seconds=PLAYED_S)
+    third = own.crashes[2]
+    assert sum(at > third + CONTACT_S for at in own.crashes) <= MAX_LATER
