Requests under which three endpoints ended are quarantined by the whole fleet

What callers saw: one claim look-up, asked again and again, ended 54 endpoints of case-desk within a minute. Claim look-ups and hearing notices of everybody else were late, refused or failed, up to three in four for seconds.

Cause: nothing kept what a request did to endpoints. A repeat comes under a new id and at any instance, so each was a new request everywhere, and each idempotent one was sent to a second endpoint as well. The class: a limit that nobody counts over all instances (as the retry budget is, and the cold limits are).

It was sent on 24 and 19 times after the third crash and the time of contact.

Change: a request is known by its fingerprint (method, host, path, query and body, and its caller). A connection that broke while it ran, at an endpoint that accepts no further one, counts as a crash; crashes are shared with the fleet's reports (bounded, 16 of 27 bytes a report; added up in any order, so lost, doubled and late datagrams do no harm), told at once, and repeated for five seconds. From the third on the request is answered 502 at once, without Retry-After, at every instance, and kept in the store for those that start later. An answer clears whoever asked the same: requests that merely ran beside it are cleared by their next answer. After a minute (doubling) one instance tries it once at one endpoint; the store decides which.

Why it works: the count is the sum over all instances, each crash counted once by the incarnation that ended, and the bound does not depend on where a repeat arrives.

Ruled out: fewer repeats of our own (half of the crashes would be left); endpoints that fall by themselves (the same request was on 30 of 36).

--- a/packages/node/src/plantainloft_node/engine/dispatch.py
+++ b/packages/node/src/plantainloft_node/engine/dispatch.py
@@ -33,8 +33,10 @@
 from plantainloft_node.placing.demand import DemandMeter
 from plantainloft_node.placing.placement import Chosen, NoRoom, Placement, Wanted
 from plantainloft_node.placing.splitting import SplitTurns
+from plantainloft_node.quarantine.crash_book import CrashBook
 from plantainloft_node.quarantine.crash_checks import BrokenRun, CrashChecks
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint, fingerprint_of
+from plantainloft_node.quarantine.quarantine import Quarantine, ShutOut, Trial
 
 __all__ = ['Dispatcher', 'Judged', 'RetryTerms', 'come_back']
 
@@ -80,9 +82,11 @@
         sender: Sender,
         retries: RetryTerms,
         crash_checks: CrashChecks,
+        quarantine: Quarantine,
     ) -> None:
         self._names = names
         self._crash_checks = crash_checks
+        self._quarantine = quarantine
         self._placement = placement
         self._sender = sender
         self.retries = retries
@@ -90,6 +94,11 @@
         self._turns_by_route: dict[str, SplitTurns] = {}
         self.demand = DemandMeter()
 
+    @property
+    def crashes(self) -> CrashBook:
+        """Which requests crashed endpoints."""
+        return self._quarantine.book
+
     def budgets_left(self, now: float) -> dict[str, float]:
         """Return the repeats left by service."""
         return {
@@ -99,11 +108,16 @@
 
     async def obtain(
         self, judged: Judged, table: RouteTable, attempts: Attempts
-    ) -> Answered | Refusal | Failed:
+    ) -> Answered | Refusal | Failed | ShutOut:
         """Return the answer, or why there is none.
 
         Cancel to give up; ``attempts`` then tells what may have run.
         """
+        if self._quarantine.book:
+            admission = await self._quarantine.admit(self._fingerprint(judged))
+            if isinstance(admission, ShutOut):
+                return admission
+            attempts.is_trial = isinstance(admission, Trial)
         route = judged.route
         turns = self._turns_by_route.setdefault(route.name, SplitTurns())
         service = turns.next(route.shares)
@@ -138,10 +152,18 @@
         attempts.placed = _placed(choice, judged, now)
         outcome = await self._sender.send(choice.endpoint, sending)
         attempts.note(choice.endpoint.record.id, outcome, ran_before=ran_before)
-        if not isinstance(outcome, Answered):
+        if isinstance(outcome, Answered):
+            self._note_answered(judged, outcome)
+        else:
             self._note_unanswered(judged, choice, outcome)
         return outcome
 
+    def _note_answered(self, judged: Judged, outcome: Answered) -> None:
+        # Its own failure may be the deadline, before a run gets to its crash.
+        is_whole = outcome.rest is None and outcome.head.status < HTTPStatus.INTERNAL_SERVER_ERROR
+        if is_whole and self._quarantine.book:
+            self._quarantine.note_answered(self._fingerprint(judged), anyio.current_time())
+
     def _note_unanswered(
         self, judged: Judged, choice: Chosen, outcome: NotSent | NotRun | Failed
     ) -> None:
@@ -175,7 +197,11 @@
 
     def _again(self, judged: Judged, budget: RetryBudget, attempts: Attempts) -> bool:
         """Return whether a request that may have run may be sent again."""
-        if not judged.route.idempotent or not judged.whole:
+        if not judged.route.idempotent or not judged.whole or attempts.is_trial:
+            return False
+        if self._quarantine.book.standing(
+            self._fingerprint(judged), anyio.current_time()
+        ).is_quarantined:
             return False
         return self._allowed(judged, budget, attempts)
 
--- a/packages/node/src/plantainloft_node/engine/front.py
+++ b/packages/node/src/plantainloft_node/engine/front.py
@@ -12,6 +12,7 @@
 from plantainloft_node.engine.exchange import Exchange, Handler
 from plantainloft_node.engine.heads import find_cookie
 from plantainloft_node.engine.replies import OUT_OF_TIME, Replies, request_id
+from plantainloft_node.quarantine.quarantine import ShutOut
 
 __all__ = ['Front']
 
@@ -73,7 +74,7 @@
     async def _serve(self, exchange: Exchange, route: Route, table: RouteTable) -> None:
         cutoff = exchange.received_at + min(self._patience(exchange), route.timeout_s)
         attempts = Attempts(key=self._key(exchange), version=table.version)
-        outcome: Answered | Refusal | Failed | None = None
+        outcome: Answered | Refusal | Failed | ShutOut | None = None
         cancelled = anyio.get_cancelled_exc_class()
         try:
             with anyio.move_on_at(cutoff):
--- a/packages/node/src/plantainloft_node/engine/replies.py
+++ b/packages/node/src/plantainloft_node/engine/replies.py
@@ -13,6 +13,7 @@
 from plantainloft_node.engine.endpoint_link import BrokenAnswerError, EndpointLink
 from plantainloft_node.engine.exchange import Exchange
 from plantainloft_node.engine.heads import Headers, passed_on
+from plantainloft_node.quarantine.quarantine import ShutOut
 
 __all__ = ['OUT_OF_TIME', 'Replies', 'request_id']
 
@@ -65,9 +66,10 @@
         self,
         exchange: Exchange,
         route: Route,
-        outcome: Answered | Refusal | Failed,
+        outcome: Answered | Refusal | Failed | ShutOut,
         attempts: Attempts,
     ) -> None:
+        """Answer by ``outcome``."""
         took_s = anyio.current_time() - exchange.received_at
         fields = _fields(route, attempts, took_s)
         if isinstance(outcome, Answered):
@@ -83,6 +85,13 @@
             fields['endpoints'] = attempts.loads
             self._log_end(exchange, 'refused', fields)
             await self.refuse(exchange, outcome)
+        elif isinstance(outcome, ShutOut):
+            self._observe(route.name, 'quarantined', took_s)
+            fields['fingerprint'] = str(outcome.request)
+            fields['crashes'] = outcome.crashes
+            self._log_end(exchange, 'quarantined', fields)
+            # No Retry-After: come back, it would be shut out again.
+            await self._say(exchange, HTTPStatus.BAD_GATEWAY)
         else:
             self._observe(route.name, 'failed', took_s)
             fields['reason'] = outcome.reason
--- a/packages/node/src/plantainloft_node/entry/fleet_parts.py
+++ b/packages/node/src/plantainloft_node/entry/fleet_parts.py
@@ -14,6 +14,7 @@
 from plantainloft_node.entry.terms import seed_peers
 from plantainloft_node.fleet.beats import BeatExchange
 from plantainloft_node.fleet.members import Beat, MemberBook
+from plantainloft_node.quarantine.crash_book import CrashBook
 from plantainloft_node.replica.rows import RowCopy
 
 __all__ = ['start_fleet_parts']
@@ -28,6 +29,7 @@
     members: MemberBook,
     observation: Observation,
     state: Callable[[], Beat],
+    crashes: CrashBook,
     tasks: TaskGroup,
 ) -> BeatExchange:
     """Start beats, calls, probes and the list of instances; return the beats.
@@ -38,7 +40,11 @@
     sharing = NewsSharing(calls=calls, members=members, observation=observation, tasks=tasks)
     probes = StoreProbes(calls=calls, members=members, observation=observation)
     beats = BeatExchange(
-        members=members, state=state, on_hint=sharing.on_hint, seeds=seed_peers(settings)
+        members=members,
+        state=state,
+        on_hint=sharing.on_hint,
+        seeds=seed_peers(settings),
+        crashes=crashes,
     )
     instances = InstanceList(members=members, store=observation.store)
     handler_by_kind = {
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -14,6 +14,7 @@
 from plantainloft_node.entry.lookups import LookupHandler, MetricsHandler, ReadyHandler
 from plantainloft_node.entry.observing import Observation
 from plantainloft_node.entry.polling import StoreDuty
+from plantainloft_node.entry.quarantine_rows import build_quarantine
 from plantainloft_node.entry.report import Report
 from plantainloft_node.entry.serving import build_serving
 from plantainloft_node.entry.settings import EntrySettings
@@ -59,11 +60,14 @@
             rests=lambda: self._duty.rests(anyio.current_time()),
         )
         self.report = Report(observation=self.observation, members=self.members)
+        self._beats: BeatExchange | None = None
+        self.quarantine = build_quarantine(store=store, members=self.members, spread=self._spread)
         self.serving = build_serving(
             settings=settings,
             names=names,
             observation=self.observation,
             report=self.report,
+            quarantine=self.quarantine,
         )
 
     def ready(self) -> bool:
@@ -94,8 +98,10 @@
             members=self.members,
             observation=self.observation,
             state=self._beat,
+            crashes=self.quarantine.book,
             tasks=tasks,
         )
+        self._beats = beats
         upkeep = Upkeep(
             observation=self.observation,
             members=self.members,
@@ -105,6 +111,7 @@
             tasks.start_soon(follower.run)
         tasks.start_soon(upkeep.run)
         tasks.start_soon(self.serving.crash_checks.run)
+        tasks.start_soon(self.quarantine.run)
         return beats
 
     def _start_listeners(self, tasks: TaskGroup) -> None:
@@ -124,6 +131,10 @@
         serving = self.serving
         return self.report.text(serving.front, serving.dispatcher, serving.placement)
 
+    def _spread(self) -> None:
+        if self._beats is not None:
+            self._beats.hurry()
+
     def _beat(self) -> Beat:
         return Beat(
             member=self.members.me,
--- a/packages/node/src/plantainloft_node/entry/serving.py
+++ b/packages/node/src/plantainloft_node/entry/serving.py
@@ -12,7 +12,8 @@
 from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.entry.terms import placement_terms, retry_terms
 from plantainloft_node.placing.placement import Placement
-from plantainloft_node.quarantine.crash_checks import BrokenRun, CrashChecks
+from plantainloft_node.quarantine.crash_checks import CrashChecks
+from plantainloft_node.quarantine.quarantine import Quarantine
 
 __all__ = ['Serving', 'build_serving']
 
@@ -33,18 +34,24 @@
 
 
 def build_serving(
-    *, settings: EntrySettings, names: HeaderNames, observation: Observation, report: Report
+    *,
+    settings: EntrySettings,
+    names: HeaderNames,
+    observation: Observation,
+    report: Report,
+    quarantine: Quarantine,
 ) -> Serving:
     """Return the parts that answer callers by what ``observation`` believes."""
     placement = Placement(terms=placement_terms(settings), book=observation.book)
     pool = LinkPool()
-    crash_checks = CrashChecks(on_crash=_ignore_crash)
+    crash_checks = CrashChecks(on_crash=quarantine.note_crash)
     dispatcher = Dispatcher(
         names=names,
         placement=placement,
         sender=Sender(names=names, pool=pool),
         retries=retry_terms(settings),
         crash_checks=crash_checks,
+        quarantine=quarantine,
     )
     front = Front(
         names=names,
@@ -53,7 +60,3 @@
         observe=report.observe,
     )
     return Serving(placement, pool, dispatcher, front, crash_checks)
-
-
-def _ignore_crash(run: BrokenRun, now: float) -> None:
-    """Crashes are logged only."""
--- a/packages/node/src/plantainloft_node/entry/upkeep.py
+++ b/packages/node/src/plantainloft_node/entry/upkeep.py
@@ -27,6 +27,7 @@
         self._placement = serving.placement
         self._demand = serving.dispatcher.demand
         self._pool = serving.pool
+        self._crashes = serving.dispatcher.crashes
 
     async def run(self) -> None:
         """Tick until cancelled."""
@@ -41,6 +42,7 @@
         self._placement.update_instances(self._members.sharing(now))
         self._placement.update_ejections(now)
         self._demand.tick(TICK_S)
+        self._crashes.forget_old(now)
         zones = demand_of_zones(self._members, self._demand.rate_by_service, now)
         demand = [RegionDemand(zone.region, zone.rate_by_service) for zone in zones]
         self._placement.update_regions(demand_by_region(demand))
--- a/packages/node/src/plantainloft_node/fleet/beats.py
+++ b/packages/node/src/plantainloft_node/fleet/beats.py
@@ -16,6 +16,7 @@
 from plantainloft_node.fleet.members import MemberBook
 from plantainloft_node.fleet.relaying import Message, Relaying
 from plantainloft_node.fleet.reports import Beat
+from plantainloft_node.quarantine.crash_book import CrashBook
 
 __all__ = ['BEAT_S', 'BeatExchange']
 
@@ -39,16 +40,18 @@
         state: Callable[[], Beat],
         on_hint: Callable[[Hint], None],
         seeds: tuple[str, ...],
+        crashes: CrashBook,
     ) -> None:
         self._members = members
         self._on_hint = on_hint
-        self._intake = Intake(members=members)
+        self._intake = Intake(members=members, crashes=crashes)
         self._relaying = Relaying(
             members=members,
             intake=self._intake,
             state=state,
             seeds=seeds,
             chance=random.Random(),
+            crashes=crashes,
         )
         self._socket: UDPSocket | None = None
         self._sending = anyio.Lock()
@@ -70,6 +73,10 @@
         for message in self._relaying.round(anyio.current_time(), to_all=to_all):
             await self._send(message)
 
+    def hurry(self) -> None:
+        """Tell the others within a moment."""
+        self._urgent.set()
+
     async def tell_readers(self) -> None:
         """Tell those who rest while this instance follows the store."""
         for message in self._relaying.to_readers(anyio.current_time()):
--- a/packages/node/src/plantainloft_node/fleet/intake.py
+++ b/packages/node/src/plantainloft_node/fleet/intake.py
@@ -5,6 +5,7 @@
 from plantainloft_node.fleet.datagrams import Datagram, PackedReport, unpack_datagram
 from plantainloft_node.fleet.members import DOWN_AFTER_S, MemberBook
 from plantainloft_node.fleet.reports import Beat, FleetMember, ZoneReport
+from plantainloft_node.quarantine.crash_book import CrashBook
 
 __all__ = ['Hint', 'Intake', 'Taken']
 
@@ -53,8 +54,9 @@
 class Intake:
     """Takes reports into the book, and keeps what is to be passed on."""
 
-    def __init__(self, *, members: MemberBook) -> None:
+    def __init__(self, *, members: MemberBook, crashes: CrashBook) -> None:
         self._members = members
+        self._crashes = crashes
         self._number_by_sender: dict[str, _Number] = {}
         self._wanted_at_by_name: dict[str, float] = {}
         self._came_at_by_name: dict[str, float] = {}
@@ -74,8 +76,10 @@
                 if self._is_news(item.report, now):
                     hints.append(self._hint(item.report))
                     is_urgent |= self._take_own(item.report, item.packed, datagram, now)
+                    is_urgent |= self._take_crashes(item.report, 0.0, now)
             elif self._is_from(datagram.sender, host) and self._is_news(item.report, now):
                 hints += self._take_passed_on(item.report, datagram.sender, item.held_s, now)
+                is_urgent |= self._take_crashes(item.report, item.held_s, now)
         return Taken(tuple(hints), is_urgent)
 
     def readers(self, now: float) -> list[FleetMember]:
@@ -114,6 +118,11 @@
         leaves = report.beat.leaving and not was_leaving
         return datagram.wants_reports and (fresh or leaves)
 
+    def _take_crashes(self, report: ZoneReport, held_s: float, now: float) -> bool:
+        """Take crashes told of; return whether those who listen here should hear now."""
+        is_news = self._crashes.merge(report.crashes, now, held_s=held_s)
+        return is_news and bool(self.readers(now))
+
     def _take_passed_on(
         self, report: ZoneReport, sender: str, held_s: float, now: float
     ) -> list[Hint]:
--- a/packages/node/src/plantainloft_node/fleet/relaying.py
+++ b/packages/node/src/plantainloft_node/fleet/relaying.py
@@ -23,6 +23,7 @@
 from plantainloft_node.fleet.ranking import RELAYS, asked_in, down_in, relays_in
 from plantainloft_node.fleet.report_codec import pack_report
 from plantainloft_node.fleet.reports import Beat, FleetMember, ZoneEntry, ZoneReport, member_key
+from plantainloft_node.quarantine.crash_book import CrashBook
 
 __all__ = ['Message', 'Relaying']
 
@@ -55,8 +56,10 @@
         state: Callable[[], Beat],
         seeds: tuple[str, ...],
         chance: random.Random,
+        crashes: CrashBook,
     ) -> None:
         """``state`` returns what to say of this instance."""
+        self._crashes = crashes
         self._members = members
         self._intake = intake
         self._state = state
@@ -102,7 +105,8 @@
     def _own_report(self, now: float, *, is_full: bool) -> PackedReport:
         self._number += 1
         beat = self._state()
-        report = ZoneReport(self._number, beat, {}, (), ())
+        crashes = tuple(self._crashes.reports(now))
+        report = ZoneReport(self._number, beat, {}, (), (), crashes)
         if is_full:
             report = report._replace(
                 zone_rate_by_service=rates_in_zone(self._members, beat.rate_by_service, now),
--- a/packages/node/src/plantainloft_node/fleet/report_codec.py
+++ b/packages/node/src/plantainloft_node/fleet/report_codec.py
@@ -7,6 +7,7 @@
 import msgpack
 
 from plantainloft_node.fleet.reports import Beat, FleetMember, ZoneEntry, ZoneReport
+from plantainloft_node.quarantine.crash_codec import pack_crashes, unpack_crashes
 
 __all__ = ['MALFORMED', 'checked', 'checked_number', 'pack_report', 'unpack_report']
 
@@ -31,6 +32,7 @@
             [
                 b''.join(_pack_entry(entry) for entry in report.entries),
                 [list(member) for member in report.introduced],
+                pack_crashes(report.crashes),
             ],
         ]
     )
@@ -40,7 +42,7 @@
 def unpack_report(packed: bytes) -> ZoneReport:
     """Return the report in ``packed``; raises one of ``MALFORMED``."""
     number, raw_beat, zone_rates, told = msgpack.unpackb(packed)
-    entries, introduced = told
+    entries, introduced, crashes = told
     if len(introduced) > MAX_INTRODUCED:
         raise ValueError('too many introduced')
     return ZoneReport(
@@ -49,6 +51,7 @@
         zone_rate_by_service=_rates(zone_rates),
         entries=tuple(_entries(checked(entries, bytes))),
         introduced=tuple(_member(one) for one in introduced),
+        crashes=unpack_crashes(checked(crashes, bytes)),
     )
 
 
--- a/packages/node/src/plantainloft_node/fleet/reports.py
+++ b/packages/node/src/plantainloft_node/fleet/reports.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from plantainloft_node.placing.affinity import score
+from plantainloft_node.quarantine.crash_book import CrashReport
 
 __all__ = ['Beat', 'FleetMember', 'ZoneEntry', 'ZoneReport', 'member_key']
 
@@ -59,7 +60,8 @@
     hears itself, and ``zone_rate_by_service`` their callers' requests a second;
     both are empty in the report of an instance that nobody beats to.
     ``introduced`` are instances that have just come, whole, so that whoever is
-    told of their keys need not ask.
+    told of their keys need not ask. ``crashes`` are endpoints that ended under
+    requests, as far as the sender knows of them.
     """
 
     number: int
@@ -67,6 +69,7 @@
     zone_rate_by_service: dict[str, float]
     entries: tuple[ZoneEntry, ...]
     introduced: tuple[FleetMember, ...]
+    crashes: tuple[CrashReport, ...] = ()
 
 
 def member_key(member: FleetMember) -> int:
--- a/packages/node/src/plantainloft_node/replica/news.py
+++ b/packages/node/src/plantainloft_node/replica/news.py
@@ -17,6 +17,7 @@
     'DECLARATIONS',
     'ENDPOINTS',
     'INSTANCES',
+    'QUARANTINE',
     'Change',
     'EndpointGone',
     'EndpointListed',
@@ -32,6 +33,7 @@
 DECLARATIONS = 'declarations'
 ENDPOINTS = 'endpoints'
 INSTANCES = 'instances'
+QUARANTINE = 'quarantine'
 
 
 class NewsRow(NamedTuple):
@@ -120,6 +122,10 @@
     async def remove_row(self, row: NewsRow) -> Unreachable | None:
         """Remove ``row`` if it still has its version; else do nothing."""
 
+    @abstractmethod
+    async def replace_row(self, row: NewsRow, content: bytes) -> bool | Unreachable:
+        """Write ``content`` over ``row``; return whether it still had its version."""
+
     @abstractmethod
     async def probe(self) -> Unreachable | None:
         """Make one small call, to see whether the store answers."""
--- a/packages/standins/src/plantainloft_standins/fleet_model.py
+++ b/packages/standins/src/plantainloft_standins/fleet_model.py
@@ -16,6 +16,7 @@
 from plantainloft_node.fleet.intake import Hint, Intake
 from plantainloft_node.fleet.members import Beat, FleetMember, MemberBook
 from plantainloft_node.fleet.relaying import Message, Relaying
+from plantainloft_node.quarantine.crash_book import CrashBook
 
 __all__ = ['FleetModel', 'FleetShape', 'ModelInstance', 'Traffic']
 
@@ -67,7 +68,8 @@
 
     def __init__(self, *, me: FleetMember, seeds: tuple[str, ...], seed: int) -> None:
         self.members = MemberBook(me=me)
-        self.intake = Intake(members=self.members)
+        self.crashes = CrashBook()
+        self.intake = Intake(members=self.members, crashes=self.crashes)
         self.leaving = False
         self.rate_by_service: dict[str, float] = {'desk': 1.0}
         self.traffic = Traffic()
@@ -81,6 +83,7 @@
             state=self._beat,
             seeds=seeds,
             chance=random.Random(seed),
+            crashes=self.crashes,
         )
 
     def _beat(self) -> Beat:
--- a/packages/standins/src/plantainloft_standins/leaving_model.py
+++ b/packages/standins/src/plantainloft_standins/leaving_model.py
@@ -25,6 +25,7 @@
 from plantainloft_node.fleet.members import Beat, FleetMember, MemberBook
 from plantainloft_node.fleet.relaying import Message, Relaying
 from plantainloft_node.peering.listener import Handler
+from plantainloft_node.quarantine.crash_book import CrashBook
 from plantainloft_node.replica.news import DECLARATIONS, ENDPOINTS
 from plantainloft_standins.store_model import ModelStore, Outage, StoreAccess
 from plantainloft_standins.virtual_clock import run_in_virtual_time
@@ -163,13 +164,15 @@
             calls=calls, members=self.members, observation=self.observation, tasks=tasks
         )
         self.probes = StoreProbes(calls=calls, members=self.members, observation=self.observation)
-        self._intake = Intake(members=self.members)
+        crashes = CrashBook()
+        self._intake = Intake(members=self.members, crashes=crashes)
         self.relaying = Relaying(
             members=self.members,
             intake=self._intake,
             state=self.beat,
             seeds=(),
             chance=random.Random(me.name),
+            crashes=crashes,
         )
         network.handler_by_call[(me.name, NEWS_CALL)] = self.sharing.tell
         network.handler_by_call[(me.name, SMALL_NEWS_CALL)] = self.sharing.tell_small
--- a/packages/standins/src/plantainloft_standins/store_model.py
+++ b/packages/standins/src/plantainloft_standins/store_model.py
@@ -143,6 +143,10 @@
         """Write nothing: the model keeps no list of instances."""
         return await self.probe()
 
+    async def replace_row(self, row: NewsRow, content: bytes) -> bool | Unreachable:
+        """Nothing: endpoints do not crash here."""
+        return False
+
     async def probe(self) -> Unreachable | None:
         """Make one small call."""
         outcome = await self._ask(INSTANCES, after=0, wait_s=0.0)
--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -25,7 +25,10 @@
 from plantainloft_node.engine.sender import Sender
 from plantainloft_node.placing.endpoints import EndpointBook
 from plantainloft_node.placing.placement import Placement, PlacementTerms
+from plantainloft_node.quarantine.crash_book import CrashBook
 from plantainloft_node.quarantine.crash_checks import CrashChecks
+from plantainloft_node.quarantine.quarantine import Quarantine
+from plantainloft_standins.quarantine_store import MemoryQuarantineStore
 
 NAMES = HeaderNames(signature=b'x-signature')
 Script = Callable[['Conversation'], Awaitable[None]]
@@ -190,7 +193,13 @@
     terms = PlacementTerms(region='ankara', instance='e1', cold_over=1.5, cold_slack=5.0)
     placement = Placement(terms=terms, book=book)
     pool = LinkPool()
-    crash_checks = CrashChecks(on_crash=lambda run, now: None)
+    quarantine = Quarantine(
+        book=CrashBook(),
+        store=MemoryQuarantineStore(),
+        is_alone=lambda: False,
+        spread=lambda: None,
+    )
+    crash_checks = CrashChecks(on_crash=quarantine.note_crash)
     front = Front(
         names=NAMES,
         dispatcher=Dispatcher(
@@ -199,6 +208,7 @@
             sender=Sender(names=NAMES, pool=pool),
             retries=RetryTerms(ratio=0.2, extra=64.0, window_s=10.0),
             crash_checks=crash_checks,
+            quarantine=quarantine,
         ),
         table=lambda: routes,
         observe=lambda name, outcome, seconds: None,
@@ -219,6 +229,7 @@
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         tasks.start_soon(listener.serve, serve)
         tasks.start_soon(crash_checks.run)
+        tasks.start_soon(quarantine.run)
         yield Entry(f'127.0.0.1:{port}', book, front, connections, pool), endpoints
         tasks.cancel_scope.cancel()
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -85,6 +85,9 @@
     async def remove_row(self, row: NewsRow) -> Unreachable | None:
         return None
 
+    async def replace_row(self, row: NewsRow, content: bytes) -> bool | Unreachable:
+        return False
+
     async def probe(self) -> Unreachable | None:
         return REFUSED if self.away else None
 
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -14,6 +14,7 @@
 from plantainloft_node.fleet.ranking import relays_in
 from plantainloft_node.fleet.report_codec import pack_report
 from plantainloft_node.fleet.reports import ZoneReport
+from plantainloft_node.quarantine.crash_book import CrashBook
 from plantainloft_standins.fleet_model import FleetModel, FleetShape
 
 SMALL = FleetShape()
@@ -292,14 +293,14 @@
 )
 def test_a_datagram_that_is_not_understood_changes_nothing(packed: bytes) -> None:
     book = MemberBook(me=member('e1'))
-    intake = Intake(members=book)
+    intake = Intake(members=book, crashes=CrashBook())
     assert intake.take(packed, 'e2', 1.0) is None
     assert book.everyone() == []
 
 
 def test_a_datagram_under_the_name_of_another_changes_nothing() -> None:
     book = MemberBook(me=member('e1'))
-    intake = Intake(members=book)
+    intake = Intake(members=book, crashes=CrashBook())
     intake.take(datagram('e2', leaving=True), 'stranger', 1.0)
     assert book.everyone() == []
     intake.take(datagram('e2'), 'e2', 1.0)
@@ -309,7 +310,7 @@
 
 def test_a_datagram_that_comes_again_is_no_sign_of_life() -> None:
     book = MemberBook(me=member('e1'))
-    intake = Intake(members=book)
+    intake = Intake(members=book, crashes=CrashBook())
     packed = datagram('e2', number=5)
     intake.take(packed, 'e2', 1.0)
     intake.take(packed, 'e2', 2.5)
