An endpoint that ends under a long body no longer ends the instance

Cause: the error left a task group as a group of exceptions, which no handler knows by its kind. Change: errors of the stream and of the answer are kept until the group has ended, and raised by themselves. An endpoint that stops taking the body may have answered: its answer decides.

Two tests in tests/test_front.py: both failed before (502 and 413 expected; the task group of all connections ended), both pass.

--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -1,13 +1,14 @@
 """Send one request to one endpoint and tell what came of it."""
 
 import itertools
+import logging
 from http import HTTPStatus
 from typing import NamedTuple
 
 import anyio
 
 from plantainloft_node.engine.attempts import Answered, Failed, NotRun, NotSent, TryOutcome
-from plantainloft_node.engine.bodies import RequestBody
+from plantainloft_node.engine.bodies import BodyTooLargeError, RequestBody
 from plantainloft_node.engine.dialect import HeaderNames
 from plantainloft_node.engine.endpoint_link import (
     SEND_ERRORS,
@@ -23,6 +24,8 @@
 
 __all__ = ['Sender', 'Sending']
 
+log = logging.getLogger(__name__)
+
 # A connection to a live endpoint opens within a round trip (110 ms between
 # the farthest regions of today's deployments) and a few milliseconds.
 CONNECT_S = 0.4
@@ -126,10 +129,18 @@
         if rest is None:
             return await self._read(state, link)
         outcome: TryOutcome = Failed(reason='no answer')
+        # Raised out of the task group they would come as a group of exceptions,
+        # pass every handler above and end the process.
+        failures: list[Exception] = []
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_stream_body, link, rest)
-            outcome = await self._read(state, link)
+            tasks.start_soon(_stream_body, link, rest, failures, tasks.cancel_scope)
+            try:
+                outcome = await self._read(state, link)
+            except BrokenAnswerError as exc:
+                failures.append(exc)
             tasks.cancel_scope.cancel()
+        if failures:
+            raise failures[0]
         return outcome
 
     async def _read(self, state: EndpointState, link: EndpointLink) -> TryOutcome:
@@ -204,7 +215,24 @@
             state.note_report(busy=int(counts[0]) + int(counts[1]), now=now)
 
 
-async def _stream_body(link: EndpointLink, body: RequestBody) -> None:
+async def _stream_body(
+    link: EndpointLink,
+    body: RequestBody,
+    failures: list[Exception],
+    reading: anyio.CancelScope,
+) -> None:
+    """Send the body; one that is too long ends the ``reading`` of an answer."""
+    try:
+        await _send_pieces(link, body)
+    except BodyTooLargeError as exc:
+        failures.append(exc)
+        reading.cancel()
+    except SEND_ERRORS as exc:
+        # The endpoint may have answered before it read all.
+        log.debug('Sender: the body was not taken whole (%s).', exc)
+
+
+async def _send_pieces(link: EndpointLink, body: RequestBody) -> None:
     while True:
         piece = await body.read()
         await link.send_body(piece)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -471,3 +471,24 @@
     async with running_entry(echo) as (entry, _):
         assert status(await entry.ask(b'no request\r\n\r\n')) == 400
     assert ends(caplog)['improper'] == {'status': 400}
+
+
+async def test_an_endpoint_that_ends_under_a_long_body_does_not_end_the_instance() -> None:
+    body = b'x' * 300_000
+    async with running_entry(close_at_once, close_at_once) as (entry, endpoints):
+        assert status(await entry.ask(post(body))) == 502
+        assert status(await entry.ask(get(b'/nothing/'))) == 404
+        assert sum(len(one.requests) for one in endpoints) <= 1
+
+
+async def test_a_streamed_body_over_the_limit_does_not_end_the_instance() -> None:
+    async def read_on(talk: Conversation) -> None:
+        while True:
+            await talk.stream.receive()
+
+    table = table_of(
+        route(idempotent=False, prefix='/notices/'), limits=CallerLimits(body_bytes=200_000)
+    )
+    async with running_entry(read_on, table=table) as (entry, _):
+        assert status(await entry.ask(post(b'x' * 300_000))) == 413
+        assert status(await entry.ask(get(b'/nothing/'))) == 404
