An endpoint that was found to have ended gets no further request of this instance

Cause: a connection that breaks is one failure of many that leave an endpoint out; only a refused connection leaves it out at once, so the next requests had to find out for themselves. Change: the check that finds an endpoint ended leaves it out, as a refused connection does, for a second at first.

The test failed before (the ended endpoint was chosen again).

--- a/packages/node/src/plantainloft_node/entry/serving.py
+++ b/packages/node/src/plantainloft_node/entry/serving.py
@@ -12,7 +12,7 @@
 from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.entry.terms import placement_terms, retry_terms
 from plantainloft_node.placing.placement import Placement
-from plantainloft_node.quarantine.crash_checks import CrashChecks
+from plantainloft_node.quarantine.crash_checks import BrokenRun, CrashChecks
 from plantainloft_node.quarantine.quarantine import Quarantine
 
 __all__ = ['Serving', 'build_serving']
@@ -44,7 +44,12 @@
     """Return the parts that answer callers by what ``observation`` believes."""
     placement = Placement(terms=placement_terms(settings), book=observation.book)
     pool = LinkPool()
-    crash_checks = CrashChecks(on_crash=quarantine.note_crash)
+
+    def note_crash(run: BrokenRun, now: float) -> None:
+        observation.book.note_ended(run.incarnation, now)
+        quarantine.note_crash(run, now)
+
+    crash_checks = CrashChecks(on_crash=note_crash)
     dispatcher = Dispatcher(
         names=names,
         placement=placement,
--- a/packages/node/src/plantainloft_node/placing/endpoints.py
+++ b/packages/node/src/plantainloft_node/placing/endpoints.py
@@ -168,6 +168,12 @@
         """Return the incarnations that are listed."""
         return {state.record.incarnation for state in self.by_id.values()}
 
+    def note_ended(self, incarnation: str, now: float) -> None:
+        """Take that nothing listens any more where ``incarnation`` ran."""
+        for state in self.by_id.values():
+            if state.record.incarnation == incarnation:
+                state.health.note_unreachable(now)
+
     def drop(self, endpoint_id: str) -> None:
         """Forget an incarnation that is gone."""
         state = self.by_id.pop(endpoint_id, None)
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -363,3 +363,11 @@
     for number in range(1000):
         window.add(NOW + number)
     assert len(window) <= 2
+
+
+def test_an_endpoint_known_to_have_ended_gets_no_further_request(
+    placement: Placement, book: EndpointBook
+) -> None:
+    ended = choose(placement)
+    book.note_ended(book.by_id[ended].record.incarnation, NOW)
+    assert choose(placement) != ended
