The product's own interface keeps the same quarantine

What callers saw: a request that crashes endpoints, sent eight times a second through /v1/forward, ended 16 more endpoints in the time from 4 s after the third (tests/test_crashing_requests.py).

Change: the same book, checks and store; crashes travel with the mesh's beats, and rows under quarantine/ keep them. The check comes before a key is claimed, so a request that is shut out leaves no open claim. Its answer is 502 with outcome 'quarantined', without Retry-After.

An endpoint keeps its name here when it starts again, so two crashes of one are told apart by when they were seen, two seconds at least.

--- a/packages/core/src/plantainloft_core/outcomes.py
+++ b/packages/core/src/plantainloft_core/outcomes.py
@@ -10,6 +10,7 @@
     'Committed',
     'Conflict',
     'Invalid',
+    'Quarantined',
     'Refused',
     'Served',
     'Unknown',
@@ -44,6 +45,13 @@
     reason: str
 
 
+@dataclass(frozen=True, slots=True, kw_only=True)
+class Quarantined:
+    """The request is sent to no endpoint: endpoints crash that run it."""
+
+    reason: str
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Committed:
     """A configuration patch became version ``version``."""
--- a/packages/node/src/plantainloft_node/app.py
+++ b/packages/node/src/plantainloft_node/app.py
@@ -13,7 +13,7 @@
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
 
-from plantainloft_core.outcomes import Refused, Served, Unknown
+from plantainloft_core.outcomes import Quarantined, Refused, Served, Unknown
 from plantainloft_node.forwarding import Request
 from plantainloft_node.node import Node
 
@@ -24,12 +24,13 @@
 DEADLINE_HEADER = 'x-request-timeout-ms'
 MS = 1000.0
 _UNAVAILABLE = 503
+_BAD_GATEWAY = 502
 _TIMEOUT = 504
 _BAD_REQUEST = 400
 _NON_IDEMPOTENT = frozenset(('POST',))
 
 
-def outcome_response(outcome: Served | Refused | Unknown) -> Response:
+def outcome_response(outcome: Served | Refused | Unknown | Quarantined) -> Response:
     """Turn an outcome into the caller's HTTP answer."""
     if isinstance(outcome, Served):
         return Response(
@@ -50,6 +51,12 @@
                 'x-plantainloft-outcome': 'refused',
             },
         )
+    if isinstance(outcome, Quarantined):
+        return JSONResponse(
+            {'outcome': 'quarantined', 'reason': outcome.reason},
+            status_code=_BAD_GATEWAY,
+            headers={'x-plantainloft-outcome': 'quarantined'},
+        )
     return JSONResponse(
         {'outcome': 'unknown', 'reason': outcome.reason},
         status_code=_TIMEOUT,
@@ -58,7 +65,7 @@
 
 
 def log_unserved(
-    outcome: Refused | Unknown, *, service: str, version: int, key: str | None
+    outcome: Refused | Unknown | Quarantined, *, service: str, version: int, key: str | None
 ) -> None:
     """Log a request that was not served, and why."""
     kind = type(outcome).__name__.lower()
@@ -107,6 +114,7 @@
             headers=dict(request.headers),
             body=await request.body(),
             deadline=time.time() + timeout_ms / MS,
+            caller=request.client.host if request.client else '',
         )
         outcome = await node.handle(
             call,
--- a/packages/node/src/plantainloft_node/engine/whole_answers.py
+++ b/packages/node/src/plantainloft_node/engine/whole_answers.py
@@ -48,9 +48,9 @@
         try:
             answer, kept = await _converse(link, request)
         except SEND_ERRORS as exc:
-            return Failed(reason=type(exc).__name__)
+            return Failed(reason=type(exc).__name__, broke=True)
         except BrokenAnswerError as exc:
-            return Failed(reason=exc.reason)
+            return Failed(reason=exc.reason, broke=True)
         finally:
             if not kept:
                 await link.close()
--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -9,18 +9,22 @@
 import json
 import logging
 import time
+from http import HTTPStatus
 from typing import NamedTuple
 from urllib.parse import quote
 
 import anyio
 
 from plantainloft_core.model import Configuration, Endpoint
-from plantainloft_core.outcomes import Refused, Served, Unknown
+from plantainloft_core.outcomes import Quarantined, Refused, Served, Unknown
 from plantainloft_node.deciding import Decider
 from plantainloft_node.engine.attempts import Failed, NotSent
 from plantainloft_node.engine.endpoint_link import OutgoingRequest
 from plantainloft_node.engine.whole_answers import LinkClient, WholeAnswer
 from plantainloft_node.loads import LoadBook
+from plantainloft_node.quarantine.crash_checks import BrokenRun, CrashChecks
+from plantainloft_node.quarantine.fingerprints import RequestFingerprint, fingerprint_of
+from plantainloft_node.quarantine.quarantine import Quarantine, ShutOut
 
 __all__ = ['Forwarder', 'Request']
 
@@ -31,10 +35,14 @@
 _UNAVAILABLE = 503
 _DRAINING = 'draining'
 _PASSED_HEADERS = ('content-type', 'idempotency-key')
+_CREDENTIALS = ('authorization', 'api-key')
+# An endpoint keeps its name when it starts again; two crashes of one are further
+# apart than this.
+CRASHES_APART_S = 2.0
 
 
 class Request(NamedTuple):
-    """A caller's request as the node forwards it."""
+    """A caller's request as the node forwards it; ``caller`` is its address."""
 
     service: str
     method: str
@@ -42,6 +50,18 @@
     headers: dict[str, str]
     body: bytes
     deadline: float
+    caller: str = ''
+
+    def fingerprint(self) -> RequestFingerprint:
+        """Return what makes a repeat of the request the same."""
+        return fingerprint_of(
+            method=self.method.encode(),
+            host=self.service.encode(),
+            target=self.path.encode(),
+            body=self.body,
+            address=self.caller,
+            credentials=(self.headers.get(name, '').encode() for name in _CREDENTIALS),
+        )
 
 
 class Forwarder:
@@ -52,10 +72,22 @@
         *,
         decider: Decider,
         loads: LoadBook,
+        quarantine: Quarantine,
     ) -> None:
         self._client = LinkClient()
         self._decider = decider
         self._loads = loads
+        self._quarantine = quarantine
+        self.crash_checks = CrashChecks(on_crash=quarantine.note_crash)
+
+    async def check_quarantine(self, request: Request) -> Quarantined | None:
+        """Return the answer to a request that may be sent to no endpoint."""
+        if not self._quarantine.book:
+            return None
+        admission = await self._quarantine.admit(request.fingerprint())
+        if isinstance(admission, ShutOut):
+            return Quarantined(reason=f'{admission.crashes} endpoints ended under it')
+        return None
 
     async def forward(self, config: Configuration, request: Request) -> Served | Refused | Unknown:
         """Send ``request`` to an endpoint chosen for it."""
@@ -89,9 +121,13 @@
         if isinstance(answer, NotSent):
             return Refused(reason=f'{name} unreachable', retry_after_s=1)
         if isinstance(answer, Failed):
+            if answer.broke:
+                self.crash_checks.note_broken(_broken_run(name, address, request))
             return Unknown(reason=f'{name}: {answer.reason}')
         if answer.head.status == _UNAVAILABLE:
             return self._unavailable(name, answer.body)
+        if answer.head.status < HTTPStatus.INTERNAL_SERVER_ERROR and self._quarantine.book:
+            self._quarantine.note_answered(request.fingerprint(), anyio.current_time())
         return Served(status=answer.head.status, body=answer.body, endpoint=name)
 
     def _unavailable(self, name: str, body: bytes) -> Refused | Unknown:
@@ -107,6 +143,16 @@
         return Refused(reason=f'{name} {refusal}', retry_after_s=1)
 
 
+def _broken_run(name: str, address: str, request: Request) -> BrokenRun:
+    start = int(time.time() / CRASHES_APART_S)
+    return BrokenRun(
+        request=request.fingerprint(),
+        request_id=request.headers.get('idempotency-key', ''),
+        incarnation=f'{name}@{start}',
+        address=address.removeprefix('http://'),
+    )
+
+
 def _outgoing(
     address: str, request: Request, headers: dict[str, str]
 ) -> tuple[str, OutgoingRequest]:
--- a/packages/node/src/plantainloft_node/node.py
+++ b/packages/node/src/plantainloft_node/node.py
@@ -14,7 +14,7 @@
 
 from plantainloft_core.allowances import ClaimBook
 from plantainloft_core.lookup import LookupIndex, Member
-from plantainloft_core.outcomes import Refused, Served, Unknown, Unreachable
+from plantainloft_core.outcomes import Quarantined, Refused, Served, Unknown, Unreachable
 from plantainloft_core.roster import Roster
 from plantainloft_core.table_client import TableClient
 from plantainloft_core.txn_batching import TxnBatcher
@@ -25,6 +25,7 @@
 from plantainloft_node.idempotency import Claim, IdempotencyLedger
 from plantainloft_node.loads import LoadBook, region_headroom
 from plantainloft_node.membership import Membership
+from plantainloft_node.node_quarantine import build_node_quarantine
 from plantainloft_node.peering import Handler, Links, Mesh, Traffic, serve_peers
 from plantainloft_node.sources import PeerSource
 from plantainloft_node.stats import StatsBook
@@ -78,6 +79,9 @@
             node_count=lambda: len(self.roster.live()),
         )
         claims = ClaimBook(home=settings.region)
+        self._quarantine = build_node_quarantine(
+            client=table, roster=self.roster, spread=lambda: self.mesh.poke()
+        )
         self.mesh = Mesh(
             roster=self.roster,
             claims=claims,
@@ -86,6 +90,7 @@
             on_newer=lambda version, address: self.follower.hint(
                 version, PeerSource(links=links, address=address)
             ),
+            crashes=self._quarantine.book,
         )
         self.follower.on_change = self._on_change
         self.membership = Membership(
@@ -102,7 +107,11 @@
         self._index_key = (-1, -1)
         self._index = LookupIndex(config=self.follower.config, members=[])
         self.decider = _make_decider(settings, loads=self.loads, claims=claims)
-        self.forwarder = Forwarder(decider=self.decider, loads=self.loads)
+        self.forwarder = Forwarder(
+            decider=self.decider,
+            loads=self.loads,
+            quarantine=self._quarantine,
+        )
 
     async def listen(self, *, task_status: TaskStatus[None]) -> None:
         """Answer the messages of peers."""
@@ -139,6 +148,12 @@
                     self.decider.adopt(found)
                     return
 
+    async def watch_crashes(self) -> None:
+        """Check endpoints whose connections broke, and keep the quarantine, forever."""
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(self._quarantine.run)
+            tasks.start_soon(self.forwarder.crash_checks.run)
+
     async def poll_loads(self) -> None:
         """Observe the endpoints' load reports, forever."""
         await self.loads.run(lambda: self.follower.config, home=self.settings.region)
@@ -174,11 +189,14 @@
 
     async def handle(
         self, request: Request, *, idempotency_key: str | None
-    ) -> Served | Refused | Unknown:
+    ) -> Served | Refused | Unknown | Quarantined:
         """Forward ``request``, claiming its key first when it has one."""
         config = self.follower.config
         if not config.version:
             return Refused(reason='no configuration yet', retry_after_s=1)
+        shut_out = await self.forwarder.check_quarantine(request)
+        if shut_out is not None:
+            return shut_out
         if idempotency_key is None:
             return await self.forwarder.forward(config, request)
         claim = await self.ledger.claim(request.service, idempotency_key)
--- a/packages/node/src/plantainloft_node/peering/mesh.py
+++ b/packages/node/src/plantainloft_node/peering/mesh.py
@@ -7,6 +7,7 @@
 """
 
 import logging
+import struct
 import time
 from collections.abc import Callable
 
@@ -18,6 +19,8 @@
 from plantainloft_core.roster import Roster
 from plantainloft_node.peering.links import Links
 from plantainloft_node.peering.messages import Beat, pack_events, unpack_events, unpack_member
+from plantainloft_node.quarantine.crash_book import CrashBook, CrashReport
+from plantainloft_node.quarantine.crash_codec import pack_crashes, unpack_crashes
 
 __all__ = ['Mesh']
 
@@ -39,12 +42,14 @@
         links: Links,
         version: Callable[[], int],
         on_newer: Callable[[int, str], None],
+        crashes: CrashBook,
     ) -> None:
         self.roster = roster
         self._claims = claims
         self._links = links
         self._version = version
         self._on_newer = on_newer
+        self._crashes = crashes
         self._poked = anyio.Event()
         self._probing: set[str] = set()
 
@@ -119,7 +124,8 @@
         self._claims.hear(sender.name, beat['claims'], now)
         if beat['version'] > self._version():
             self._on_newer(beat['version'], sender.peer_address)
-        if self.roster.generation != before:
+        told_of_crashes = self._crashes.merge(_crashes_of(beat), now)
+        if self.roster.generation != before or told_of_crashes:
             self.poke()
 
     def _beat(self, *, to: str) -> Beat:
@@ -128,4 +134,14 @@
             version=self._version(),
             claims=self._claims.extra_by_region,
             events=pack_events(self.roster.news(to=to)),
+            crashes=pack_crashes(self._crashes.reports(time.monotonic())),
         )
+
+
+def _crashes_of(beat: Beat) -> tuple[CrashReport, ...]:
+    # A peer of another version, during a rolling upgrade, tells none or others.
+    try:
+        return unpack_crashes(beat.get('crashes', b''))
+    except (ValueError, TypeError, struct.error) as exc:
+        log.warning('Membership: crashes of %s not understood: %s.', beat['sender'][0], exc)
+        return ()
--- a/packages/node/src/plantainloft_node/peering/messages.py
+++ b/packages/node/src/plantainloft_node/peering/messages.py
@@ -46,13 +46,15 @@
     """A probe and its answer: who I am, what I run, what I heard.
 
     ``claims`` is what the sender claims per region above its floors
-    (requests in flight, see ``core.allowances``).
+    (requests in flight, see ``core.allowances``). ``crashes`` are packed as in
+    ``quarantine.crash_codec``.
     """
 
     sender: list[Any]
     version: int
     claims: dict[str, float]
     events: list[Any]
+    crashes: bytes
 
 
 class Traffic:
--- a/packages/node/src/plantainloft_node/running.py
+++ b/packages/node/src/plantainloft_node/running.py
@@ -37,7 +37,8 @@
             tasks.start_soon(node.follower.run)
             tasks.start_soon(node.batcher.run)
             tasks.start_soon(node.membership.run)
-            tasks.start_soon(node.mesh.run)
+            for part in (node.mesh.run, node.watch_crashes):
+                tasks.start_soon(part)
             tasks.start_soon(node.tick)
             tasks.start_soon(node.poll_loads)
             log.info('Node: %s serving on %s.', settings.name, settings.listen)
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -13,7 +13,10 @@
 from plantainloft_node.forwarding import Forwarder, Request
 from plantainloft_node.idempotency import Claim, IdempotencyLedger
 from plantainloft_node.loads import LoadBook
+from plantainloft_node.quarantine.crash_book import CrashBook
+from plantainloft_node.quarantine.quarantine import Quarantine
 from plantainloft_standins.faults import Faults
+from plantainloft_standins.quarantine_store import MemoryQuarantineStore
 from plantainloft_standins.table import TableService
 
 pytestmark = pytest.mark.anyio
@@ -148,7 +151,17 @@
     async with httpx.AsyncClient() as http, anyio.create_task_group() as tasks:
         await tasks.start(lambda *, task_status: endpoint.run(task_status=task_status))
         loads = LoadBook(http=http, poll_s=1)
-        forwarder = Forwarder(decider=None, loads=loads)  # type: ignore[arg-type]
+        quarantine = Quarantine(
+            book=CrashBook(),
+            store=MemoryQuarantineStore(),
+            is_alone=lambda: False,
+            spread=lambda: None,
+        )
+        forwarder = Forwarder(
+            decider=None,  # type: ignore[arg-type]
+            loads=loads,
+            quarantine=quarantine,
+        )
         request = Request('booking', 'POST', 'x', {}, b'', deadline=4e9)
         outcome = await forwarder._send('e0', f'http://{endpoint.address}', request)
         assert isinstance(outcome, kind)
