Earlier answers speak for a request, and suspects are sent to one endpoint only

The innocent. An instance that saw the request answered within a minute now says so when it hears of a crash, and such a crash counts half; a request that begins to crash endpoints is stopped after three more, as the users allow.

The first crashes. A request under which endpoints have ended before is not sent to a second endpoint within one attempt.

--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -101,8 +101,8 @@
         # Endpoints looked at for a refusal, with the loads believed there.
         self.loads = ''
         self.placed: Placed | None = None
-        # A quarantined request that is tried at one endpoint.
-        self.is_trial = False
+        # Endpoints have ended under the same request before; another may.
+        self.may_repeat = True
 
     def note(self, endpoint_id: str, outcome: TryOutcome, *, ran_before: bool) -> None:
         """Take the outcome of one try at ``endpoint_id``.
--- a/packages/node/src/plantainloft_node/engine/dispatch.py
+++ b/packages/node/src/plantainloft_node/engine/dispatch.py
@@ -36,7 +36,7 @@
 from plantainloft_node.quarantine.crash_book import CrashBook
 from plantainloft_node.quarantine.crash_checks import BrokenRun, CrashChecks
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint, fingerprint_of
-from plantainloft_node.quarantine.quarantine import Quarantine, ShutOut, Trial
+from plantainloft_node.quarantine.quarantine import Admitted, Quarantine, ShutOut
 
 __all__ = ['Dispatcher', 'Judged', 'RetryTerms', 'come_back']
 
@@ -117,7 +117,7 @@
             admission = await self._quarantine.admit(self._fingerprint(judged))
             if isinstance(admission, ShutOut):
                 return admission
-            attempts.is_trial = isinstance(admission, Trial)
+            attempts.may_repeat = admission == Admitted()
         route = judged.route
         turns = self._turns_by_route.setdefault(route.name, SplitTurns())
         service = turns.next(route.shares)
@@ -161,7 +161,7 @@
     def _note_answered(self, judged: Judged, outcome: Answered) -> None:
         # Its own failure may be the deadline, before a run gets to its crash.
         is_whole = outcome.rest is None and outcome.head.status < HTTPStatus.INTERNAL_SERVER_ERROR
-        if is_whole and self._quarantine.book:
+        if is_whole:
             self._quarantine.note_answered(self._fingerprint(judged), anyio.current_time())
 
     def _note_unanswered(
@@ -197,7 +197,7 @@
 
     def _again(self, judged: Judged, budget: RetryBudget, attempts: Attempts) -> bool:
         """Return whether a request that may have run may be sent again."""
-        if not judged.route.idempotent or not judged.whole or attempts.is_trial:
+        if not judged.route.idempotent or not judged.whole or not attempts.may_repeat:
             return False
         if self._quarantine.book.standing(
             self._fingerprint(judged), anyio.current_time()
--- a/packages/node/src/plantainloft_node/fleet/reports.py
+++ b/packages/node/src/plantainloft_node/fleet/reports.py
@@ -3,7 +3,7 @@
 from typing import NamedTuple
 
 from plantainloft_node.placing.affinity import score
-from plantainloft_node.quarantine.crash_book import CrashReport
+from plantainloft_node.quarantine.crashes import CrashReport
 
 __all__ = ['Beat', 'FleetMember', 'ZoneEntry', 'ZoneReport', 'member_key']
 
--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -126,7 +126,7 @@
             return Unknown(reason=f'{name}: {answer.reason}')
         if answer.head.status == _UNAVAILABLE:
             return self._unavailable(name, answer.body)
-        if answer.head.status < HTTPStatus.INTERNAL_SERVER_ERROR and self._quarantine.book:
+        if answer.head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             self._quarantine.note_answered(request.fingerprint(), anyio.current_time())
         return Served(status=answer.head.status, body=answer.body, endpoint=name)
 
--- a/packages/node/src/plantainloft_node/quarantine/crash_book.py
+++ b/packages/node/src/plantainloft_node/quarantine/crash_book.py
@@ -2,25 +2,32 @@
 
 Every request under way on an endpoint that ends is counted, the innocent too. A
 request that crashes each endpoint that runs it is never answered, so an answer
-clears whoever asked the same. Crashes and clearances only ever add up: instances
-may hear of them in any order, twice, or by several ways.
+clears whoever asked the same, and an earlier one speaks for it. Crashes and
+clearances only ever add up: instances may hear of them in any order, twice, or by
+several ways.
 """
 
 from collections.abc import Iterable
-from enum import IntEnum
 from typing import NamedTuple
 
 from plantainloft_node.placing.affinity import score
+from plantainloft_node.quarantine.crashes import (
+    MEMORY_S,
+    QUARANTINE_CRASHES,
+    Clearance,
+    Crash,
+    CrashByRun,
+    CrashReport,
+    Run,
+    Standing,
+    most_weight,
+    standing_of,
+)
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint
+from plantainloft_node.quarantine.recent_answers import RecentAnswers
 
-__all__ = ['MEMORY_S', 'QUARANTINE_CRASHES', 'Clearance', 'CrashBook', 'CrashReport', 'Standing']
+__all__ = ['MAX_CRASHES_OF_REQUEST', 'MAX_REPORTED', 'CrashBook']
 
-# A request under which so many endpoints ended is sent to none any more.
-QUARANTINE_CRASHES = 3
-# A quarantined request is tried once more after this time, which doubles with
-# each further crash.
-HOLD_S = 60.0
-MEMORY_S = 3600.0
 MAX_REQUESTS = 2048
 MAX_CRASHES_OF_REQUEST = 16
 # News are in every report for this time: lost datagrams are made up for, and
@@ -31,90 +38,21 @@
 MAX_FRESH_REPORTED = 12
 
 
-class Clearance(IntEnum):
-    """Whom an answer has cleared of a crash."""
-
-    NOBODY = 0
-    OTHER_CALLERS = 1
-    EVERYBODY = 2
-
-
-class CrashReport(NamedTuple):
-    """A crash as instances tell each other of it.
-
-    ``endpoint`` stands for the incarnation that ended, ``age_s`` seconds ago.
-    """
-
-    request: RequestFingerprint
-    endpoint: int
-    age_s: float
-    clearance: Clearance
-
-
-class Standing(NamedTuple):
-    """How many endpoints ended under a request, and when the last of them did."""
-
-    crashes: int
-    newest_at: float
-
-    @property
-    def is_quarantined(self) -> bool:
-        """Whether the request is sent to no endpoint."""
-        return self.crashes >= QUARANTINE_CRASHES
-
-    @property
-    def hold_s(self) -> float:
-        """For how long after the last crash it is not tried again."""
-        doublings = max(0, self.crashes - QUARANTINE_CRASHES)
-        return float(min(MEMORY_S, HOLD_S * 2**doublings))
-
-    def may_be_tried(self, now: float) -> bool:
-        """Return whether the hold is over."""
-        return now - self.newest_at >= self.hold_s
-
-
-class _Run(NamedTuple):
-    """Who asked, and the endpoint that ended."""
-
-    caller: bytes
-    endpoint: int
-
-
-class _Crash:
-    def __init__(self, *, at: float, clearance: Clearance, now: float) -> None:
-        self.at = at
-        self.clearance = clearance
-        self.news_at = now
-
-    def clear(self, clearance: Clearance, now: float) -> bool:
-        """Take a clearance; return whether it tells more than was known."""
-        if clearance < self.clearance:
-            # Whoever tells less has not heard of it.
-            self.news_at = now
-        if clearance <= self.clearance:
-            return False
-        self.clearance = clearance
-        self.news_at = now
-        return True
-
-
 class _Fresh(NamedTuple):
-    """News to tell, and how many endpoints ended under the request."""
+    """News to tell, and the weight of the crashes under the request."""
 
-    crashes: int
+    weight: float
     news_at: float
     report: CrashReport
 
 
-_CrashByRun = dict[_Run, _Crash]
-
-
 class CrashBook:
     """Crashes by request, this instance's own and those it was told of."""
 
     def __init__(self) -> None:
-        self._crashes_by_content: dict[bytes, _CrashByRun] = {}
+        self._crashes_by_content: dict[bytes, CrashByRun] = {}
         self._turn = 0
+        self._answered = RecentAnswers()
 
     def __len__(self) -> int:
         """Return the number of different requests kept."""
@@ -122,46 +60,33 @@
 
     def note_crash(self, request: RequestFingerprint, incarnation: str, now: float) -> Standing:
         """Count that an endpoint ended while it ran ``request``."""
-        run = _Run(request.caller, score('crash', incarnation))
+        run = Run(request.caller, score('crash', incarnation))
         self._add(request.content, run, at=now, clearance=Clearance.NOBODY, now=now)
         return self.standing(request, now)
 
     def note_answered(self, request: RequestFingerprint, now: float) -> bool:
         """Clear ``request``; return whether anything counted against it."""
+        self._answered.note(request, now)
         cleared = False
         for run, crash in self._crashes_by_content.get(request.content, {}).items():
             is_own = run.caller == request.caller
             clearance = Clearance.EVERYBODY if is_own else Clearance.OTHER_CALLERS
-            if clearance > crash.clearance:
-                cleared = crash.clear(clearance, now)
+            if clearance & ~crash.clearance:
+                cleared = crash.clear(clearance | crash.clearance, now)
         return cleared
 
     def lift(self, request: RequestFingerprint, now: float) -> bool:
         """Clear ``request`` whoever asks it; return whether anything counted."""
         lifted = False
         for crash in self._crashes_by_content.get(request.content, {}).values():
-            lifted = crash.clear(Clearance.EVERYBODY, now) or lifted
+            lifted = crash.clear(Clearance.EVERYBODY | crash.clearance, now) or lifted
         return lifted
 
     def standing(self, request: RequestFingerprint, now: float) -> Standing:
-        """Return what counts against ``request``.
-
-        A request may crash endpoints only for one caller, or for everybody:
-        where it did for several callers, and no one was answered, it counts
-        against all.
-        """
+        """Return what counts against ``request``."""
         crashes = self._crashes_by_content.get(request.content, {})
         self._expire(crashes, now)
-        own = {
-            run: crash
-            for run, crash in crashes.items()
-            if run.caller == request.caller and crash.clearance < Clearance.EVERYBODY
-        }
-        shared = {run: crash for run, crash in crashes.items() if not crash.clearance}
-        callers = {run.caller for run in shared}
-        if len(callers) > 1 and _endpoints(shared) > _endpoints(own):
-            return _standing(shared)
-        return _standing(own)
+        return standing_of(request.caller, crashes)
 
     def quarantined(self, now: float) -> dict[RequestFingerprint, Standing]:
         """Return the requests that are sent to no endpoint."""
@@ -183,12 +108,12 @@
         fresh: list[_Fresh] = []
         lasting: list[CrashReport] = []
         for content, crashes in self._crashes_by_content.items():
-            weight = _most_counted(crashes)
+            weight = most_weight(crashes)
             for run, crash in crashes.items():
                 report = _report(content, run, crash, now)
                 if now - crash.news_at < SPREAD_S:
                     fresh.append(_Fresh(weight, crash.news_at, report))
-                elif weight >= QUARANTINE_CRASHES and crash.clearance < Clearance.EVERYBODY:
+                elif weight >= QUARANTINE_CRASHES and not crash.clearance & Clearance.EVERYBODY:
                     lasting.append(report)
         most_urgent = sorted(fresh, key=_urgency, reverse=True)[:MAX_FRESH_REPORTED]
         newest = [one.report for one in most_urgent]
@@ -201,7 +126,7 @@
         """
         is_news = False
         for report in reports:
-            run = _Run(report.request.caller, report.endpoint)
+            run = Run(report.request.caller, report.endpoint)
             at = now - report.age_s - held_s
             is_news |= self._add(
                 report.request.content, run, at=at, clearance=report.clearance, now=now
@@ -217,15 +142,16 @@
         }
 
     def _add(
-        self, content: bytes, run: _Run, *, at: float, clearance: Clearance, now: float
+        self, content: bytes, run: Run, *, at: float, clearance: Clearance, now: float
     ) -> bool:
         if now - at >= MEMORY_S:
             return False
+        clearance |= self._answered.clearance(RequestFingerprint(content, run.caller), at)
         crashes = self._crashes_by_content.setdefault(content, {})
         known = crashes.get(run)
         if known is not None:
             return known.clear(clearance, now)
-        crashes[run] = _Crash(at=at, clearance=clearance, now=now)
+        crashes[run] = Crash(at=at, clearance=clearance, now=now)
         if len(crashes) > MAX_CRASHES_OF_REQUEST:
             crashes.pop(min(crashes, key=lambda one: crashes[one].at))
         if len(self._crashes_by_content) > MAX_REQUESTS:
@@ -235,13 +161,13 @@
     def _evict(self) -> None:
         """Let go of the request that fewest crashes count against, the oldest first."""
 
-        def rank(content: bytes) -> tuple[int, float]:
+        def rank(content: bytes) -> tuple[float, float]:
             crashes = self._crashes_by_content[content]
-            return _most_counted(crashes), max(one.at for one in crashes.values())
+            return most_weight(crashes), max(one.at for one in crashes.values())
 
         self._crashes_by_content.pop(min(self._crashes_by_content, key=rank))
 
-    def _expire(self, crashes: _CrashByRun, now: float) -> None:
+    def _expire(self, crashes: CrashByRun, now: float) -> None:
         expired = [run for run, crash in crashes.items() if now - crash.at >= MEMORY_S]
         for run in expired:
             crashes.pop(run)
@@ -254,30 +180,10 @@
         return [*reports[start:], *reports[:start]][:count]
 
 
-def _urgency(fresh: _Fresh) -> tuple[int, float]:
-    return fresh.crashes, fresh.news_at
-
-
-def _endpoints(crashes: _CrashByRun) -> int:
-    return len({run.endpoint for run in crashes})
-
-
-def _most_counted(crashes: _CrashByRun) -> int:
-    """Return the endpoints that count against any one caller, or against all."""
-    by_caller: dict[bytes, set[int]] = {b'': set()}
-    for run, crash in crashes.items():
-        if crash.clearance < Clearance.EVERYBODY:
-            by_caller.setdefault(run.caller, set()).add(run.endpoint)
-        if not crash.clearance:
-            by_caller[b''].add(run.endpoint)
-    return max(map(len, by_caller.values()))
-
-
-def _standing(crashes: _CrashByRun) -> Standing:
-    newest_at = max((crash.at for crash in crashes.values()), default=float('-inf'))
-    return Standing(_endpoints(crashes), newest_at)
+def _urgency(fresh: _Fresh) -> tuple[float, float]:
+    return fresh.weight, fresh.news_at
 
 
-def _report(content: bytes, run: _Run, crash: _Crash, now: float) -> CrashReport:
+def _report(content: bytes, run: Run, crash: Crash, now: float) -> CrashReport:
     request = RequestFingerprint(content, run.caller)
     return CrashReport(request, run.endpoint, max(0.0, now - crash.at), crash.clearance)
--- a/packages/node/src/plantainloft_node/quarantine/crash_codec.py
+++ b/packages/node/src/plantainloft_node/quarantine/crash_codec.py
@@ -3,7 +3,8 @@
 import struct
 from collections.abc import Iterable
 
-from plantainloft_node.quarantine.crash_book import MAX_REPORTED, Clearance, CrashReport
+from plantainloft_node.quarantine.crash_book import MAX_REPORTED
+from plantainloft_node.quarantine.crashes import Clearance, CrashReport
 from plantainloft_node.quarantine.fingerprints import (
     CALLER_BYTES,
     CONTENT_BYTES,
@@ -34,7 +35,13 @@
             request=RequestFingerprint(content, caller),
             endpoint=endpoint,
             age_s=float(age_s),
-            clearance=Clearance(clearance),
+            clearance=_clearance(clearance),
         )
         for content, caller, endpoint, age_s, clearance in _CRASH.iter_unpack(packed)
     )
+
+
+def _clearance(flags: int) -> Clearance:
+    if flags >= 2 * Clearance.EVERYBODY:
+        raise ValueError('an unknown clearance')
+    return Clearance(flags)
--- a/packages/node/src/plantainloft_node/quarantine/quarantine.py
+++ b/packages/node/src/plantainloft_node/quarantine/quarantine.py
@@ -8,8 +8,9 @@
 import anyio
 
 from plantainloft_core.outcomes import Invalid, Unreachable
-from plantainloft_node.quarantine.crash_book import MEMORY_S, CrashBook, Standing
+from plantainloft_node.quarantine.crash_book import CrashBook
 from plantainloft_node.quarantine.crash_checks import BrokenRun
+from plantainloft_node.quarantine.crashes import MEMORY_S, Standing
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint
 from plantainloft_node.quarantine.records import QuarantineRecord, QuarantineStore, StoredRecord
 
@@ -26,7 +27,12 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Admitted:
-    """The request may be sent."""
+    """The request may be sent.
+
+    ``suspect``: endpoints have ended under it before, so it is sent to one only.
+    """
+
+    suspect: bool = False
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -102,7 +108,7 @@
         now = anyio.current_time()
         standing = self.book.standing(request, now)
         if not standing.is_quarantined:
-            return Admitted()
+            return Admitted(suspect=standing.crashes > 0)
         if standing.may_be_tried(now) and await self._claim_trial(request):
             self._log('Quarantine: request %s is tried once more.', request, standing)
             return Trial()
--- a/packages/node/src/plantainloft_node/quarantine/records.py
+++ b/packages/node/src/plantainloft_node/quarantine/records.py
@@ -8,8 +8,9 @@
 import msgpack
 
 from plantainloft_core.outcomes import Invalid, Unreachable
-from plantainloft_node.quarantine.crash_book import MAX_CRASHES_OF_REQUEST, CrashReport
+from plantainloft_node.quarantine.crash_book import MAX_CRASHES_OF_REQUEST
 from plantainloft_node.quarantine.crash_codec import pack_crashes, unpack_crashes
+from plantainloft_node.quarantine.crashes import CrashReport
 
 __all__ = ['Outdated', 'QuarantineRecord', 'QuarantineStore', 'StoredRecord']
 
--- a/packages/standins/src/plantainloft_standins/fleet_model.py
+++ b/packages/standins/src/plantainloft_standins/fleet_model.py
@@ -141,7 +141,18 @@
         """Let an instance say that it leaves."""
         instance = self.instance_by_name[name]
         instance.leaving = True
-        self._send_round(instance, to_all=True)
+        self.send_round(instance, to_all=True)
+
+    def hurry(self, instance: ModelInstance) -> None:
+        """Let an instance tell the others within a moment."""
+        if not instance.urgent:
+            instance.urgent = True
+            self.after(URGENT_AFTER_S, partial(_tell_all, self, instance))
+
+    def send_round(self, instance: ModelInstance, *, to_all: bool) -> None:
+        """Let an instance tell the others now."""
+        for message in instance.relaying.round(self.now, to_all=to_all):
+            self._send(instance, message)
 
     def after(self, seconds: float, act: Callable[[], None]) -> None:
         """Do ``act`` so many seconds from now."""
@@ -174,14 +185,10 @@
 
     def _round(self, instance: ModelInstance, *, to_all: bool = False) -> None:
         if instance.runs:
-            self._send_round(instance, to_all=to_all)
+            self.send_round(instance, to_all=to_all)
             late_s = self._random.random() * LATE_S
             self.after(BEAT_S + late_s, partial(self._round, instance))
 
-    def _send_round(self, instance: ModelInstance, *, to_all: bool) -> None:
-        for message in instance.relaying.round(self.now, to_all=to_all):
-            self._send(instance, message)
-
     def _send(self, sender: ModelInstance, message: Message) -> None:
         me = sender.members.me
         to = self._place_by_name[message.address.rpartition(':')[0]]
@@ -200,17 +207,11 @@
         taken = receiver.intake.take(packed, host, self.now)
         if taken is None:
             raise ValueError('a datagram of ours is not understood')
-        if taken.is_urgent and not receiver.urgent:
-            receiver.urgent = True
-            self.after(URGENT_AFTER_S, partial(self._hurry, receiver))
+        if taken.is_urgent:
+            self.hurry(receiver)
         for hint in taken.hints:
             self._take_hint(receiver, hint)
 
-    def _hurry(self, instance: ModelInstance) -> None:
-        instance.urgent = False
-        if instance.runs:
-            self._send_round(instance, to_all=True)
-
     def _take_hint(self, receiver: ModelInstance, hint: Hint) -> None:
         if not receiver.asking and _lacks(receiver, hint):
             receiver.asking = True
@@ -250,3 +251,9 @@
 
 def _passes_always(sender: FleetMember, receiver: FleetMember) -> bool:
     return True
+
+
+def _tell_all(model: FleetModel, instance: ModelInstance) -> None:
+    instance.urgent = False
+    if instance.runs:
+        model.send_round(instance, to_all=True)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -8,16 +8,15 @@
 
 from plantainloft_core.outcomes import Invalid
 from plantainloft_node.quarantine.crash_book import (
-    HOLD_S,
     MAX_CRASHES_OF_REQUEST,
     MAX_REPORTED,
     MAX_REQUESTS,
-    MEMORY_S,
     SPREAD_S,
     CrashBook,
 )
 from plantainloft_node.quarantine.crash_checks import BrokenRun
 from plantainloft_node.quarantine.crash_codec import CRASH_BYTES, pack_crashes, unpack_crashes
+from plantainloft_node.quarantine.crashes import HOLD_S, MEMORY_S
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint, fingerprint_of
 from plantainloft_node.quarantine.quarantine import Admitted, Quarantine, ShutOut, Trial
 from plantainloft_node.quarantine.records import StoredRecord
@@ -116,6 +115,19 @@
     assert not is_shut_out(stale, request())
 
 
+def test_a_request_that_was_answered_before_counts_half_and_is_bounded_all_the_same() -> None:
+    """One that begins to crash endpoints may be sent three times more, as the users allow."""
+    book, other = CrashBook(), CrashBook()
+    other.note_answered(request(), NOW - 1)
+    crashed(book, request(), 'i1', 'i2', 'i3')
+    other.merge(book.reports(NOW), NOW)
+    book.merge(other.reports(NOW), NOW)
+    assert not is_shut_out(book, request())
+    crashed(book, request(), 'i4', 'i5', 'i6')
+    other.merge(book.reports(NOW), NOW)
+    assert is_shut_out(other, request())
+
+
 def test_instances_agree_in_whatever_order_they_hear() -> None:
     for seed in range(20):
         chance = random.Random(seed)
