Operators list quarantined requests and lift one; answers passed on as they come count

What callers saw: an answer too long to be held back that breaks off with its endpoint counted as no crash, so a request that crashes endpoints that late was sent on for ever; and such a request that was answered whole was never cleared.

The metrics address and the product's own interface list what is shut out, with the number of crashes and the next trial, and lift a request by its fingerprint; plantainctl quarantine does both, and explain shows it. A lift spreads as answers do. Tests: a quarantine outlasts the loss of all instances, is listed, explained and lifted (deployed processes); which requests are the same, and what is no crash (shed, lost answer, time-out, a caller who leaves).

--- a/packages/ctl/src/plantainloft_ctl/explaining.py
+++ b/packages/ctl/src/plantainloft_ctl/explaining.py
@@ -8,7 +8,9 @@
 __all__ = ['read_lines', 'story_of']
 
 # Lines of these kinds tell what an instance believed when it decided.
-BACKGROUND = frozenset(('belief', 'store_lost', 'store_regained', 'store_history', 'reload'))
+BACKGROUND = frozenset(
+    ('belief', 'store_lost', 'store_regained', 'store_history', 'reload', 'quarantine')
+)
 # What happened this long before the request may have decided it: the
 # bounds on news, with room.
 LOOK_BACK_S = 10.0
--- a/packages/ctl/src/plantainloft_ctl/main.py
+++ b/packages/ctl/src/plantainloft_ctl/main.py
@@ -8,6 +8,7 @@
 from plantainloft_ctl.commands.explain import Explain
 from plantainloft_ctl.commands.history import History
 from plantainloft_ctl.commands.losses import Losses
+from plantainloft_ctl.commands.quarantine import Quarantine
 from plantainloft_ctl.commands.show import Show
 from plantainloft_ctl.commands.status import Status
 from plantainloft_ctl.commands.submit import Submit
@@ -19,7 +20,9 @@
 class Plantainctl:
     """The operator tool of plantainloft."""
 
-    command: cappa.Subcommands[Show | Submit | History | Burn | Explain | Losses | Status]
+    command: cappa.Subcommands[
+        Show | Submit | History | Burn | Explain | Losses | Status | Quarantine
+    ]
 
 
 def main() -> None:
--- a/packages/node/src/plantainloft_node/app.py
+++ b/packages/node/src/plantainloft_node/app.py
@@ -3,11 +3,14 @@
 - ``GET /v1/lookup?service=S&client_block=B``: entry instances to use.
 - ``{ANY} /v1/forward/{service}/{path}``: forward one request.
 - ``GET /v1/status``: version in force, members, stats by service.
+- ``GET /v1/quarantine``: the requests that are sent to no endpoint.
+- ``POST /v1/quarantine/lift?request=FINGERPRINT``: have one sent again.
 """
 
 import logging
 import time
 
+import anyio
 from starlette.applications import Starlette
 from starlette.requests import Request as HttpRequest
 from starlette.responses import JSONResponse, Response
@@ -16,6 +19,7 @@
 from plantainloft_core.outcomes import Quarantined, Refused, Served, Unknown
 from plantainloft_node.forwarding import Request
 from plantainloft_node.node import Node
+from plantainloft_node.quarantine.fingerprints import parse_fingerprint
 
 __all__ = ['log_unserved', 'make_app']
 
@@ -27,6 +31,8 @@
 _BAD_GATEWAY = 502
 _TIMEOUT = 504
 _BAD_REQUEST = 400
+_NOT_FOUND = 404
+_OK = 200
 _NON_IDEMPOTENT = frozenset(('POST',))
 
 
@@ -147,6 +153,16 @@
             }
         )
 
+    async def quarantined(request: HttpRequest) -> Response:
+        return JSONResponse(node.forwarder.quarantine.listing(anyio.current_time()))
+
+    async def lift(request: HttpRequest) -> Response:
+        fingerprint = parse_fingerprint(request.query_params.get('request', ''))
+        if fingerprint is None:
+            return JSONResponse({'problem': 'not a fingerprint'}, status_code=_BAD_REQUEST)
+        lifted = node.forwarder.quarantine.lift(fingerprint, anyio.current_time())
+        return JSONResponse({}, status_code=_OK if lifted else _NOT_FOUND)
+
     return Starlette(
         routes=[
             Route('/v1/lookup', lookup),
@@ -156,5 +172,7 @@
                 methods=['GET', 'POST', 'PUT', 'DELETE'],
             ),
             Route('/v1/status', status),
+            Route('/v1/quarantine', quarantined),
+            Route('/v1/quarantine/lift', lift, methods=['POST']),
         ]
     )
--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from plantainloft_node.engine.endpoint_link import AnswerHead, EndpointLink
+from plantainloft_node.quarantine.crash_checks import EndpointRun
 
 __all__ = ['Answered', 'Attempts', 'Failed', 'NotRun', 'NotSent', 'Placed', 'Refusal', 'TryOutcome']
 
@@ -101,8 +102,8 @@
         # Endpoints looked at for a refusal, with the loads believed there.
         self.loads = ''
         self.placed: Placed | None = None
-        # Endpoints have ended under the same request before; another may.
-        self.may_repeat = True
+        # The run whose answer is still being passed on.
+        self.streaming: EndpointRun | None = None
 
     def note(self, endpoint_id: str, outcome: TryOutcome, *, ran_before: bool) -> None:
         """Take the outcome of one try at ``endpoint_id``.
--- a/packages/node/src/plantainloft_node/engine/dispatch.py
+++ b/packages/node/src/plantainloft_node/engine/dispatch.py
@@ -34,9 +34,9 @@
 from plantainloft_node.placing.placement import Chosen, NoRoom, Placement, Wanted
 from plantainloft_node.placing.splitting import SplitTurns
 from plantainloft_node.quarantine.crash_book import CrashBook
-from plantainloft_node.quarantine.crash_checks import BrokenRun, CrashChecks
+from plantainloft_node.quarantine.crash_checks import CrashChecks, EndpointRun
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint, fingerprint_of
-from plantainloft_node.quarantine.quarantine import Admitted, Quarantine, ShutOut
+from plantainloft_node.quarantine.quarantine import Admission, Admitted, Quarantine, ShutOut
 
 __all__ = ['Dispatcher', 'Judged', 'RetryTerms', 'come_back']
 
@@ -113,11 +113,11 @@
 
         Cancel to give up; ``attempts`` then tells what may have run.
         """
-        if self._quarantine.book:
-            admission = await self._quarantine.admit(self._fingerprint(judged))
-            if isinstance(admission, ShutOut):
-                return admission
-            attempts.may_repeat = admission == Admitted()
+        admission = await self._admit(judged)
+        if isinstance(admission, ShutOut):
+            return admission
+        # Endpoints have ended under the same request before: another may.
+        is_sent_once = admission != Admitted()
         route = judged.route
         turns = self._turns_by_route.setdefault(route.name, SplitTurns())
         service = turns.next(route.shares)
@@ -129,11 +129,24 @@
             if isinstance(outcome, Refusal):
                 return _after_refusal(outcome, attempts)
             if isinstance(outcome, Answered | Failed):
-                if _is_final(outcome) or not self._again(judged, budget, attempts):
+                is_last = is_sent_once or _is_final(outcome)
+                if is_last or not self._again(judged, budget, attempts):
                     return outcome
             elif not self._another(judged, budget, attempts, outcome):
                 return _after_refusal(come_back('; '.join(attempts.why())), attempts)
 
+    def note_streamed(self, run: EndpointRun, *, whole: bool) -> None:
+        """Take how the answer of ``run`` ended that was passed on as it came."""
+        if whole:
+            self._quarantine.note_answered(run.request, anyio.current_time())
+        else:
+            self._crash_checks.note_broken(run)
+
+    async def _admit(self, judged: Judged) -> Admission:
+        if not self._quarantine.book:
+            return Admitted()
+        return await self._quarantine.admit(self._fingerprint(judged))
+
     async def _try(
         self, judged: Judged, service: str, table: RouteTable, attempts: Attempts
     ) -> Answered | NotSent | NotRun | Failed | Refusal:
@@ -153,36 +166,47 @@
         outcome = await self._sender.send(choice.endpoint, sending)
         attempts.note(choice.endpoint.record.id, outcome, ran_before=ran_before)
         if isinstance(outcome, Answered):
-            self._note_answered(judged, outcome)
+            self._note_answered(judged, choice, outcome, attempts)
         else:
             self._note_unanswered(judged, choice, outcome)
         return outcome
 
-    def _note_answered(self, judged: Judged, outcome: Answered) -> None:
+    def _note_answered(
+        self, judged: Judged, choice: Chosen, outcome: Answered, attempts: Attempts
+    ) -> None:
         # Its own failure may be the deadline, before a run gets to its crash.
-        is_whole = outcome.rest is None and outcome.head.status < HTTPStatus.INTERNAL_SERVER_ERROR
-        if is_whole:
+        if outcome.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
+            return
+        if outcome.rest is None:
             self._quarantine.note_answered(self._fingerprint(judged), anyio.current_time())
+        else:
+            attempts.streaming = self._run(judged, choice)
 
     def _note_unanswered(
         self, judged: Judged, choice: Chosen, outcome: NotSent | NotRun | Failed
     ) -> None:
-        record = choice.endpoint.record
-        sent_as = request_id(judged.exchange, self._names)
         fields: dict[str, object] = {
-            'request': sent_as,
-            'endpoint': record.id,
+            'request': request_id(judged.exchange, self._names),
+            'endpoint': choice.endpoint.record.id,
             'load': round(choice.load, 1),
             'outcome': type(outcome).__name__,
             'reason': outcome.reason,
         }
         if isinstance(outcome, Failed) and outcome.broke:
-            fingerprint = self._fingerprint(judged)
-            fields['fingerprint'] = str(fingerprint)
-            run = BrokenRun(fingerprint, sent_as, record.incarnation, record.address)
+            run = self._run(judged, choice)
+            fields['fingerprint'] = str(run.request)
             self._crash_checks.note_broken(run)
         log.info('Front: a try failed.', extra={'kind': 'try', 'fields': fields})
 
+    def _run(self, judged: Judged, choice: Chosen) -> EndpointRun:
+        record = choice.endpoint.record
+        return EndpointRun(
+            request=self._fingerprint(judged),
+            request_id=request_id(judged.exchange, self._names),
+            incarnation=record.incarnation,
+            address=record.address,
+        )
+
     def _fingerprint(self, judged: Judged) -> RequestFingerprint:
         exchange = judged.exchange
         credentials = (exchange.header(name) or b'' for name in self._names.credentials)
@@ -197,7 +221,7 @@
 
     def _again(self, judged: Judged, budget: RetryBudget, attempts: Attempts) -> bool:
         """Return whether a request that may have run may be sent again."""
-        if not judged.route.idempotent or not judged.whole or not attempts.may_repeat:
+        if not judged.route.idempotent or not judged.whole:
             return False
         if self._quarantine.book.standing(
             self._fingerprint(judged), anyio.current_time()
--- a/packages/node/src/plantainloft_node/engine/front.py
+++ b/packages/node/src/plantainloft_node/engine/front.py
@@ -36,7 +36,7 @@
         self._names = names
         self._dispatcher = dispatcher
         self._table = table
-        self._replies = Replies(names=names, observe=observe)
+        self._replies = Replies(names=names, observe=observe, streamed=dispatcher.note_streamed)
         self.in_progress = 0
 
     def limits(self) -> CallerLimits:
--- a/packages/node/src/plantainloft_node/engine/replies.py
+++ b/packages/node/src/plantainloft_node/engine/replies.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 from http import HTTPStatus
 from types import MappingProxyType
+from typing import Protocol
 
 import anyio
 
@@ -13,6 +14,7 @@
 from plantainloft_node.engine.endpoint_link import BrokenAnswerError, EndpointLink
 from plantainloft_node.engine.exchange import Exchange
 from plantainloft_node.engine.heads import Headers, passed_on
+from plantainloft_node.quarantine.crash_checks import EndpointRun
 from plantainloft_node.quarantine.quarantine import ShutOut
 
 __all__ = ['OUT_OF_TIME', 'Replies', 'request_id']
@@ -30,11 +32,26 @@
     return (exchange.header(names.request_id) or b'').decode('latin-1')
 
 
+class StreamObserver(Protocol):
+    """Takes how the answer of a run ended that was passed on as it came."""
+
+    def __call__(self, run: EndpointRun, *, whole: bool) -> None:
+        """``whole``: it came to its end."""
+
+
 class Replies:
     """Sends answers, and logs and counts how each request ended."""
 
-    def __init__(self, *, names: HeaderNames, observe: Callable[[str, str, float], None]) -> None:
+    def __init__(
+        self,
+        *,
+        names: HeaderNames,
+        observe: Callable[[str, str, float], None],
+        streamed: StreamObserver,
+    ) -> None:
+        """``streamed`` takes how each answer ended that was passed on as it came."""
         self._names = names
+        self._streamed = streamed
         self._observe = observe
 
     async def no_table(self, exchange: Exchange, refusal: Refusal) -> None:
@@ -78,7 +95,7 @@
             self._observe(route.name, 'answered', took_s)
             kind = 'late' if took_s > route.objective_s else 'answered'
             self._log_end(exchange, kind, fields)
-            await self._relay(exchange, outcome)
+            await self._relay(exchange, outcome, attempts)
         elif isinstance(outcome, Refusal):
             self._observe(route.name, 'refused', took_s)
             fields['reason'] = outcome.reason
@@ -106,7 +123,7 @@
             HTTPStatus.SERVICE_UNAVAILABLE, [*self._own(exchange), (b'retry-after', after)]
         )
 
-    async def _relay(self, exchange: Exchange, outcome: Answered) -> None:
+    async def _relay(self, exchange: Exchange, outcome: Answered, attempts: Attempts) -> None:
         head = outcome.head
         if exchange.method == b'HEAD' or head.status in _BODILESS:
             # Its length tells of a body that is not sent.
@@ -124,9 +141,15 @@
             # unnoticed; the caller's connection is cut instead.
             told: dict[str, object] = {'endpoint': outcome.endpoint_id, 'reason': exc.reason}
             self._log_end(exchange, 'cut', told)
+            self._note_streamed(attempts, whole=False)
             raise anyio.BrokenResourceError from exc
         finally:
             await outcome.rest.close()
+        self._note_streamed(attempts, whole=True)
+
+    def _note_streamed(self, attempts: Attempts, *, whole: bool) -> None:
+        if attempts.streaming is not None:
+            self._streamed(attempts.streaming, whole=whole)
 
     async def _stream(self, exchange: Exchange, outcome: Answered, link: EndpointLink) -> None:
         head = outcome.head
--- a/packages/node/src/plantainloft_node/entry/lookups.py
+++ b/packages/node/src/plantainloft_node/entry/lookups.py
@@ -12,7 +12,7 @@
 from plantainloft_node.engine.exchange import Exchange, Handler
 from plantainloft_node.fleet.members import FleetMember, MemberBook
 
-__all__ = ['LookupHandler', 'MetricsHandler', 'ReadyHandler', 'SmallHandler', 'front_addresses']
+__all__ = ['LookupHandler', 'ReadyHandler', 'SmallHandler', 'front_addresses']
 
 MAX_ADDRESSES = 64
 ENOUGH_IN_ZONE = 2
@@ -52,17 +52,6 @@
         return (HTTPStatus.OK if self._ready() else _UNAVAILABLE), b'{}'
 
 
-class MetricsHandler(SmallHandler):
-    """Shows counters and histograms as text."""
-
-    def __init__(self, *, text: Callable[[], str]) -> None:
-        self._text = text
-
-    def reply(self, exchange: Exchange) -> tuple[int, bytes]:
-        """Return the text exposition."""
-        return HTTPStatus.OK, self._text().encode()
-
-
 class LookupHandler(SmallHandler):
     """Names the entry instances that a caller should use."""
 
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -11,8 +11,9 @@
 from plantainloft_node.engine.dialect import HeaderNames
 from plantainloft_node.entry.fleet_parts import start_fleet_parts
 from plantainloft_node.entry.listening import Listeners
-from plantainloft_node.entry.lookups import LookupHandler, MetricsHandler, ReadyHandler
+from plantainloft_node.entry.lookups import LookupHandler, ReadyHandler
 from plantainloft_node.entry.observing import Observation
+from plantainloft_node.entry.operating import OperatorHandler
 from plantainloft_node.entry.polling import StoreDuty
 from plantainloft_node.entry.quarantine_rows import build_quarantine
 from plantainloft_node.entry.report import Report
@@ -124,8 +125,8 @@
         tasks.start_soon(listen, settings.directory, lookups)
         tasks.start_soon(listen, settings.ready, ReadyHandler(ready=self.ready))
         if settings.metrics:
-            metrics = MetricsHandler(text=self._metrics)
-            tasks.start_soon(listen, settings.metrics, metrics)
+            operators = OperatorHandler(text=self._metrics, quarantine=self.quarantine)
+            tasks.start_soon(listen, settings.metrics, operators)
 
     def _metrics(self) -> str:
         serving = self.serving
--- a/packages/node/src/plantainloft_node/entry/report.py
+++ b/packages/node/src/plantainloft_node/entry/report.py
@@ -37,6 +37,7 @@
         for service, left in dispatcher.budgets_left(now).items():
             metrics.put('retry_budget_left', left, service=service)
         metrics.put('spilled_share', placement.spilled_share(now))
+        metrics.put('quarantined_requests', len(dispatcher.crashes.quarantined(now)))
         self._put_observation(now)
         return metrics.text()
 
--- a/packages/node/src/plantainloft_node/entry/serving.py
+++ b/packages/node/src/plantainloft_node/entry/serving.py
@@ -12,7 +12,7 @@
 from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.entry.terms import placement_terms, retry_terms
 from plantainloft_node.placing.placement import Placement
-from plantainloft_node.quarantine.crash_checks import BrokenRun, CrashChecks
+from plantainloft_node.quarantine.crash_checks import CrashChecks, EndpointRun
 from plantainloft_node.quarantine.quarantine import Quarantine
 
 __all__ = ['Serving', 'build_serving']
@@ -45,7 +45,7 @@
     placement = Placement(terms=placement_terms(settings), book=observation.book)
     pool = LinkPool()
 
-    def note_crash(run: BrokenRun, now: float) -> None:
+    def note_crash(run: EndpointRun, now: float) -> None:
         observation.book.note_ended(run.incarnation, now)
         quarantine.note_crash(run, now)
 
--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -22,7 +22,7 @@
 from plantainloft_node.engine.endpoint_link import OutgoingRequest
 from plantainloft_node.engine.whole_answers import LinkClient, WholeAnswer
 from plantainloft_node.loads import LoadBook
-from plantainloft_node.quarantine.crash_checks import BrokenRun, CrashChecks
+from plantainloft_node.quarantine.crash_checks import CrashChecks, EndpointRun
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint, fingerprint_of
 from plantainloft_node.quarantine.quarantine import Quarantine, ShutOut
 
@@ -77,14 +77,14 @@
         self._client = LinkClient()
         self._decider = decider
         self._loads = loads
-        self._quarantine = quarantine
+        self.quarantine = quarantine
         self.crash_checks = CrashChecks(on_crash=quarantine.note_crash)
 
     async def check_quarantine(self, request: Request) -> Quarantined | None:
         """Return the answer to a request that may be sent to no endpoint."""
-        if not self._quarantine.book:
+        if not self.quarantine.book:
             return None
-        admission = await self._quarantine.admit(request.fingerprint())
+        admission = await self.quarantine.admit(request.fingerprint())
         if isinstance(admission, ShutOut):
             return Quarantined(reason=f'{admission.crashes} endpoints ended under it')
         return None
@@ -122,12 +122,12 @@
             return Refused(reason=f'{name} unreachable', retry_after_s=1)
         if isinstance(answer, Failed):
             if answer.broke:
-                self.crash_checks.note_broken(_broken_run(name, address, request))
+                self.crash_checks.note_broken(_endpoint_run(name, address, request))
             return Unknown(reason=f'{name}: {answer.reason}')
         if answer.head.status == _UNAVAILABLE:
             return self._unavailable(name, answer.body)
         if answer.head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
-            self._quarantine.note_answered(request.fingerprint(), anyio.current_time())
+            self.quarantine.note_answered(request.fingerprint(), anyio.current_time())
         return Served(status=answer.head.status, body=answer.body, endpoint=name)
 
     def _unavailable(self, name: str, body: bytes) -> Refused | Unknown:
@@ -143,9 +143,9 @@
         return Refused(reason=f'{name} {refusal}', retry_after_s=1)
 
 
-def _broken_run(name: str, address: str, request: Request) -> BrokenRun:
+def _endpoint_run(name: str, address: str, request: Request) -> EndpointRun:
     start = int(time.time() / CRASHES_APART_S)
-    return BrokenRun(
+    return EndpointRun(
         request=request.fingerprint(),
         request_id=request.headers.get('idempotency-key', ''),
         incarnation=f'{name}@{start}',
--- a/packages/node/src/plantainloft_node/quarantine/crash_checks.py
+++ b/packages/node/src/plantainloft_node/quarantine/crash_checks.py
@@ -13,7 +13,7 @@
 from plantainloft_node.engine.endpoint_link import connect
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint
 
-__all__ = ['BrokenRun', 'CrashChecks']
+__all__ = ['CrashChecks', 'EndpointRun']
 
 log = logging.getLogger(__name__)
 
@@ -25,8 +25,8 @@
 CHECKERS = 8
 
 
-class BrokenRun(NamedTuple):
-    """A request whose connection to an endpoint broke while it may have run."""
+class EndpointRun(NamedTuple):
+    """A request at an endpoint, where it may run."""
 
     request: RequestFingerprint
     request_id: str
@@ -37,15 +37,15 @@
 class CrashChecks:
     """Checks endpoints whose connections broke, and reports the crashes."""
 
-    def __init__(self, *, on_crash: Callable[[BrokenRun, float], None]) -> None:
+    def __init__(self, *, on_crash: Callable[[EndpointRun, float], None]) -> None:
         """``on_crash`` takes a run under which its endpoint ended, and the time."""
         self._on_crash = on_crash
-        ends = anyio.create_memory_object_stream[BrokenRun](MAX_WAITING)
+        ends = anyio.create_memory_object_stream[EndpointRun](MAX_WAITING)
         self._send = ends[0]
         self._receive = ends[1]
         self._check_by_incarnation: dict[str, _Check] = {}
 
-    def note_broken(self, run: BrokenRun) -> None:
+    def note_broken(self, run: EndpointRun) -> None:
         """Have the endpoint of ``run`` checked."""
         try:
             self._send.send_nowait(run)
@@ -77,7 +77,7 @@
             if ended:
                 self._on_crash(run, now)
 
-    async def _ended(self, run: BrokenRun) -> bool:
+    async def _ended(self, run: EndpointRun) -> bool:
         now = anyio.current_time()
         check = self._check_by_incarnation.get(run.incarnation)
         if check is None or now - check.at >= SAME_CRASH_S:
--- a/packages/node/src/plantainloft_node/quarantine/fingerprints.py
+++ b/packages/node/src/plantainloft_node/quarantine/fingerprints.py
@@ -4,7 +4,13 @@
 from hashlib import blake2b
 from typing import NamedTuple
 
-__all__ = ['CALLER_BYTES', 'CONTENT_BYTES', 'BodyPrefix', 'RequestFingerprint', 'fingerprint_of']
+__all__ = [
+    'CALLER_BYTES',
+    'CONTENT_BYTES',
+    'RequestFingerprint',
+    'fingerprint_of',
+    'parse_fingerprint',
+]
 
 CONTENT_BYTES = 12
 CALLER_BYTES = 8
@@ -12,8 +18,6 @@
 # when an endpoint is chosen.
 PREFIX_BYTES = 65536
 
-BodyPrefix = bytes
-
 
 class RequestFingerprint(NamedTuple):
     """Digests of a request: the same for each repeat, under any id.
@@ -34,7 +38,7 @@
     method: bytes,
     host: bytes,
     target: bytes,
-    body: BodyPrefix,
+    body: bytes,
     address: str,
     credentials: Iterable[bytes] = (),
 ) -> RequestFingerprint:
@@ -50,6 +54,17 @@
     )
 
 
+def parse_fingerprint(written: str) -> RequestFingerprint | None:
+    """Return the fingerprint as operators write it, ``None`` if it is none."""
+    content, _, caller = written.partition('-')
+    try:
+        request = RequestFingerprint(bytes.fromhex(content), bytes.fromhex(caller))
+    except ValueError:
+        return None
+    sizes = (len(request.content), len(request.caller))
+    return request if sizes == (CONTENT_BYTES, CALLER_BYTES) else None
+
+
 def _digest(parts: Iterable[bytes], *, size: int) -> bytes:
     digest = blake2b(digest_size=size)
     for part in parts:
--- a/packages/node/src/plantainloft_node/quarantine/quarantine.py
+++ b/packages/node/src/plantainloft_node/quarantine/quarantine.py
@@ -4,17 +4,18 @@
 import time
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import TypedDict
 
 import anyio
 
 from plantainloft_core.outcomes import Invalid, Unreachable
 from plantainloft_node.quarantine.crash_book import CrashBook
-from plantainloft_node.quarantine.crash_checks import BrokenRun
+from plantainloft_node.quarantine.crash_checks import EndpointRun
 from plantainloft_node.quarantine.crashes import MEMORY_S, Standing
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint
 from plantainloft_node.quarantine.records import QuarantineRecord, QuarantineStore, StoredRecord
 
-__all__ = ['Admission', 'Admitted', 'Quarantine', 'ShutOut', 'Trial']
+__all__ = ['Admission', 'Admitted', 'Listed', 'Quarantine', 'ShutOut', 'Trial']
 
 log = logging.getLogger(__name__)
 
@@ -48,6 +49,15 @@
     crashes: int
 
 
+class Listed(TypedDict):
+    """A request that is shut out, as operators see it; times in seconds."""
+
+    request: str
+    crashes: int
+    last_crash_s_ago: int
+    tried_again_in_s: int
+
+
 Admission = Admitted | Trial | ShutOut
 
 
@@ -72,7 +82,7 @@
         self._refreshed_at = float('-inf')
         self._claimed_at = float('-inf')
 
-    def note_crash(self, run: BrokenRun, now: float) -> None:
+    def note_crash(self, run: EndpointRun, now: float) -> None:
         """Take a run under which its endpoint ended."""
         standing = self.book.note_crash(run.request, run.incarnation, now)
         if standing.is_quarantined:
@@ -103,6 +113,20 @@
         self._spread()
         return True
 
+    def listing(self, now: float) -> list[Listed]:
+        """Return the requests that are shut out, the one that crashed most first."""
+        quarantined = self.book.quarantined(now).items()
+        by_crashes = sorted(quarantined, key=lambda one: one[1].crashes, reverse=True)
+        return [
+            Listed(
+                request=str(request),
+                crashes=standing.crashes,
+                last_crash_s_ago=round(now - standing.newest_at),
+                tried_again_in_s=max(0, round(standing.newest_at + standing.hold_s - now)),
+            )
+            for request, standing in by_crashes
+        ]
+
     async def admit(self, request: RequestFingerprint) -> Admission:
         """Return whether ``request`` may be sent now."""
         now = anyio.current_time()
--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -108,13 +108,20 @@
         self.connections = 0
         self.ended = 0
         self.address = ''
+        self._scope = anyio.CancelScope()
+
+    def stop(self) -> None:
+        """End it, with all its connections."""
+        self._scope.cancel()
 
     async def run(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         listener = await anyio.create_tcp_listener(local_host='127.0.0.1', local_port=0)
         port = listener.extra(anyio.abc.SocketAttribute.local_port)
         self.address = f'127.0.0.1:{port}'
         task_status.started()
-        await listener.serve(self._talk)
+        with self._scope:
+            await listener.serve(self._talk)
+        await listener.aclose()
 
     async def _talk(self, stream: SocketStream) -> None:
         self.connections += 1
@@ -133,6 +140,7 @@
     front: Front
     connections: list[CallerConnection]
     pool: LinkPool
+    crashes: CrashBook
 
     async def connect(self) -> SocketStream:
         host, _, port = self.address.partition(':')
@@ -230,7 +238,10 @@
         tasks.start_soon(listener.serve, serve)
         tasks.start_soon(crash_checks.run)
         tasks.start_soon(quarantine.run)
-        yield Entry(f'127.0.0.1:{port}', book, front, connections, pool), endpoints
+        yield (
+            Entry(f'127.0.0.1:{port}', book, front, connections, pool, quarantine.book),
+            endpoints,
+        )
         tasks.cancel_scope.cancel()
 
 
--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -1,6 +1,8 @@
 """A request that crashes each endpoint that runs it, sent again and again."""
 
 import itertools
+import json
+import signal
 import time
 from collections.abc import AsyncIterator, Iterator
 from contextlib import asynccontextmanager
@@ -21,8 +23,11 @@
     config,
     endpoint_row,
     running_store,
+    until,
 )
 
+from plantainloft_ctl.commands.quarantine import Quarantine
+from plantainloft_ctl.explaining import story_of
 from plantainloft_standins.cluster import Cluster, bring_up
 from plantainloft_standins.deployments import Deployment, ServicePlan
 
@@ -102,6 +107,56 @@
         assert len(fleet.trace.fatal_after(CONTACT_S)) <= MAX_LATER
 
 
+async def shut_out(entry: EntryProcessHandle) -> list[dict[str, object]]:
+    answer = await call(entry.metrics, '/quarantine')
+    return list(json.loads(answer.partition(b'\r\n\r\n')[2] or b'[]'))
+
+
+async def are_shut_out(entry: EntryProcessHandle) -> int:
+    return len(await shut_out(entry))
+
+
+@pytest.mark.anyio
+async def test_a_quarantine_outlasts_the_loss_of_all_instances(
+    handles: list[EntryProcessHandle], tmp_path: Path
+) -> None:
+    async with crashing_fleet(handles, tmp_path) as fleet:
+        await fleet.repeat('/files/fatal', seconds=2.0)
+        await until(lambda: are_shut_out(handles[1]), 1)
+        await anyio.sleep(1.0)
+        for handle in handles:
+            handle.signal(signal.SIGKILL)
+            await handle.ended()
+        for handle in handles:
+            handle.start()
+        for handle in handles:
+            await handle.until_ready()
+            await until(partial(are_shut_out, handle), 1)
+        before = len(fleet.trace.crashes)
+        await fleet.repeat('/files/fatal', seconds=2.0)
+        assert len(fleet.trace.crashes) == before
+
+
+@pytest.mark.anyio
+async def test_operators_list_a_quarantine_and_lift_it(
+    handles: list[EntryProcessHandle],
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async with crashing_fleet(handles, tmp_path) as fleet:
+        await fleet.repeat('/files/fatal', seconds=2.0)
+        await until(lambda: are_shut_out(handles[1]), 1)
+        (listed,) = await shut_out(handles[0])
+        await anyio.to_thread.run_sync(Quarantine(node=f'http://{handles[0].metrics}'))
+        assert str(listed['request']) in capsys.readouterr().out
+        lift = Quarantine(node=f'http://{handles[0].metrics}', lift=str(listed['request']))
+        await anyio.to_thread.run_sync(lift)
+        await until(lambda: are_shut_out(handles[1]), 0)
+        quarantined = [line for line in handles[0].lines() if line['kind'] == 'quarantined']
+        story = story_of(str(quarantined[-1]['request']), handles[0].lines())
+        assert any('crashes=' in line and str(listed['request']) in line for line in story)
+
+
 CRASHING = Deployment(
     name='crashing',
     regions=('ankara', 'izmir'),
@@ -165,3 +220,7 @@
     own.repeat('fatal', seconds=PLAYED_S)
     third = own.crashes[2]
     assert sum(at > third + CONTACT_S for at in own.crashes) <= MAX_LATER
+    entry = next(iter(crashing.entries_by_name.values()))
+    (listed,) = httpx.get(f'{entry}/v1/quarantine').json()
+    Quarantine(node=f'{entry}/v1', lift=listed['request'])()
+    assert httpx.get(f'{entry}/v1/quarantine').json() == []
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -2,12 +2,14 @@
 
 import re
 import socket
+from collections.abc import Awaitable, Callable
 
 import anyio
 import pytest
 from anyio.abc import SocketAttribute
 from entry_fixtures import (
     Conversation,
+    Entry,
     get,
     post,
     route,
@@ -492,3 +494,102 @@
     async with running_entry(read_on, table=table) as (entry, _):
         assert status(await entry.ask(post(b'x' * 300_000))) == 413
         assert status(await entry.ask(get(b'/nothing/'))) == 404
+
+
+class CrashingBackends:
+    """Scripts that end their endpoint under requests whose path ends in ``fatal``."""
+
+    def __init__(self) -> None:
+        self.fatal_runs = 0
+
+    async def __call__(self, talk: Conversation) -> None:
+        while True:
+            request = await talk.request()
+            if b'fatal' in request.split(b'\r\n', 1)[0]:
+                self.fatal_runs += 1
+                talk.endpoint.stop()
+                return
+            found = re.search(rb'x-request-id: (\S+)', request.lower())
+            await talk.say(whole(b'ok', request_id=found.group(1) if found else b''))
+
+
+async def ask_many(entry: Entry, raw: bytes, count: int) -> list[int]:
+    answers = []
+    for _ in range(count):
+        answers.append(status(await entry.ask(raw)))
+        # The check of the endpoint is not waited for by the caller.
+        await anyio.sleep(0.05)
+    return answers
+
+
+@pytest.mark.parametrize(
+    'fatal',
+    [
+        get(b'/files/fatal'),
+        post(b'x', path=b'/notices/fatal'),
+        post(b'x' * 200_000, path=b'/notices/fatal'),
+    ],
+    ids=['idempotent', 'non-idempotent', 'streamed'],
+)
+async def test_a_request_that_crashes_endpoints_is_shut_out(fatal: bytes) -> None:
+    backends = CrashingBackends()
+    async with running_entry(*[backends] * 8) as (entry, _):
+        answers = await ask_many(entry, fatal, 12)
+        assert backends.fatal_runs <= 4
+        assert answers[-6:] == [502] * 6
+        shut_out = await entry.ask(fatal)
+        assert b'retry-after' not in shut_out.lower()
+        assert status(await entry.ask(get(b'/files/2'))) == 200
+
+
+async def test_the_same_body_in_chunks_is_the_same_request() -> None:
+    backends = CrashingBackends()
+    chunked = (
+        b'POST /notices/fatal HTTP/1.1\r\nHost: desk.example\r\nX-Request-Id: c\r\n'
+        b'Transfer-Encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n'
+    )
+    async with running_entry(*[backends] * 8) as (entry, _):
+        await ask_many(entry, post(b'x', path=b'/notices/fatal'), 2)
+        await ask_many(entry, chunked, 1)
+        assert backends.fatal_runs == 3
+        await ask_many(entry, chunked, 2)
+        await ask_many(entry, post(b'x', path=b'/notices/fatal'), 2)
+        assert backends.fatal_runs == 3
+
+
+async def test_an_answer_that_breaks_off_on_its_way_counts_as_a_crash() -> None:
+    runs = []
+
+    async def breaks_off(talk: Conversation) -> None:
+        await talk.request()
+        runs.append(talk.endpoint)
+        await talk.say(whole(b'x' * 300_000)[:200_000])
+        talk.endpoint.stop()
+
+    async with running_entry(*[breaks_off] * 8) as (entry, _):
+        await ask_many(entry, get(), 8)
+        assert len(runs) == 3
+
+
+@pytest.mark.parametrize('script', [shed, close_at_once], ids=['shed', 'lost answers'])
+async def test_endpoints_that_live_on_crash_under_nobody(
+    script: Callable[[Conversation], Awaitable[None]],
+) -> None:
+    async with running_entry(*[script] * 4) as (entry, _):
+        await ask_many(entry, post(b'x'), 8)
+        assert not entry.crashes
+
+
+async def test_a_caller_who_leaves_and_a_time_out_are_no_crashes() -> None:
+    async def never(talk: Conversation) -> None:
+        await talk.request()
+        await anyio.sleep_forever()
+
+    slow = table_of(route(idempotent=True, prefix='/files/', timeout_s=0.1))
+    async with running_entry(*[never] * 4, table=slow) as (entry, _):
+        assert await ask_many(entry, get(), 4) == [504] * 4
+        for _ in range(4):
+            async with await entry.connect() as stream:
+                await stream.send(get())
+                await anyio.sleep(0.02)
+        assert not entry.crashes
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -14,7 +14,7 @@
     SPREAD_S,
     CrashBook,
 )
-from plantainloft_node.quarantine.crash_checks import BrokenRun
+from plantainloft_node.quarantine.crash_checks import EndpointRun
 from plantainloft_node.quarantine.crash_codec import CRASH_BYTES, pack_crashes, unpack_crashes
 from plantainloft_node.quarantine.crashes import HOLD_S, MEMORY_S
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint, fingerprint_of
@@ -233,7 +233,7 @@
     store = MemoryQuarantineStore()
     instances = [quarantine(store) for _ in range(12)]
     for number in range(3):
-        run = BrokenRun(request(), 'r', f'i{number}', '127.0.0.1:1')
+        run = EndpointRun(request(), 'r', f'i{number}', '127.0.0.1:1')
         for one in instances:
             one.book.note_crash(run.request, run.incarnation, NOW)
     content = request().content
