Crash news cost little where a whole zone is killed

Of a zone that is killed, each request under way there has one crash against it. Told at once by all, that came to a round of datagrams every tenth of a second from each relay, on links of 5 Mbit/s; and each report looked through all that was kept for an hour.

Now a first crash is told at once only once a second; further ones of the same request always are. Reports look only at what is new or quarantined, and a caller waits 0.4 s at most for a trial's claim while the store does not answer.

--- a/packages/node/src/plantainloft_node/quarantine/crash_book.py
+++ b/packages/node/src/plantainloft_node/quarantine/crash_book.py
@@ -28,7 +28,7 @@
 
 __all__ = ['MAX_CRASHES_OF_REQUEST', 'MAX_REPORTED', 'CrashBook']
 
-MAX_REQUESTS = 2048
+MAX_REQUESTS = 1024
 MAX_CRASHES_OF_REQUEST = 16
 # News are in every report for this time: lost datagrams are made up for, and
 # those who pass them on have heard.
@@ -36,6 +36,12 @@
 MAX_REPORTED = 16
 # What has been quarantined for longer takes turns in the remainder.
 MAX_FRESH_REPORTED = 12
+# A first crash under a request is told at once only so often: of a zone that is
+# killed, each request under way there has one.
+REPEATED_WEIGHT = 2
+FIRST_TOLD_EVERY_S = 1.0
+SWEEP_EVERY_S = 10.0
+_UNKNOWN = Standing(0, 0.0, float('-inf'))
 
 
 class _Fresh(NamedTuple):
@@ -51,7 +57,12 @@
 
     def __init__(self) -> None:
         self._crashes_by_content: dict[bytes, CrashByRun] = {}
+        # Only these are looked at for reports.
+        self._fresh_until: dict[bytes, float] = {}
+        self._quarantined: set[bytes] = set()
         self._turn = 0
+        self._swept_at = float('-inf')
+        self._first_told_at = float('-inf')
         self._answered = RecentAnswers()
 
     def __len__(self) -> int:
@@ -73,6 +84,8 @@
             clearance = Clearance.EVERYBODY if is_own else Clearance.OTHER_CALLERS
             if clearance & ~crash.clearance:
                 cleared = crash.clear(clearance | crash.clearance, now)
+        if cleared:
+            self._note_news(request.content, now)
         return cleared
 
     def lift(self, request: RequestFingerprint, now: float) -> bool:
@@ -80,14 +93,27 @@
         lifted = False
         for crash in self._crashes_by_content.get(request.content, {}).values():
             lifted = crash.clear(Clearance.EVERYBODY | crash.clearance, now) or lifted
+        if lifted:
+            self._note_news(request.content, now)
         return lifted
 
     def standing(self, request: RequestFingerprint, now: float) -> Standing:
         """Return what counts against ``request``."""
-        crashes = self._crashes_by_content.get(request.content, {})
-        self._expire(crashes, now)
+        crashes = self._crashes_by_content.get(request.content)
+        if crashes is None:
+            return _UNKNOWN
+        _expire(crashes, now)
         return standing_of(request.caller, crashes)
 
+    def is_urgent(self, weight: float, now: float) -> bool:
+        """Return whether to tell at once of news on a request of ``weight``."""
+        if weight >= REPEATED_WEIGHT:
+            return True
+        if now - self._first_told_at < FIRST_TOLD_EVERY_S:
+            return False
+        self._first_told_at = now
+        return True
+
     def quarantined(self, now: float) -> dict[RequestFingerprint, Standing]:
         """Return the requests that are sent to no endpoint."""
         requests = {
@@ -105,9 +131,13 @@
 
     def reports(self, now: float) -> list[CrashReport]:
         """Return what to tell the others now, a bounded number of crashes."""
+        self._fresh_until = {
+            content: until for content, until in self._fresh_until.items() if until > now
+        }
         fresh: list[_Fresh] = []
         lasting: list[CrashReport] = []
-        for content, crashes in self._crashes_by_content.items():
+        for content in sorted(self._fresh_until.keys() | self._quarantined):
+            crashes = self._crashes_by_content.get(content, {})
             weight = most_weight(crashes)
             for run, crash in crashes.items():
                 report = _report(content, run, crash, now)
@@ -120,26 +150,32 @@
         return newest + self._next(lasting, MAX_REPORTED - len(newest))
 
     def merge(self, reports: Iterable[CrashReport], now: float, *, held_s: float = 0.0) -> bool:
-        """Take others' reports; return whether they tell anything new.
+        """Take others' reports; return whether others should hear of it at once.
 
         ``held_s``: for how long they were on their way, in seconds.
         """
-        is_news = False
+        is_urgent = False
         for report in reports:
+            content = report.request.content
             run = Run(report.request.caller, report.endpoint)
             at = now - report.age_s - held_s
-            is_news |= self._add(
-                report.request.content, run, at=at, clearance=report.clearance, now=now
-            )
-        return is_news
+            was_quarantined = content in self._quarantined
+            if self._add(content, run, at=at, clearance=report.clearance, now=now):
+                weight = most_weight(self._crashes_by_content.get(content, {}))
+                is_urgent |= was_quarantined or self.is_urgent(weight, now)
+        return is_urgent
 
     def forget_old(self, now: float) -> None:
         """Let go of crashes that no longer count."""
+        if now - self._swept_at < SWEEP_EVERY_S:
+            return
+        self._swept_at = now
         for crashes in self._crashes_by_content.values():
-            self._expire(crashes, now)
+            _expire(crashes, now)
         self._crashes_by_content = {
             content: crashes for content, crashes in self._crashes_by_content.items() if crashes
         }
+        self._quarantined &= self._crashes_by_content.keys()
 
     def _add(
         self, content: bytes, run: Run, *, at: float, clearance: Clearance, now: float
@@ -149,14 +185,26 @@
         clearance |= self._answered.clearance(RequestFingerprint(content, run.caller), at)
         crashes = self._crashes_by_content.setdefault(content, {})
         known = crashes.get(run)
-        if known is not None:
-            return known.clear(clearance, now)
-        crashes[run] = Crash(at=at, clearance=clearance, now=now)
-        if len(crashes) > MAX_CRASHES_OF_REQUEST:
-            crashes.pop(min(crashes, key=lambda one: crashes[one].at))
+        if known is None:
+            crashes[run] = Crash(at=at, clearance=clearance, now=now)
+            _bound(crashes)
+            is_news = run in crashes
+        else:
+            is_news = known.clear(clearance, now)
+        is_behind = known is not None and clearance != known.clearance
+        if is_news or is_behind:
+            self._note_news(content, now)
         if len(self._crashes_by_content) > MAX_REQUESTS:
             self._evict()
-        return run in crashes
+        return is_news
+
+    def _note_news(self, content: bytes, now: float) -> None:
+        self._fresh_until[content] = now + SPREAD_S
+        crashes = self._crashes_by_content[content]
+        if most_weight(crashes) >= QUARANTINE_CRASHES:
+            self._quarantined.add(content)
+        else:
+            self._quarantined.discard(content)
 
     def _evict(self) -> None:
         """Let go of the request that fewest crashes count against, the oldest first."""
@@ -165,12 +213,9 @@
             crashes = self._crashes_by_content[content]
             return most_weight(crashes), max(one.at for one in crashes.values())
 
-        self._crashes_by_content.pop(min(self._crashes_by_content, key=rank))
-
-    def _expire(self, crashes: CrashByRun, now: float) -> None:
-        expired = [run for run, crash in crashes.items() if now - crash.at >= MEMORY_S]
-        for run in expired:
-            crashes.pop(run)
+        evicted = min(self._crashes_by_content, key=rank)
+        self._crashes_by_content.pop(evicted)
+        self._quarantined.discard(evicted)
 
     def _next(self, reports: list[CrashReport], count: int) -> list[CrashReport]:
         if len(reports) <= count:
@@ -180,6 +225,18 @@
         return [*reports[start:], *reports[:start]][:count]
 
 
+def _bound(crashes: CrashByRun) -> None:
+    """Keep the newest crashes under a request."""
+    if len(crashes) > MAX_CRASHES_OF_REQUEST:
+        crashes.pop(min(crashes, key=lambda one: crashes[one].at))
+
+
+def _expire(crashes: CrashByRun, now: float) -> None:
+    expired = [run for run, crash in crashes.items() if now - crash.at >= MEMORY_S]
+    for run in expired:
+        crashes.pop(run)
+
+
 def _urgency(fresh: _Fresh) -> tuple[float, float]:
     return fresh.weight, fresh.news_at
 
--- a/packages/node/src/plantainloft_node/quarantine/quarantine.py
+++ b/packages/node/src/plantainloft_node/quarantine/quarantine.py
@@ -24,6 +24,8 @@
 REFRESH_EVERY_S = 2.0
 # Every look into the store is paid for, also where many ask for a trial.
 CLAIM_EVERY_S = 1.0
+# A caller is not kept waiting for a store that does not answer.
+CLAIM_S = 0.4
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -91,7 +93,8 @@
         elif self._is_alone() and now - self._refreshed_at >= REFRESH_EVERY_S:
             self._refreshed_at = now
             self._wake.set()
-        self._spread()
+        if self.book.is_urgent(standing.weight, now):
+            self._spread()
 
     def note_answered(self, request: RequestFingerprint, now: float) -> None:
         """Take an endpoint's answer to ``request``: it crashes not all that run it."""
@@ -101,7 +104,8 @@
         if was.is_quarantined:
             self._log('Quarantine: request %s was answered, and is sent again.', request, was)
             self._save(request)
-        self._spread()
+        if self.book.is_urgent(was.weight, now):
+            self._spread()
 
     def lift(self, request: RequestFingerprint, now: float) -> bool:
         """Have ``request`` sent again, by an operator's word; return if it was known."""
@@ -133,9 +137,11 @@
         standing = self.book.standing(request, now)
         if not standing.is_quarantined:
             return Admitted(suspect=standing.crashes > 0)
-        if standing.may_be_tried(now) and await self._claim_trial(request):
-            self._log('Quarantine: request %s is tried once more.', request, standing)
-            return Trial()
+        if standing.may_be_tried(now):
+            with anyio.move_on_after(CLAIM_S):
+                if await self._claim_trial(request):
+                    self._log('Quarantine: request %s is tried once more.', request, standing)
+                    return Trial()
         return ShutOut(request=request, crashes=standing.crashes)
 
     def record_of(self, content: bytes, *, tried_at: float = 0.0) -> QuarantineRecord:
--- a/packages/standins/src/plantainloft_standins/crash_model.py
+++ b/packages/standins/src/plantainloft_standins/crash_model.py
@@ -238,8 +238,10 @@
 
     def _checked(self, run: _Run, incarnation: str) -> None:
         if run.instance.runs:
-            run.instance.crashes.note_crash(run.request, incarnation, self.model.now)
-            self.model.hurry(run.instance)
+            crashes = run.instance.crashes
+            standing = crashes.note_crash(run.request, incarnation, self.model.now)
+            if crashes.is_urgent(standing.weight, self.model.now):
+                self.model.hurry(run.instance)
 
     def _retry(self, run: _Run) -> None:
         may_repeat = self._scenario.repeats_suspects or not run.is_suspect
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -69,7 +69,7 @@
     books = [CrashBook() for _ in range(3)]
     for number, book in enumerate(books):
         crashed(book, request(), f'i{number}')
-    books[0].merge(books[1].reports(NOW), NOW)
+    assert books[0].merge(books[1].reports(NOW), NOW)
     assert books[0].merge(books[2].reports(NOW), NOW)
     assert not books[0].merge(books[2].reports(NOW), NOW)
     assert is_shut_out(books[0], request())
