A report of many quarantined requests stays cheap and tells of each in turn

With many crashes a request, the first of a turn would have taken all the room; six crashes of each are told, and a turn ends where the room does. The test plays both sizes.

--- a/packages/node/src/plantainloft_node/quarantine/crash_book.py
+++ b/packages/node/src/plantainloft_node/quarantine/crash_book.py
@@ -35,7 +35,8 @@
 SPREAD_S = 5.0
 MAX_REPORTED = 16
 # What has been quarantined for longer takes turns in the remainder.
-MAX_FRESH_REPORTED = 12
+MAX_FRESH_REPORTED = 10
+MAX_TOLD_OF_REQUEST = 6
 # A first crash under a request is told at once only so often: of a zone that is
 # killed, each request under way there has one.
 REPEATED_WEIGHT = 2
@@ -135,19 +136,17 @@
             content: until for content, until in self._fresh_until.items() if until > now
         }
         fresh: list[_Fresh] = []
-        lasting: list[CrashReport] = []
-        for content in sorted(self._fresh_until.keys() | self._quarantined):
+        for content in self._fresh_until:
             crashes = self._crashes_by_content.get(content, {})
             weight = most_weight(crashes)
-            for run, crash in crashes.items():
-                report = _report(content, run, crash, now)
-                if now - crash.news_at < SPREAD_S:
-                    fresh.append(_Fresh(weight, crash.news_at, report))
-                elif weight >= QUARANTINE_CRASHES and not crash.clearance & Clearance.EVERYBODY:
-                    lasting.append(report)
+            fresh += [
+                _Fresh(weight, crash.news_at, _report(content, run, crash, now))
+                for run, crash in crashes.items()
+                if now - crash.news_at < SPREAD_S
+            ]
         most_urgent = sorted(fresh, key=_urgency, reverse=True)[:MAX_FRESH_REPORTED]
         newest = [one.report for one in most_urgent]
-        return newest + self._next(lasting, MAX_REPORTED - len(newest))
+        return newest + self._lasting(now, room=MAX_REPORTED - len(newest))
 
     def merge(self, reports: Iterable[CrashReport], now: float, *, held_s: float = 0.0) -> bool:
         """Take others' reports; return whether others should hear of it at once.
@@ -217,12 +216,26 @@
         self._crashes_by_content.pop(evicted)
         self._quarantined.discard(evicted)
 
-    def _next(self, reports: list[CrashReport], count: int) -> list[CrashReport]:
-        if len(reports) <= count:
-            return reports
-        start = self._turn % len(reports)
-        self._turn += count
-        return [*reports[start:], *reports[:start]][:count]
+    def _lasting(self, now: float, *, room: int) -> list[CrashReport]:
+        """Return the crashes of those quarantined requests whose turn it is."""
+        contents = sorted(self._quarantined)
+        told: list[CrashReport] = []
+        for _ in contents:
+            content = contents[self._turn % len(contents)]
+            reports = self._lasting_of(content, now)
+            if len(told) + len(reports) > room:
+                break
+            told += reports
+            self._turn += 1
+        return told
+
+    def _lasting_of(self, content: bytes, now: float) -> list[CrashReport]:
+        reports = [
+            _report(content, run, crash, now)
+            for run, crash in self._crashes_by_content[content].items()
+            if now - crash.news_at >= SPREAD_S and not crash.clearance & Clearance.EVERYBODY
+        ]
+        return sorted(reports, key=_age)[:MAX_TOLD_OF_REQUEST]
 
 
 def _bound(crashes: CrashByRun) -> None:
@@ -237,6 +250,10 @@
         crashes.pop(run)
 
 
+def _age(report: CrashReport) -> float:
+    return report.age_s
+
+
 def _urgency(fresh: _Fresh) -> tuple[float, float]:
     return fresh.weight, fresh.news_at
 
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -165,11 +165,14 @@
     assert len(book.reports_of(request(b'/fatal').content, NOW)) <= MAX_CRASHES_OF_REQUEST
 
 
-def test_a_report_is_bounded_and_tells_of_all_that_is_shut_out_in_turn() -> None:
+@pytest.mark.parametrize(('requests', 'crashes'), [(20, 3), (16, MAX_CRASHES_OF_REQUEST)])
+def test_a_report_is_bounded_and_tells_of_all_that_is_shut_out_in_turn(
+    requests: int, crashes: int
+) -> None:
     book = CrashBook()
-    fatal = [request(b'/%d' % number) for number in range(20)]
+    fatal = [request(b'/%d' % number) for number in range(requests)]
     for one in fatal:
-        crashed(book, one, 'i1', 'i2', 'i3')
+        crashed(book, one, *(f'i{number}' for number in range(crashes)))
     later = NOW + SPREAD_S + 1
     newcomer = CrashBook()
     for _ in range(8):
