--- a/packages/node/src/plantainloft_node/entry/operating.py
+++ b/packages/node/src/plantainloft_node/entry/operating.py
@@ -1,4 +1,4 @@
-"""What an instance tells its operators: metrics, and the requests it shuts out."""
+"""The address for operators: metrics, and the requests that are shut out."""
 
 import json
 from collections.abc import Callable
--- a/packages/node/src/plantainloft_node/fleet/intake.py
+++ b/packages/node/src/plantainloft_node/fleet/intake.py
@@ -119,7 +119,7 @@
         return datagram.wants_reports and (fresh or leaves)
 
     def _take_crashes(self, report: ZoneReport, held_s: float, now: float) -> bool:
-        """Take crashes told of; return whether those who listen here should hear now."""
+        """Merge reported crashes; return whether the readers here should hear now."""
         is_news = self._crashes.merge(report.crashes, now, held_s=held_s)
         return is_news and bool(self.readers(now))
 
--- a/packages/node/src/plantainloft_node/fleet/report_codec.py
+++ b/packages/node/src/plantainloft_node/fleet/report_codec.py
@@ -41,8 +41,8 @@
 
 def unpack_report(packed: bytes) -> ZoneReport:
     """Return the report in ``packed``; raises one of ``MALFORMED``."""
-    number, raw_beat, zone_rates, told = msgpack.unpackb(packed)
-    entries, introduced, crashes = told
+    number, raw_beat, zone_rates, lists = msgpack.unpackb(packed)
+    entries, introduced, crashes = lists
     if len(introduced) > MAX_INTRODUCED:
         raise ValueError('too many introduced')
     return ZoneReport(
--- a/packages/node/src/plantainloft_node/peering/mesh.py
+++ b/packages/node/src/plantainloft_node/peering/mesh.py
@@ -140,7 +140,7 @@
 
 
 def _crashes_of(beat: Beat) -> tuple[CrashReport, ...]:
-    # A peer of another version, during a rolling upgrade, tells none or others.
+    # A peer of another version, during a rolling upgrade, sends none or another format.
     try:
         return unpack_crashes(beat.get('crashes', b''))
     except (ValueError, TypeError, struct.error) as exc:
--- a/packages/node/src/plantainloft_node/quarantine/crash_book.py
+++ b/packages/node/src/plantainloft_node/quarantine/crash_book.py
@@ -36,17 +36,17 @@
 MAX_REPORTED = 16
 # What has been quarantined for longer takes turns in the remainder.
 MAX_FRESH_REPORTED = 10
-MAX_TOLD_OF_REQUEST = 6
-# A first crash under a request is told at once only so often: of a zone that is
+MAX_REPORTED_OF_REQUEST = 6
+# A first crash under a request is spread at once only so often: when a zone is
 # killed, each request under way there has one.
 REPEATED_WEIGHT = 2
-FIRST_TOLD_EVERY_S = 1.0
+FIRST_SPREAD_EVERY_S = 1.0
 SWEEP_EVERY_S = 10.0
 _UNKNOWN = Standing(0, 0.0, float('-inf'))
 
 
 class _Fresh(NamedTuple):
-    """News to tell, and the weight of the crashes under the request."""
+    """News to report, and the weight of the crashes under the request."""
 
     weight: float
     news_at: float
@@ -54,7 +54,7 @@
 
 
 class CrashBook:
-    """Crashes by request, this instance's own and those it was told of."""
+    """Crashes by request, seen here or reported by others."""
 
     def __init__(self) -> None:
         self._crashes_by_content: dict[bytes, CrashByRun] = {}
@@ -63,7 +63,7 @@
         self._quarantined: set[bytes] = set()
         self._turn = 0
         self._swept_at = float('-inf')
-        self._first_told_at = float('-inf')
+        self._first_spread_at = float('-inf')
         self._answered = RecentAnswers()
 
     def __len__(self) -> int:
@@ -107,12 +107,12 @@
         return standing_of(request.caller, crashes)
 
     def is_urgent(self, weight: float, now: float) -> bool:
-        """Return whether to tell at once of news on a request of ``weight``."""
+        """Return whether news on a request of ``weight`` are spread at once."""
         if weight >= REPEATED_WEIGHT:
             return True
-        if now - self._first_told_at < FIRST_TOLD_EVERY_S:
+        if now - self._first_spread_at < FIRST_SPREAD_EVERY_S:
             return False
-        self._first_told_at = now
+        self._first_spread_at = now
         return True
 
     def quarantined(self, now: float) -> dict[RequestFingerprint, Standing]:
@@ -131,7 +131,7 @@
         return [_report(content, run, crash, now) for run, crash in crashes.items()]
 
     def reports(self, now: float) -> list[CrashReport]:
-        """Return what to tell the others now, a bounded number of crashes."""
+        """Return what to report to the others now, a bounded number of crashes."""
         self._fresh_until = {
             content: until for content, until in self._fresh_until.items() if until > now
         }
@@ -219,15 +219,15 @@
     def _lasting(self, now: float, *, room: int) -> list[CrashReport]:
         """Return the crashes of those quarantined requests whose turn it is."""
         contents = sorted(self._quarantined)
-        told: list[CrashReport] = []
+        reported: list[CrashReport] = []
         for _ in contents:
             content = contents[self._turn % len(contents)]
             reports = self._lasting_of(content, now)
-            if len(told) + len(reports) > room:
+            if len(reported) + len(reports) > room:
                 break
-            told += reports
+            reported += reports
             self._turn += 1
-        return told
+        return reported
 
     def _lasting_of(self, content: bytes, now: float) -> list[CrashReport]:
         reports = [
@@ -235,7 +235,7 @@
             for run, crash in self._crashes_by_content[content].items()
             if now - crash.news_at >= SPREAD_S and not crash.clearance & Clearance.EVERYBODY
         ]
-        return sorted(reports, key=_age)[:MAX_TOLD_OF_REQUEST]
+        return sorted(reports, key=_age)[:MAX_REPORTED_OF_REQUEST]
 
 
 def _bound(crashes: CrashByRun) -> None:
--- a/packages/node/src/plantainloft_node/quarantine/crashes.py
+++ b/packages/node/src/plantainloft_node/quarantine/crashes.py
@@ -44,7 +44,7 @@
 
 
 class CrashReport(NamedTuple):
-    """A crash as instances tell each other of it.
+    """A crash as instances report it to each other.
 
     ``endpoint`` stands for the incarnation that ended, ``age_s`` seconds ago.
     """
@@ -97,10 +97,10 @@
         self.news_at = now
 
     def clear(self, clearance: Clearance, now: float) -> bool:
-        """Take a clearance; return whether it tells more than was known."""
+        """Add a clearance; return whether it adds to what was known."""
         is_news = bool(clearance & ~self.clearance)
         if clearance != self.clearance:
-            # Whoever tells less has not heard of it.
+            # Whoever reports less has not heard of it.
             self.news_at = now
         self.clearance |= clearance
         return is_news
--- a/packages/node/src/plantainloft_node/quarantine/quarantine.py
+++ b/packages/node/src/plantainloft_node/quarantine/quarantine.py
@@ -74,7 +74,7 @@
         is_alone: Callable[[], bool],
         spread: Callable[[], None],
     ) -> None:
-        """``spread`` has the others told of news, ``is_alone`` says if none is heard."""
+        """``spread`` sends news to the others, ``is_alone`` returns whether none is heard."""
         self.book = book
         self._store = store
         self._is_alone = is_alone
