--- a/packages/node/src/plantainloft_node/engine/callers.py
+++ b/packages/node/src/plantainloft_node/engine/callers.py
@@ -43,7 +43,9 @@
         clock: Callable[[], float],
     ) -> None:
         self._stream = stream
-        self.peer_host = str(stream.extra(SocketAttribute.remote_address)[0])
+        # A caller that has reset the connection by now has no address any more.
+        address = stream.extra(SocketAttribute.remote_address, ('', 0))
+        self.peer_host = str(address[0])
         self._handler = handler
         self._clock = clock
         self._open: list[Exchange] = []
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -2,6 +2,7 @@
 
 import re
 import socket
+import struct
 from collections.abc import Awaitable, Callable
 
 import anyio
@@ -593,3 +594,13 @@
                 await stream.send(get())
                 await anyio.sleep(0.02)
         assert not entry.crashes
+
+
+async def test_a_caller_that_resets_at_once_does_not_end_the_instance() -> None:
+    async with running_entry(echo) as (entry, _):
+        host, _, port = entry.address.partition(':')
+        for _ in range(20):
+            raw = socket.create_connection((host, int(port)))
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
+            raw.close()
+        assert status(await entry.ask(get())) == 200
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -15,6 +15,7 @@
 from plantainloft_node.fleet.report_codec import pack_report
 from plantainloft_node.fleet.reports import ZoneReport
 from plantainloft_node.quarantine.crash_book import CrashBook
+from plantainloft_node.quarantine.fingerprints import RequestFingerprint
 from plantainloft_standins.fleet_model import FleetModel, FleetShape
 
 SMALL = FleetShape()
@@ -27,6 +28,8 @@
 NEAR_FOUND_S = 3.5
 FOUND_S = 7.0
 SETTLED_S = 10.0
+# What an Ethernet frame carries of a datagram.
+MAX_PACKET_BYTES = 1472
 
 
 @pytest.fixture
@@ -46,6 +49,21 @@
 Settled = Callable[[FleetShape], FleetModel]
 
 
+def test_a_report_full_of_crashes_and_newcomers_fits_one_packet() -> None:
+    model = FleetModel(shape=LARGE)
+    model.start_all()
+    sizes = []
+    for _ in range(10):
+        model.run_for(0.2)
+        for instance in model.instance_by_name.values():
+            for number in range(40):
+                request = RequestFingerprint(b'%012d' % number, b'c' * 8)
+                instance.crashes.note_crash(request, f'i{model.now}', model.now)
+            messages = instance.relaying.round(model.now, to_all=True)
+            sizes += [len(message.packed) for message in messages]
+    assert max(sizes) <= MAX_PACKET_BYTES
+
+
 def relays_of(model: FleetModel, zone: str) -> list[str]:
     asked = next(one for name, one in model.instance_by_name.items() if name.startswith(zone))
     members = asked.members.known.by_zone()[zone]
