--- a/packages/standins/src/plantainloft_standins/crash_model.py
+++ b/packages/standins/src/plantainloft_standins/crash_model.py
@@ -10,7 +10,8 @@
 from typing import NamedTuple
 
 from plantainloft_node.engine.dispatch import MAX_UNSENT
-from plantainloft_node.quarantine.crashes import QUARANTINE_CRASHES
+from plantainloft_node.quarantine.crash_book import CrashBook
+from plantainloft_node.quarantine.crashes import QUARANTINE_CRASHES, CrashReport
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint, fingerprint_of
 from plantainloft_standins.fleet_model import FleetModel, ModelInstance
 
@@ -22,6 +23,7 @@
 CRASH_AFTER_S = 0.1
 # From a crash to its being confirmed, at the instance that saw it.
 CHECKED_S = 0.1
+STORE_S = 0.1
 MAX_TRIES = 2
 IDEMPOTENT_PART = 0.7
 
@@ -86,7 +88,7 @@
         if len(crashes) < QUARANTINE_CRASHES:
             return 0
         third = crashes[QUARANTINE_CRASHES - 1]
-        return sum(at > third + CONTACT_S for at in self.arrivals_by_path[path])
+        return sum(at > third + CONTACT_S for at in self.arrivals_by_path.get(path, ()))
 
     def share(self, kind: str) -> float:
         """Return the part of the others' requests that ended as ``kind``."""
@@ -135,6 +137,29 @@
         self.is_suspect = False
 
 
+class _Row(NamedTuple):
+    written_at: float
+    reports: tuple[CrashReport, ...]
+
+
+class _Store:
+    """Rows of quarantined requests."""
+
+    def __init__(self, *, model: FleetModel) -> None:
+        self._model = model
+        self._row_by_content: dict[bytes, _Row] = {}
+
+    def write(self, crashes: CrashBook, request: RequestFingerprint) -> None:
+        now = self._model.now
+        reports = crashes.reports_of(request.content, now)
+        self._row_by_content[request.content] = _Row(now, tuple(reports))
+
+    def read(self, crashes: CrashBook) -> None:
+        now = self._model.now
+        for row in self._row_by_content.values():
+            crashes.merge(row.reports, now, held_s=now - row.written_at)
+
+
 class CrashPlay:
     """Plays a scenario; ``model`` is the fleet, settled."""
 
@@ -146,6 +171,7 @@
         self._endpoints = [_Endpoint(number=number) for number in range(scenario.endpoints)]
         self._began = model.now
         self._started_by_name: dict[str, float] = {}
+        self._store = _Store(model=model)
 
     def run(self) -> None:
         """Play to the end."""
@@ -158,8 +184,10 @@
         self.model.run_for(scenario.length_s)
 
     def started(self, name: str) -> None:
-        """Take that an instance has just started anew."""
+        """Take that an instance has just started anew; it reads the store."""
         self._started_by_name[name] = self.model.now
+        crashes = self.model.instance_by_name[name].crashes
+        self.model.after(STORE_S, partial(self._store.read, crashes))
 
     def _is_over(self) -> bool:
         return self.model.now > self._began + self._scenario.length_s
@@ -242,6 +270,10 @@
             standing = crashes.note_crash(run.request, incarnation, self.model.now)
             if crashes.is_urgent(standing.weight, self.model.now):
                 self.model.hurry(run.instance)
+            if standing.is_quarantined:
+                self.model.after(STORE_S, partial(self._store.write, crashes, run.request))
+            elif not run.instance.members.up(self.model.now):
+                self.model.after(STORE_S, partial(self._store.read, crashes))
 
     def _retry(self, run: _Run) -> None:
         may_repeat = self._scenario.repeats_suspects or not run.is_suspect
--- a/tests/test_crash_model.py
+++ b/tests/test_crash_model.py
@@ -5,6 +5,7 @@
 import pytest
 
 from plantainloft_node.quarantine.crashes import HOLD_S
+from plantainloft_standins.crash_draws import draw_play
 from plantainloft_standins.crash_model import CrashPlay, CrashScenario, FatalRequest
 from plantainloft_standins.fleet_model import FleetModel, FleetShape
 
@@ -79,6 +80,14 @@
     assert played.record.arrivals_after_contact('/fatal') <= MAX_LATER
 
 
+@pytest.mark.parametrize('seed', [22, 31])
+def test_a_deaf_instance_that_restarts_knows_what_is_shut_out(seed: int) -> None:
+    """Alone with its own count, it sent a request four times more."""
+    played = draw_play(seed)
+    played.run()
+    assert played.record.arrivals_after_contact('/fatal/0') <= MAX_LATER
+
+
 @pytest.mark.parametrize('objects', [0, 20, 500], ids=['new', 'popular', 'usual'])
 @pytest.mark.parametrize('kills_per_s', [1.0, 4.0])
 def test_nobody_is_shut_out_for_kills_without_a_fatal_request(
