--- a/tests/test_crashing_requests.py
+++ b/tests/test_crashing_requests.py
@@ -105,6 +105,7 @@
     async with crashing_fleet(handles, tmp_path) as fleet:
         await fleet.repeat('/files/fatal', seconds=PLAYED_S)
         assert len(fleet.trace.fatal_after(CONTACT_S)) <= MAX_LATER
+        assert fleet.statuses[-8:] == [502] * 8
 
 
 async def shut_out(entry: EntryProcessHandle) -> list[dict[str, object]]:
