A full book of crashes takes on a request after others have expired

A book of 1,024 requests evicts one for each new one.

Such a request ranks as the oldest now, and goes first. The test failed before with the error (max() of nothing), and passes.

--- a/packages/node/src/plantainloft_node/quarantine/crash_book.py
+++ b/packages/node/src/plantainloft_node/quarantine/crash_book.py
@@ -210,7 +210,9 @@
 
         def rank(content: bytes) -> tuple[float, float]:
             crashes = self._crashes_by_content[content]
-            return most_weight(crashes), max(one.at for one in crashes.values())
+            # Its crashes may have expired since the last sweep.
+            newest_at = max((one.at for one in crashes.values()), default=float('-inf'))
+            return most_weight(crashes), newest_at
 
         evicted = min(self._crashes_by_content, key=rank)
         self._crashes_by_content.pop(evicted)
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -165,6 +165,16 @@
     assert len(book.reports_of(request(b'/fatal').content, NOW)) <= MAX_CRASHES_OF_REQUEST
 
 
+def test_a_full_book_takes_on_a_request_after_others_have_expired() -> None:
+    book = CrashBook()
+    for number in range(MAX_REQUESTS):
+        crashed(book, request(b'/%d' % number), 'i1', 'i2', 'i3')
+    later = NOW + MEMORY_S
+    assert not is_shut_out(book, request(b'/0'), later)
+    crashed(book, request(b'/new'), 'i1', now=later)
+    assert book.standing(request(b'/new'), later).crashes == 1
+
+
 @pytest.mark.parametrize(('requests', 'crashes'), [(20, 3), (16, MAX_CRASHES_OF_REQUEST)])
 def test_a_report_is_bounded_and_tells_of_all_that_is_shut_out_in_turn(
     requests: int, crashes: int
