The time in which a live endpoint accepts a connection stands in one place

Sender and crash checks had a constant each, of the same value and reason; it is the endpoint link's now. A parameter of the crash model that nothing read is gone. Behaviour as before.

--- a/packages/node/src/plantainloft_node/engine/endpoint_link.py
+++ b/packages/node/src/plantainloft_node/engine/endpoint_link.py
@@ -16,6 +16,7 @@
 from plantainloft_node.engine.heads import Headers, find
 
 __all__ = [
+    'CONNECT_S',
     'SEND_ERRORS',
     'AnswerHead',
     'BrokenAnswerError',
@@ -25,6 +26,8 @@
 ]
 
 READ_BYTES = 65536
+# A live endpoint accepts a connection within this time, from any region.
+CONNECT_S = 0.4
 # How sending on a connection that has ended fails.
 SEND_ERRORS = (OSError, anyio.BrokenResourceError, anyio.ClosedResourceError)
 # An idle connection is not used after this share of the time for which
--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -11,6 +11,7 @@
 from plantainloft_node.engine.bodies import BodyTooLargeError, RequestBody
 from plantainloft_node.engine.dialect import HeaderNames
 from plantainloft_node.engine.endpoint_link import (
+    CONNECT_S,
     SEND_ERRORS,
     AnswerHead,
     BrokenAnswerError,
@@ -26,9 +27,6 @@
 
 log = logging.getLogger(__name__)
 
-# A connection to a live endpoint opens within a round trip (110 ms between
-# the farthest regions of today's deployments) and a few milliseconds.
-CONNECT_S = 0.4
 # An answer up to this size is held until it is whole, so that one that
 # breaks off can be replaced; a longer one is passed on as it comes.
 HELD_BYTES = 65536
--- a/packages/node/src/plantainloft_node/quarantine/crash_checks.py
+++ b/packages/node/src/plantainloft_node/quarantine/crash_checks.py
@@ -10,15 +10,13 @@
 
 import anyio
 
-from plantainloft_node.engine.endpoint_link import connect
+from plantainloft_node.engine.endpoint_link import CONNECT_S, connect
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint
 
 __all__ = ['CrashChecks', 'EndpointRun']
 
 log = logging.getLogger(__name__)
 
-# An endpoint that lives accepts within this time, from any region.
-CONNECT_S = 0.4
 # One check answers for all runs that broke at an endpoint in this time.
 SAME_CRASH_S = 1.0
 MAX_WAITING = 1024
--- a/packages/standins/src/plantainloft_standins/crash_model.py
+++ b/packages/standins/src/plantainloft_standins/crash_model.py
@@ -211,7 +211,7 @@
             self.model.after(self._chance.expovariate(self._scenario.others_per_s), self._come)
 
     def _kill(self) -> None:
-        self._end(self._chance.choice(self._endpoints), path='')
+        self._end(self._chance.choice(self._endpoints))
         if not self._is_over():
             self.model.after(self._chance.expovariate(self._scenario.kills_per_s), self._kill)
 
@@ -250,9 +250,9 @@
     def _crash(self, endpoint: _Endpoint, start: int, run: _Run) -> None:
         if endpoint.starts == start and endpoint.is_up:
             self.record.note_crash(run.path, self.model.now)
-            self._end(endpoint, path=run.path)
+            self._end(endpoint)
 
-    def _end(self, endpoint: _Endpoint, *, path: str) -> None:
+    def _end(self, endpoint: _Endpoint) -> None:
         if not endpoint.is_up:
             return
         endpoint.is_up = False
