Log the request limits that endpoints name in their responses

Instances now read the header, log a line when the limit of an endpoint changes or ends (kind endpoint_limit; bad_limit for a value that is no limit; at most one a second and endpoint), and serve the limit as a metric. Where requests go isn't changed.

--- /dev/null
+++ b/packages/node/src/plantainloft_node/endpoint_limits/__init__.py
@@ -0,0 +1,1 @@
+"""Request limits that endpoints name in their responses, kept by all instances together."""
--- a/packages/node/src/plantainloft_node/engine/header_names.py
+++ b/packages/node/src/plantainloft_node/engine/header_names.py
@@ -17,9 +17,11 @@
     incarnation that must run the request; ``not_run`` is set by an endpoint that did
     not run the request; ``signature`` is set on every response that an endpoint itself
     produced (``None``: responses are not signed); ``load_report`` carries the numbers of
-    running requests, waiting requests, and slots; ``organisation_key`` carries the API key of the
-    caller's organisation and is removed before forwarding if the configuration requires
-    keys; ``organisation`` tells an endpoint the name of that organisation;
+    running requests, waiting requests, and slots; ``request_limit`` lists the headers that may
+    carry the requests a second that the endpoint takes from all instances together;
+    ``organisation_key`` carries the API key of the caller's organisation and is removed
+    before forwarding if the configuration requires keys; ``organisation`` tells an endpoint
+    the name of that organisation;
     ``credential_headers`` are the headers that identify a caller.
     """
 
@@ -30,6 +32,7 @@
     not_run: bytes = b'x-not-run'
     signature: bytes | None = None
     load_report: bytes = b'x-load'
+    request_limit: tuple[bytes, ...] = (b'x-request-limit',)
     organisation_key: bytes = b'api-key'
     organisation: bytes = b'x-organisation'
     credential_headers: tuple[bytes, ...] = (b'authorization', b'api-key')
--- a/packages/node/src/plantainloft_node/engine/headers.py
+++ b/packages/node/src/plantainloft_node/engine/headers.py
@@ -1,8 +1,8 @@
 """Header look-up, and the selection of headers to forward."""
 
-from collections.abc import Iterable
+from collections.abc import Container, Iterable
 
-__all__ = ['Headers', 'find_cookie', 'find_header', 'forwardable_headers']
+__all__ = ['Headers', 'find_all_headers', 'find_cookie', 'find_header', 'forwardable_headers']
 
 Headers = list[tuple[bytes, bytes]]
 
@@ -29,6 +29,13 @@
     return None
 
 
+def find_all_headers(
+    headers: Iterable[tuple[bytes, bytes]], names: Container[bytes]
+) -> list[bytes]:
+    """Return the values of all headers whose names (lower case) are in ``names``."""
+    return [value for key, value in headers if key in names]
+
+
 def find_cookie(headers: Iterable[tuple[bytes, bytes]], name: bytes) -> str:
     """Return the value of the cookie ``name``, or an empty string."""
     wanted = name.lower()
--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -10,7 +10,7 @@
 from plantainloft_node.engine.attempts import Answered, AttemptOutcome, Failed, NotRun, NotSent
 from plantainloft_node.engine.connection_pool import ConnectionPool
 from plantainloft_node.engine.header_names import HeaderNames
-from plantainloft_node.engine.headers import find_header
+from plantainloft_node.engine.headers import find_all_headers, find_header
 from plantainloft_node.engine.request_body import BodyTooLargeError, RequestBody
 from plantainloft_node.engine.upstream_connection import (
     CONNECT_TIMEOUT_S,
@@ -157,7 +157,9 @@
     async def _read_response(
         self, state: EndpointState, connection: UpstreamConnection
     ) -> AttemptOutcome:
+        sent_at = anyio.current_time()
         head = await connection.read_head()
+        self._record_request_limit(state, head, sent_at)
         rejection = self._check_head(head)
         if rejection is not None:
             return rejection
@@ -193,6 +195,16 @@
             return Failed(reason='success status without a signature header')
         return None
 
+    def _record_request_limit(
+        self, state: EndpointState, head: ResponseHead, sent_at: float
+    ) -> None:
+        if head.status == _MISDIRECTED:
+            return
+        header_values = find_all_headers(head.headers, self._names.request_limit)
+        # Only a response of the service itself shows that the endpoint names no limit.
+        if header_values or head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+            state.record_request_limit(header_values, sent_at=sent_at, now=anyio.current_time())
+
     async def _return_to_pool(
         self, state: EndpointState, connection: UpstreamConnection, outcome: AttemptOutcome
     ) -> bool:
--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -15,6 +15,8 @@
 
 # Only this many organisations get series of their own, to bound the size of the output.
 MAX_ORGANISATION_SERIES = 50
+# The same for endpoints that name a request limit.
+MAX_LIMITED_ENDPOINT_SERIES = 50
 
 
 class MetricsReport:
@@ -50,6 +52,7 @@
         metrics.set_gauge('quarantined_requests', len(dispatcher.crash_registry.quarantined(now)))
         self._set_store_and_endpoint_gauges(now)
         self._set_organisation_gauges()
+        self._set_endpoint_limit_gauges()
         return metrics.text()
 
     def organisations(self) -> list[ListedOrganisation]:
@@ -70,6 +73,14 @@
             self._metrics.set_gauge('organisation_refused', one['refused'], organisation=name)
             self._metrics.set_gauge('organisation_fleet_used', one['fleet_used'], organisation=name)
 
+    def _set_endpoint_limit_gauges(self) -> None:
+        limited = self._replicated_state.endpoint_registry.limited_endpoints()
+        self._metrics.set_gauge('endpoints_with_limit', len(limited))
+        for state, limit in limited[:MAX_LIMITED_ENDPOINT_SERIES]:
+            self._metrics.set_gauge(
+                'endpoint_limit_per_second', limit.per_s or 0.0, endpoint=state.record.id
+            )
+
     def _set_store_and_endpoint_gauges(self, now: float) -> None:
         metrics = self._metrics
         for name, poller in self._replicated_state.pollers.items():
--- a/packages/node/src/plantainloft_node/placement/endpoints.py
+++ b/packages/node/src/plantainloft_node/placement/endpoints.py
@@ -1,6 +1,13 @@
 """State of each endpoint as known to this instance, and how it is updated."""
 
+from collections.abc import Sequence
+
 from plantainloft_core.discovery import EndpointRecord
+from plantainloft_node.endpoint_limits.registry import (
+    EndpointLimit,
+    EndpointLimitRegistry,
+    endpoint_number,
+)
 from plantainloft_node.placement.cold_rate_limit import ColdRateLimiter
 from plantainloft_node.placement.health import EndpointHealth
 from plantainloft_node.placement.latency import EndpointLatency, ServiceLatency
@@ -40,9 +47,11 @@
         service_latency: ServiceLatency,
         processing: ProcessingTimes,
         round_trips: ZoneRoundTrips,
+        request_limits: EndpointLimitRegistry,
         now: float,
     ) -> None:
         self.record = record
+        self._request_limits = request_limits
         self.service_latency = service_latency
         self.recent_keys = RecentKeys()
         self._processing = processing
@@ -64,6 +73,14 @@
         if record.cold_s > 0:
             self.extend_cold(now + record.cold_s)
 
+    def record_request_limit(
+        self, header_values: Sequence[bytes], *, sent_at: float, now: float
+    ) -> None:
+        """Record the limit headers of a response to a request that was sent at ``sent_at``."""
+        self._request_limits.record_response(
+            self.record.incarnation, header_values, sent_at=sent_at, now=now
+        )
+
     def extend_cold(self, until: float) -> None:
         """Treat the endpoint as cold at least until ``until``."""
         self.cold_until = max(self.cold_until, until)
@@ -146,6 +163,7 @@
         self.latency_by_service: dict[str, ServiceLatency] = {}
         self.processing_by_service: dict[str, ProcessingTimes] = {}
         self.round_trips = ZoneRoundTrips()
+        self.request_limits = EndpointLimitRegistry()
         self.evacuated_zones: frozenset[str] = frozenset()
         # Incremented whenever endpoints are added or removed; invalidates cached rankings.
         self.revision = 0
@@ -168,6 +186,7 @@
             service_latency=self.latency_of(record.service),
             processing=self.processing_by_service.setdefault(record.service, ProcessingTimes()),
             round_trips=self.round_trips,
+            request_limits=self.request_limits,
             now=now,
         )
         self.ids_by_service.setdefault(record.service, set()).add(record.id)
@@ -199,6 +218,16 @@
         """Return the endpoints of ``service``."""
         return [self.by_id[name] for name in self.ids_by_service.get(service, ())]
 
+    def limited_endpoints(self) -> list[tuple[EndpointState, EndpointLimit]]:
+        """Return the endpoints that name a request limit, with their limits."""
+        if not self.request_limits:
+            return []
+        found = (
+            (state, self.request_limits.get(endpoint_number(state.record.incarnation)))
+            for state in self.by_id.values()
+        )
+        return [(state, limit) for state, limit in found if limit is not None and limit.per_s]
+
     def counts_by_state(self, now: float) -> dict[str, dict[str, int]]:
         """Count the endpoints of each service by state."""
         return {
