Keep the request limits that endpoints name, over all instances

Change: placement leaves out an endpoint while this instance has used its share of the limit. Instances divide the limit in advance into whole requests per window of 4 s or slightly more, so that limits well under one request a second and instance are exact. The shares go to the instances that have requests for the endpoint's service and region; they report these claims to each other together with the limits, in datagrams of their own that older builds ignore. A share grows 3 s after the view that allows it, when all others know, and what unreachable instances may use is left out, so that the sum holds while views differ. Until claims are known, the limit is divided among all instances. A part that the instance's own keys don't use goes to any request of the service. A limit falls at once; it rises or ends only by the response to a request that was sent after the limit was last seen. After the end the allowed rate doubles each second for 3 s. Every send counts, whatever its kind. The division into whole requests is the one that cold endpoints had (dealt_share).

--- a/packages/node/src/plantainloft_node/endpoint_limits/registry.py
+++ b/packages/node/src/plantainloft_node/endpoint_limits/registry.py
@@ -1,18 +1,27 @@
 """What an instance knows of the request limits that endpoints name in their responses."""
 
 import logging
-from collections.abc import Sequence
+from collections.abc import Iterable, KeysView, Sequence
 from typing import NamedTuple
 
+from plantainloft_node.endpoint_limits.claims import ClaimTable
 from plantainloft_node.endpoint_limits.header_parsing import InvalidLimitError, parse_request_limit
 from plantainloft_node.placement.rendezvous import rendezvous_score
 
-__all__ = ['EndpointLimit', 'EndpointLimitRegistry', 'endpoint_number']
+__all__ = ['EndpointLimit', 'EndpointLimitRegistry', 'LimitReport', 'endpoint_number']
 
 log = logging.getLogger(__name__)
 
 # At most one log line per endpoint in this time: the value may change with each response.
 LOG_INTERVAL_S = 1.0
+# A limit is dropped if no response of the endpoint has reached any instance for this
+# long, and the end of one is remembered for as long, so that no late report revives it.
+MAX_EVIDENCE_AGE_S = 60.0
+# A report that relaxes a limit counts only if its evidence is newer by this much than
+# what is known here: the age of a report leaves out the time in transit.
+REPORT_TIME_MARGIN_S = 0.5
+# Bounds the memory that reports can take.
+MAX_ENDPOINTS = 1024
 
 
 class EndpointLimit(NamedTuple):
@@ -31,10 +40,19 @@
     previous_per_s: float = 0.0
 
 
+class LimitReport(NamedTuple):
+    """The limit of an endpoint, ``None`` if it has ended, from evidence of ``age_s`` ago."""
+
+    number: int
+    per_s: float | None
+    age_s: float
+
+
 class EndpointLimitRegistry:
-    """The limits of endpoint incarnations, by endpoint number."""
+    """The limits of endpoint incarnations, by endpoint number, and the claims on them."""
 
     def __init__(self) -> None:
+        self.claims = ClaimTable()
         self._limit_by_number: dict[int, EndpointLimit] = {}
         self._logged_at_by_number: dict[int, float] = {}
 
@@ -46,6 +64,35 @@
         """Return the limit of an endpoint, if it has named one."""
         return self._limit_by_number.get(number)
 
+    def numbers(self) -> KeysView[int]:
+        """Return the numbers of the endpoints whose limits are known."""
+        return self._limit_by_number.keys()
+
+    def reports(self, now: float) -> list[LimitReport]:
+        """Return the reports of all known limits, the newest evidence first."""
+        newest_first = sorted(
+            self._limit_by_number.items(), key=lambda item: item[1].observed_at, reverse=True
+        )
+        return [
+            LimitReport(number, known.per_s, max(0.0, now - known.observed_at))
+            for number, known in newest_first
+        ]
+
+    def merge(self, reported: Iterable[LimitReport], now: float) -> None:
+        """Merge the reports of a peer, received at ``now``; newer evidence wins."""
+        for report in reported:
+            self._merge_one(report, now - report.age_s, now)
+
+    def remove_expired(self, now: float) -> None:
+        """Remove the limits without recent evidence."""
+        oldest = now - MAX_EVIDENCE_AGE_S
+        expired = [
+            number for number, known in self._limit_by_number.items() if known.observed_at < oldest
+        ]
+        for number in expired:
+            self._limit_by_number.pop(number)
+            self._logged_at_by_number.pop(number, None)
+
     def record_response(
         self, incarnation: str, header_values: Sequence[bytes], *, sent_at: float, now: float
     ) -> None:
@@ -68,12 +115,30 @@
                 self._end(number, known, at=sent_at, now=now)
                 self._log_change(number, incarnation, now)
             return
-        if _is_relaxed(known, per_s) and known is not None and sent_at <= known.observed_at:
+        if known is not None and _is_relaxed(known, per_s) and sent_at <= known.observed_at:
             return
         self._set(number, known, per_s, at=now, now=now)
         if known is None or known.per_s != per_s:
             self._log_change(number, incarnation, now)
 
+    def _merge_one(self, report: LimitReport, observed_at: float, now: float) -> None:
+        if report.age_s >= MAX_EVIDENCE_AGE_S:
+            return
+        known = self._limit_by_number.get(report.number)
+        if known is None:
+            if len(self) < MAX_ENDPOINTS:
+                self._limit_by_number[report.number] = EndpointLimit(
+                    report.per_s, observed_at, since=observed_at
+                )
+            return
+        margin_s = REPORT_TIME_MARGIN_S if _is_relaxed(known, report.per_s) else 0.0
+        if observed_at <= known.observed_at + margin_s:
+            return
+        if report.per_s is not None:
+            self._set(report.number, known, report.per_s, at=observed_at, now=now)
+        elif known.per_s is not None:
+            self._end(report.number, known, at=observed_at, now=now)
+
     def _set(
         self, number: int, known: EndpointLimit | None, per_s: float, *, at: float, now: float
     ) -> None:
@@ -129,6 +194,8 @@
     return rendezvous_score('endpoint', incarnation)
 
 
-def _is_relaxed(known: EndpointLimit | None, per_s: float) -> bool:
+def _is_relaxed(known: EndpointLimit, per_s: float | None) -> bool:
     """Return whether ``per_s`` allows more than the known limit."""
-    return known is not None and known.per_s is not None and per_s > known.per_s
+    if known.per_s is None:
+        return False
+    return per_s is None or per_s > known.per_s
--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -81,7 +81,8 @@
     the first choice of the affinity key, ``served_key_recently`` tells whether the
     endpoint recently served that key, ``cold`` whether the rate limit of cold
     endpoints applied to it, and ``delay_s`` is the time from receiving the request to
-    sending it.
+    sending it. ``limited_endpoint_ids`` are the endpoints that were left out because of
+    the request limits that they name.
     """
 
     endpoint_id: str
@@ -93,6 +94,7 @@
     cold: bool
     served_key_recently: bool
     delay_s: float
+    limited_endpoint_ids: tuple[str, ...] = ()
 
 
 class RequestContext(NamedTuple):
--- a/packages/node/src/plantainloft_node/engine/dispatcher.py
+++ b/packages/node/src/plantainloft_node/engine/dispatcher.py
@@ -174,7 +174,9 @@
         )
         if isinstance(selection, NoCapacity):
             attempts.candidate_loads = selection.load_summary
-            return refusal_with_retry_after(selection.reason)
+            return refusal_with_retry_after(
+                selection.reason, earliest_s=selection.retry_after_s or 0.0
+            )
         self._placement.record_sent(selection.endpoint, now)
         endpoint_request = self._build_endpoint_request(
             admitted, selection, now, strip_organisation_key=route_table.requires_keys
@@ -351,6 +353,7 @@
         cold=selection.endpoint.is_cold(now),
         served_key_recently=selection.endpoint.recent_keys.contains(admitted.affinity_key, now),
         delay_s=now - admitted.exchange.received_at,
+        limited_endpoint_ids=selection.limited_ids,
     )
 
 
@@ -360,10 +363,11 @@
     )
 
 
-def refusal_with_retry_after(reason: str) -> Refusal:
-    """Return a refusal that tells the caller when to retry."""
+def refusal_with_retry_after(reason: str, *, earliest_s: float = 0.0) -> Refusal:
+    """Return a refusal that tells the caller when to retry, in ``earliest_s`` or later."""
     return Refusal(
-        reason=reason, retry_after_s=MIN_RETRY_AFTER_S + random.random() * RETRY_AFTER_JITTER_S
+        reason=reason,
+        retry_after_s=max(MIN_RETRY_AFTER_S, earliest_s) + random.random() * RETRY_AFTER_JITTER_S,
     )
 
 
--- a/packages/node/src/plantainloft_node/engine/responses.py
+++ b/packages/node/src/plantainloft_node/engine/responses.py
@@ -255,4 +255,6 @@
         fields['cold'] = placement.cold
         fields['remembered'] = placement.served_key_recently
         fields['placed_ms'] = round(placement.delay_s * MS_PER_S)
+        if placement.limited_endpoint_ids:
+            fields['limited'] = placement.limited_endpoint_ids
     return fields
--- a/packages/node/src/plantainloft_node/entry/fleet_tasks.py
+++ b/packages/node/src/plantainloft_node/entry/fleet_tasks.py
@@ -53,6 +53,7 @@
         on_update_hint=row_replication.on_update_hint,
         seeds=seed_addresses(settings),
         crash_registry=crash_registry,
+        endpoint_limits=replicated_state.endpoint_registry.request_limits,
     )
     instances = InstanceRegistry(members=members, store=replicated_state.store)
     handler_by_kind = {
--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -2,6 +2,7 @@
 
 import anyio
 
+from plantainloft_node.endpoint_limits.limiter import EndpointLimiter, LimitUsage
 from plantainloft_node.engine.dispatcher import Dispatcher
 from plantainloft_node.engine.forwarding_handler import ForwardingHandler
 from plantainloft_node.entry.metrics import Metrics
@@ -26,9 +27,10 @@
         self._replicated_state = replicated_state
         self._members = members
         self._metrics = Metrics()
-        # Assigned after construction: the limiter is created along with components
+        # Assigned after construction: the limiters are created along with components
         # that need this report.
         self.limiter: RequestLimiter | None = None
+        self.endpoint_limiter: EndpointLimiter | None = None
 
     def observe(self, route: str, outcome: str, seconds: float) -> None:
         """Record one answered request and its duration."""
@@ -63,6 +65,17 @@
         usage_by_name = self.limiter.usage_by_organisation(organisations, anyio.current_time())
         return list_organisations(organisations, usage_by_name)
 
+    def endpoint_limits(self) -> list[LimitUsage]:
+        """Return the limits that endpoints name, with this instance's use of them."""
+        limiter = self.endpoint_limiter
+        if limiter is None:
+            return []
+        now = anyio.current_time()
+        return [
+            limiter.usage(state, limit, now)
+            for state, limit in self._replicated_state.endpoint_registry.limited_endpoints()
+        ]
+
     def _set_organisation_gauges(self) -> None:
         """Set the gauges of the organisations with the highest demand."""
         by_demand = sorted(self.organisations(), key=lambda one: -one['fleet_wanted'])
@@ -74,12 +87,14 @@
             self._metrics.set_gauge('organisation_fleet_used', one['fleet_used'], organisation=name)
 
     def _set_endpoint_limit_gauges(self) -> None:
-        limited = self._replicated_state.endpoint_registry.limited_endpoints()
-        self._metrics.set_gauge('endpoints_with_limit', len(limited))
-        for state, limit in limited[:MAX_LIMITED_ENDPOINT_SERIES]:
-            self._metrics.set_gauge(
-                'endpoint_limit_per_second', limit.per_s or 0.0, endpoint=state.record.id
-            )
+        usages = [usage for usage in self.endpoint_limits() if usage.limit_per_s is not None]
+        self._metrics.set_gauge('endpoints_with_limit', len(usages))
+        for usage in usages[:MAX_LIMITED_ENDPOINT_SERIES]:
+            endpoint_id = usage.endpoint_id
+            limit_per_s = usage.limit_per_s or 0.0
+            self._metrics.set_gauge('endpoint_limit_per_second', limit_per_s, endpoint=endpoint_id)
+            self._metrics.set_gauge('endpoint_limit_share', usage.share, endpoint=endpoint_id)
+            self._metrics.set_gauge('endpoint_limit_sent', usage.sent, endpoint=endpoint_id)
 
     def _set_store_and_endpoint_gauges(self, now: float) -> None:
         metrics = self._metrics
--- a/packages/node/src/plantainloft_node/entry/operator_api.py
+++ b/packages/node/src/plantainloft_node/entry/operator_api.py
@@ -7,6 +7,8 @@
 
 import anyio
 
+from plantainloft_node.endpoint_limits.limiter import LimitUsage
+from plantainloft_node.endpoint_limits.listing import list_limits
 from plantainloft_node.engine.exchange import Exchange
 from plantainloft_node.entry.lookups import LocalHandler
 from plantainloft_node.limits.organisation_listing import ListedOrganisation
@@ -23,6 +25,7 @@
     - ``POST /quarantine/lift?request=FINGERPRINT``: releases a request from
       quarantine.
     - ``GET /organisations``: lists the organisations with their limits and usage.
+    - ``GET /endpoint-limits``: lists the endpoints that name a request limit.
     - any other path: returns all metrics as text.
     """
 
@@ -32,9 +35,11 @@
         metrics_text: Callable[[], str],
         quarantine: Quarantine,
         organisations: Callable[[], list[ListedOrganisation]],
+        endpoint_limits: Callable[[], list[LimitUsage]],
     ) -> None:
         self._metrics_text = metrics_text
         self._organisations = organisations
+        self._endpoint_limits = endpoint_limits
         self._quarantine = quarantine
 
     def reply(self, exchange: Exchange) -> tuple[int, bytes]:
@@ -46,6 +51,8 @@
             return self._lift(parse_qs(exchange.query).get('request', [''])[0])
         if exchange.path == '/organisations':
             return HTTPStatus.OK, json.dumps(self._organisations()).encode()
+        if exchange.path == '/endpoint-limits':
+            return HTTPStatus.OK, json.dumps(list_limits(self._endpoint_limits())).encode()
         return HTTPStatus.OK, self._metrics_text().encode()
 
     def _lift(self, raw: str) -> tuple[int, bytes]:
--- a/packages/node/src/plantainloft_node/entry/periodic_updates.py
+++ b/packages/node/src/plantainloft_node/entry/periodic_updates.py
@@ -7,6 +7,7 @@
 from plantainloft_node.entry.request_pipeline import RequestPipeline
 from plantainloft_node.fleet.demand import (
     fleet_size,
+    fleet_view,
     has_current_fleet_usage,
     sum_fleet_usage,
     zone_demands,
@@ -47,7 +48,12 @@
     def update(self, now: float) -> None:
         """Update everything that depends on the current time."""
         self._replicated_state.routing_state.expire_grace_periods(now)
-        self._placement.update_instances(self._members.region_by_limit_sharer(now))
+        region_by_instance = self._members.region_by_limit_sharer(now)
+        self._placement.update_instances(region_by_instance)
+        if self._placement.endpoint_limiter:
+            self._placement.update_endpoint_limits(
+                fleet_view(self._members, region_by_instance, now), now
+            )
         self._placement.update_failing_services(now)
         self._demand.update(UPDATE_INTERVAL_S)
         self._crash_registry.delete_expired(now)
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -74,6 +74,7 @@
             quarantine=self.quarantine,
         )
         self.report.limiter = self.pipeline.limiter
+        self.report.endpoint_limiter = self.pipeline.placement.endpoint_limiter
 
     def ready(self) -> bool:
         """Return whether callers may be directed to this instance."""
@@ -133,6 +134,7 @@
                 metrics_text=self._metrics,
                 quarantine=self.quarantine,
                 organisations=self.report.organisations,
+                endpoint_limits=self.report.endpoint_limits,
             )
             tasks.start_soon(listen, settings.metrics_address, operators)
 
--- a/packages/node/src/plantainloft_node/fleet/datagrams.py
+++ b/packages/node/src/plantainloft_node/fleet/datagrams.py
@@ -5,11 +5,20 @@
 of limits goes into a datagram of its own.
 """
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Any, NamedTuple
 
 import msgpack
 
+from plantainloft_node.endpoint_limits.claims import GroupClaims
+from plantainloft_node.endpoint_limits.registry import LimitReport
+from plantainloft_node.endpoint_limits.report_codec import (
+    LIMIT_BYTES,
+    pack_claims,
+    pack_limits,
+    unpack_claims,
+    unpack_limits,
+)
 from plantainloft_node.fleet.report_codec import (
     DECODE_ERRORS,
     require_non_negative,
@@ -24,18 +33,27 @@
 )
 
 __all__ = [
+    'MAX_GROUPS_PER_DATAGRAM',
+    'MAX_LIMITS_PER_DATAGRAM',
     'Datagram',
     'PackedReport',
     'ReceivedReport',
     'pack_datagrams',
+    'pack_endpoint_limits',
     'unpack_datagram',
 ]
 
 # Datagrams with another format version are ignored.
 FORMAT_VERSION = 4
+# Limits of endpoints have a format of their own: builds that don't know it ignore these
+# datagrams and read all others.
+ENDPOINT_LIMITS_FORMAT_VERSION = 5
 # Longer datagrams may be fragmented in transit, and the loss of one fragment
 # loses the whole datagram.
 MAX_DATAGRAM_BYTES = 1200
+# The most limits and groups of claims in one datagram.
+MAX_LIMITS_PER_DATAGRAM = 40
+MAX_GROUPS_PER_DATAGRAM = 3
 
 
 class PackedReport(NamedTuple):
@@ -58,12 +76,34 @@
 
     ``fleet_usage`` is each organisation's usage of its limits in all zones, as far
     as the sender knows, by organisation number. It is empty if not reported.
+    ``endpoint_limits`` and ``limit_claims`` are what the sender knows of the request
+    limits of endpoints and of the instances that divide them.
     """
 
     sender: str
     wants_reports: bool
     reports: tuple[ReceivedReport, ...]
     fleet_usage: Mapping[int, OrganisationUsage] = NO_USAGE
+    endpoint_limits: tuple[LimitReport, ...] = ()
+    limit_claims: tuple[GroupClaims, ...] = ()
+
+
+def pack_endpoint_limits(
+    sender: str, limits: Sequence[LimitReport], claims: Sequence[GroupClaims]
+) -> bytes:
+    """Pack as much of ``limits`` and ``claims``, in order, as one datagram takes."""
+    packed: bytes = msgpack.packb(
+        [
+            ENDPOINT_LIMITS_FORMAT_VERSION,
+            sender,
+            pack_limits(limits[:MAX_LIMITS_PER_DATAGRAM]),
+            [
+                [group_claims.group, pack_claims(group_claims.claims)]
+                for group_claims in claims[:MAX_GROUPS_PER_DATAGRAM]
+            ],
+        ]
+    )
+    return packed
 
 
 def pack_datagrams(
@@ -111,6 +151,8 @@
 
 
 def _parse_datagram(raw: Any) -> Datagram:
+    if raw[0] == ENDPOINT_LIMITS_FORMAT_VERSION:
+        return _parse_endpoint_limits(*raw[1:])
     if raw[0] != FORMAT_VERSION:
         raise ValueError(f'format version {raw[0]!r} is not supported')
     sender, wants_reports, items, packed_usage = raw[1:]
@@ -126,3 +168,20 @@
     return Datagram(
         require_type(sender, str), require_type(wants_reports, bool), reports, fleet_usage
     )
+
+
+def _parse_endpoint_limits(sender: Any, packed_limits: Any, groups: Any) -> Datagram:
+    if len(require_type(packed_limits, bytes)) > MAX_LIMITS_PER_DATAGRAM * LIMIT_BYTES:
+        raise ValueError(f'{len(packed_limits)} bytes of endpoint limits')
+    if len(groups) > MAX_GROUPS_PER_DATAGRAM:
+        raise ValueError(f'claims of {len(groups)} groups')
+    return Datagram(
+        require_type(sender, str),
+        wants_reports=False,
+        reports=(),
+        endpoint_limits=unpack_limits(packed_limits),
+        limit_claims=tuple(
+            unpack_claims(require_type(group, int), require_type(packed, bytes))
+            for group, packed in groups
+        ),
+    )
--- a/packages/node/src/plantainloft_node/fleet/demand.py
+++ b/packages/node/src/plantainloft_node/fleet/demand.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable, Mapping
 
+from plantainloft_node.endpoint_limits.limiter import FleetView
 from plantainloft_node.fleet.heartbeat_table import ReceivedHeartbeat, ZoneDemand
 from plantainloft_node.fleet.membership import DOWN_AFTER_S, FleetMembership
 from plantainloft_node.limits.organisation_usage import OrganisationUsage, sum_usage
@@ -9,6 +10,7 @@
 
 __all__ = [
     'fleet_size',
+    'fleet_view',
     'has_current_fleet_usage',
     'sum_fleet_usage',
     'zone_demands',
@@ -94,6 +96,19 @@
     return FleetSize(known=len(counted), reporting=up + bool(counted))
 
 
+def fleet_view(
+    members: FleetMembership, region_by_instance: Mapping[str, str], now: float
+) -> FleetView:
+    """Return which of ``region_by_instance`` can be reached, including this instance."""
+    size = fleet_size(members, now)
+    reachable = {name for name in region_by_instance if members.is_up(name, now)}
+    return FleetView(
+        region_by_instance=region_by_instance,
+        reachable_instances=frozenset((*reachable, members.local_member.name)),
+        reachable_fraction=size.reporting / size.known if size.known else 0.0,
+    )
+
+
 def zone_demands(
     members: FleetMembership, own_rates: Mapping[str, float], now: float
 ) -> list[ZoneDemand]:
--- a/packages/node/src/plantainloft_node/fleet/heartbeats.py
+++ b/packages/node/src/plantainloft_node/fleet/heartbeats.py
@@ -12,6 +12,7 @@
 import anyio
 from anyio.abc import UDPSocket
 
+from plantainloft_node.endpoint_limits.registry import EndpointLimitRegistry
 from plantainloft_node.fleet.membership import FleetMembership
 from plantainloft_node.fleet.report_planner import OutgoingDatagram, ReportPlanner
 from plantainloft_node.fleet.report_receiver import ReportReceiver, UpdateHint
@@ -41,10 +42,13 @@
         on_update_hint: Callable[[UpdateHint], None],
         seeds: tuple[str, ...],
         crash_registry: CrashRegistry,
+        endpoint_limits: EndpointLimitRegistry,
     ) -> None:
         self._members = members
         self._on_update_hint = on_update_hint
-        self._report_receiver = ReportReceiver(members=members, crash_registry=crash_registry)
+        self._report_receiver = ReportReceiver(
+            members=members, crash_registry=crash_registry, endpoint_limits=endpoint_limits
+        )
         self._report_planner = ReportPlanner(
             members=members,
             report_receiver=self._report_receiver,
@@ -52,6 +56,7 @@
             seeds=seeds,
             rng=random.Random(),
             crash_registry=crash_registry,
+            endpoint_limits=endpoint_limits,
         )
         self._socket: UDPSocket | None = None
         self._send_lock = anyio.Lock()
--- a/packages/node/src/plantainloft_node/fleet/report_planner.py
+++ b/packages/node/src/plantainloft_node/fleet/report_planner.py
@@ -13,11 +13,19 @@
 down, and the next in rank takes its place.
 """
 
+import itertools
 import random
-from collections.abc import Callable, Iterable
-from typing import NamedTuple
+from collections.abc import Callable, Iterable, Sequence
+from typing import NamedTuple, TypeVar
 
-from plantainloft_node.fleet.datagrams import PackedReport, pack_datagrams
+from plantainloft_node.endpoint_limits.registry import EndpointLimitRegistry
+from plantainloft_node.fleet.datagrams import (
+    MAX_GROUPS_PER_DATAGRAM,
+    MAX_LIMITS_PER_DATAGRAM,
+    PackedReport,
+    pack_datagrams,
+    pack_endpoint_limits,
+)
 from plantainloft_node.fleet.demand import (
     sum_fleet_usage,
     zone_heartbeats,
@@ -52,6 +60,7 @@
 # instead of being delayed by a whole round.
 ROUND_JITTER_S = 0.1
 MAX_INTRODUCED_PER_REPORT = 6
+_Report = TypeVar('_Report')
 
 
 class OutgoingDatagram(NamedTuple):
@@ -76,8 +85,11 @@
         seeds: tuple[str, ...],
         rng: random.Random,
         crash_registry: CrashRegistry,
+        endpoint_limits: EndpointLimitRegistry,
     ) -> None:
         """``own_heartbeat`` returns the current heartbeat of this instance."""
+        self._endpoint_limits = endpoint_limits
+        self._limit_rounds = itertools.count()
         self._crash_registry = crash_registry
         self._members = members
         self._report_receiver = report_receiver
@@ -126,7 +138,7 @@
                 members_by_zone.values(), now, include_not_due=include_not_due
             )
             datagrams += self._datagrams([own], remote_addresses, wants_reports=False)
-        return datagrams
+        return datagrams + self._endpoint_limit_datagrams(datagrams, now)
 
     def datagrams_for_subscribers(self, now: float) -> list[OutgoingDatagram]:
         """Return the datagrams to send now to subscribers that are not relays."""
@@ -144,6 +156,26 @@
             [self._own_report(now, is_full=True)], non_relay_addresses, now
         )
 
+    def _endpoint_limit_datagrams(
+        self, datagrams: Iterable[OutgoingDatagram], now: float
+    ) -> list[OutgoingDatagram]:
+        """Return what is known of endpoints' limits, for each receiver of ``datagrams``.
+
+        Limits that don't fit into one datagram take turns.
+        """
+        if not self._endpoint_limits:
+            return []
+        round_number = next(self._limit_rounds)
+        packed = pack_endpoint_limits(
+            self._members.local_member.name,
+            _rotated(self._endpoint_limits.reports(now), round_number * MAX_LIMITS_PER_DATAGRAM),
+            _rotated(
+                self._endpoint_limits.claims.reports(now), round_number * MAX_GROUPS_PER_DATAGRAM
+            ),
+        )
+        addresses = dict.fromkeys(datagram.address for datagram in datagrams)
+        return [OutgoingDatagram(address, packed) for address in addresses]
+
     def _own_report(self, now: float, *, is_full: bool) -> PackedReport:
         self._sequence += 1
         heartbeat = self._own_heartbeat()
@@ -227,6 +259,14 @@
         ]
 
 
+def _rotated(reports: Sequence[_Report], start: int) -> list[_Report]:
+    """Return ``reports`` beginning with the one at ``start``, modulo their number."""
+    if not reports:
+        return []
+    first = start % len(reports)
+    return [*reports[first:], *reports[:first]]
+
+
 def _member_statuses(
     heartbeats: Iterable[ReceivedHeartbeat], own: Heartbeat, now: float
 ) -> tuple[MemberStatus, ...]:
--- a/packages/node/src/plantainloft_node/fleet/report_receiver.py
+++ b/packages/node/src/plantainloft_node/fleet/report_receiver.py
@@ -2,6 +2,7 @@
 
 from typing import NamedTuple
 
+from plantainloft_node.endpoint_limits.registry import EndpointLimitRegistry
 from plantainloft_node.fleet.datagrams import Datagram, PackedReport, unpack_datagram
 from plantainloft_node.fleet.heartbeat_table import ReportedUsage
 from plantainloft_node.fleet.membership import DOWN_AFTER_S, FleetMembership
@@ -57,8 +58,15 @@
 class ReportReceiver:
     """Applies received reports to the membership and queues those to forward."""
 
-    def __init__(self, *, members: FleetMembership, crash_registry: CrashRegistry) -> None:
+    def __init__(
+        self,
+        *,
+        members: FleetMembership,
+        crash_registry: CrashRegistry,
+        endpoint_limits: EndpointLimitRegistry,
+    ) -> None:
         self._members = members
+        self._endpoint_limits = endpoint_limits
         self._crash_registry = crash_registry
         self._version_by_sender: dict[str, _ReportVersion] = {}
         self._subscribed_at_by_name: dict[str, float] = {}
@@ -75,6 +83,9 @@
         is_urgent = False
         if datagram.fleet_usage and self._is_sent_from(datagram.sender, host):
             self._members.reported_usage = ReportedUsage(datagram.fleet_usage, now)
+        if self._is_sent_from(datagram.sender, host):
+            self._endpoint_limits.merge(datagram.endpoint_limits, now)
+            self._endpoint_limits.claims.merge(datagram.limit_claims, now)
         for item in datagram.reports:
             member = item.report.heartbeat.member
             if member.name == datagram.sender and _host(member.heartbeat_address) == host:
--- a/packages/node/src/plantainloft_node/placement/cold_rate_limit.py
+++ b/packages/node/src/plantainloft_node/placement/cold_rate_limit.py
@@ -1,15 +1,13 @@
 """Rate limit of requests to cold endpoints, over all entry instances.
 
 A cold endpoint crashes when it gets more requests than it can handle, and
-takes the requests that it is running with it. Instances cannot coordinate
-before each request (some may be partitioned), so the limit is divided in
-advance: every instance computes its own share from the list of instances, and
-the shares never add up to more than the limit.
+takes the requests that it is running with it. The limit is divided among all
+instances in advance.
 """
 
 from collections.abc import Mapping
 
-from plantainloft_node.placement.rendezvous import rendezvous_score
+from plantainloft_node.placement.dealt_shares import dealt_share
 from plantainloft_node.placement.retry_budget import SlidingWindowCounter
 
 __all__ = ['ColdRateLimiter', 'cold_share']
@@ -33,30 +31,19 @@
 ) -> int:
     """Return the requests per window that this instance may send to a cold endpoint.
 
-    ``max_rate`` is the most that all instances together may send in a second. Every
-    instance gets the same whole number. What remains of the division goes, one
-    request each, first to instances of the endpoint's ``region``, because it mostly
-    serves their callers, in order of their score for the endpoint's id. In a large
-    fleet that whole number is zero, and only these instances get a share: divided
-    over all regions, most shares would go to instances whose callers don't use the
-    endpoint. An instance that is missing from the list gets none.
+    ``max_rate`` is the most that all instances together may send in a second. In a
+    large fleet, only some instances of the endpoint's ``region`` get a share: they
+    mostly serve its callers, and divided over all regions, most shares would go to
+    instances whose callers don't use the endpoint. An instance that is missing from
+    the list gets none.
     """
-    if instance not in region_by_instance:
-        return 0
-    each, remainder = divmod(int(max_rate * DISTRIBUTED_FRACTION), len(region_by_instance))
-    if not remainder:
-        return each
-    own_rank = _rank(instance, region_by_instance[instance], endpoint_id, region)
-    ahead = sum(
-        1
-        for name, instance_region in region_by_instance.items()
-        if _rank(name, instance_region, endpoint_id, region) > own_rank
+    return dealt_share(
+        int(max_rate * DISTRIBUTED_FRACTION),
+        instance=instance,
+        region_by_holder=region_by_instance,
+        key=endpoint_id,
+        region=region,
     )
-    return each + int(ahead < remainder)
-
-
-def _rank(name: str, instance_region: str, endpoint_id: str, region: str) -> tuple[bool, int, str]:
-    return instance_region == region, rendezvous_score(endpoint_id, name), name
 
 
 class ColdRateLimiter:
--- a/packages/node/src/plantainloft_node/placement/endpoints.py
+++ b/packages/node/src/plantainloft_node/placement/endpoints.py
@@ -219,14 +219,14 @@
         return [self.by_id[name] for name in self.ids_by_service.get(service, ())]
 
     def limited_endpoints(self) -> list[tuple[EndpointState, EndpointLimit]]:
-        """Return the endpoints that name a request limit, with their limits."""
+        """Return the endpoints that name a request limit or have just stopped."""
         if not self.request_limits:
             return []
         found = (
             (state, self.request_limits.get(endpoint_number(state.record.incarnation)))
             for state in self.by_id.values()
         )
-        return [(state, limit) for state, limit in found if limit is not None and limit.per_s]
+        return [(state, limit) for state, limit in found if limit is not None]
 
     def counts_by_state(self, now: float) -> dict[str, dict[str, int]]:
         """Count the endpoints of each service by state."""
--- a/packages/node/src/plantainloft_node/placement/placement.py
+++ b/packages/node/src/plantainloft_node/placement/placement.py
@@ -8,14 +8,17 @@
 """
 
 from collections.abc import Mapping
+from dataclasses import replace
 from typing import NamedTuple
 
 from plantainloft_core.routes import Route, ServiceLimits
+from plantainloft_node.endpoint_limits.limiter import EndpointLimiter, FleetView
 from plantainloft_node.placement.cold_rate_limit import cold_share
 from plantainloft_node.placement.endpoints import EndpointRegistry, EndpointState
 from plantainloft_node.placement.regions import RegionShares, target_region_shares
 from plantainloft_node.placement.rendezvous import rendezvous_score
 from plantainloft_node.placement.selection import (
+    SPILL_MAX_USED_FRACTION,
     NoCapacity,
     PlacementRequest,
     Selection,
@@ -55,6 +58,14 @@
     shift_window_s: float = 2.0
 
 
+class _Candidates(NamedTuple):
+    """Candidates in the key's region and elsewhere, and those left out for their limits."""
+
+    local: list[EndpointState]
+    remote: list[EndpointState]
+    limited_ids: tuple[str, ...]
+
+
 class Placement:
     """Selects endpoints by key and limits the load of each."""
 
@@ -68,14 +79,22 @@
         self._shares_by_service: dict[str, RegionShares] = {}
         self._failing_services: frozenset[str] = frozenset()
         self._spillover_limiter = SpilloverDecayLimiter(window_s=settings.shift_window_s)
+        self.endpoint_limiter = EndpointLimiter(
+            instance=settings.instance, registry=endpoint_registry.request_limits
+        )
 
     def select_endpoint(
         self, request: PlacementRequest, service_limits: ServiceLimits, now: float
     ) -> Selection | NoCapacity:
         """Return the endpoint for ``request``, or ``NoCapacity`` if none can take it."""
-        local, remote = self._candidates(request, service_limits, now)
+        found = self._candidates(request, service_limits, now)
+        local, remote = found.local, found.remote
+        if self.endpoint_limiter:
+            idle = self._idle_limited_endpoint(request, service_limits, now, has_local=bool(local))
+            if idle is not None:
+                return idle
         if not local and not remote:
-            return NoCapacity(reason='no endpoint is usable')
+            return self._no_endpoint(request, found, now)
         ranked = [*local, *remote]
         candidates = [state for state in ranked if not state.is_slow(now)] or ranked
         if local and self._spillover_limiter.decays_too_fast(
@@ -89,6 +108,7 @@
         if isinstance(choice, Selection):
             spilled = bool(local) and choice.endpoint in remote
             self._spillover_limiter.record_request(now, spilled=spilled)
+            return replace(choice, limited_ids=found.limited_ids)
         return choice
 
     @property
@@ -106,6 +126,11 @@
             self._region_by_instance = dict(region_by_instance)
             self._cold_share_by_id_and_rate.clear()
 
+    def update_endpoint_limits(self, fleet: FleetView, now: float) -> None:
+        """Update the instances among which the request limits of endpoints are divided."""
+        limited = self._endpoint_registry.limited_endpoints()
+        self.endpoint_limiter.update(fleet, [state for state, _ in limited], now)
+
     def update_failing_services(self, now: float) -> None:
         """Ignore ejections in services with too many failing endpoints.
 
@@ -139,17 +164,20 @@
             shares.update(target, slots)
 
     def record_sent(self, state: EndpointState, now: float) -> None:
-        """Count a request sent to ``state`` against its rate limit while it is cold."""
+        """Count a request sent to ``state`` against the limits that apply to it."""
         if state.is_cold(now):
             state.cold_limiter.record_sent(now)
+        if self.endpoint_limiter:
+            self.endpoint_limiter.record_sent(state, now)
 
     def _candidates(
         self, request: PlacementRequest, service_limits: ServiceLimits, now: float
-    ) -> tuple[list[EndpointState], list[EndpointState]]:
+    ) -> '_Candidates':
         """Return the key's candidates in its region, and those elsewhere."""
         region = self._region_of(request)
         local: list[EndpointState] = []
         remote: list[EndpointState] = []
+        limited_ids: list[str] = []
         for endpoint_id in self._ranking(request):
             state = self._endpoint_registry.by_id[endpoint_id]
             group, max_count = (
@@ -157,9 +185,55 @@
             )
             if len(group) >= max_count or endpoint_id in request.tried_endpoint_ids:
                 continue
-            if self._is_eligible(state, request.route, service_limits, now):
+            if not self._is_eligible(state, request.route, service_limits, now):
+                continue
+            if not self.endpoint_limiter or self.endpoint_limiter.allows(state, now):
                 group.append(state)
-        return local, remote
+            elif state.region == region:
+                limited_ids.append(endpoint_id)
+        return _Candidates(local, remote, tuple(limited_ids))
+
+    def _idle_limited_endpoint(
+        self,
+        request: PlacementRequest,
+        service_limits: ServiceLimits,
+        now: float,
+        *,
+        has_local: bool,
+    ) -> Selection | None:
+        """Return an endpoint whose request limit would not be used up otherwise.
+
+        The keys of one instance alone may not use up its share: in a large fleet, it has
+        few requests for the keys of each endpoint.
+        """
+        region = self._region_of(request)
+        limiter = self.endpoint_limiter
+        limiter.record_demand(request.service, region, now)
+        if not has_local:
+            for other_region in self._slots_by_region(request.service).keys() - {region}:
+                limiter.record_demand(request.service, other_region, now)
+        for limited in limiter.idle_endpoints(request.service, region, now):
+            state = self._endpoint_registry.by_id.get(limited.record.id)
+            if state is None or limited.record.id in request.tried_endpoint_ids:
+                continue
+            load = state.load(now)
+            if load < state.record.slots * SPILL_MAX_USED_FRACTION and self._is_eligible(
+                state, request.route, service_limits, now
+            ):
+                rank = self._ranking(request).index(state.record.id)
+                return Selection(endpoint=state, load=load, rank=rank)
+        return None
+
+    def _no_endpoint(
+        self, request: PlacementRequest, found: '_Candidates', now: float
+    ) -> NoCapacity:
+        if not found.limited_ids:
+            return NoCapacity(reason='no endpoint is usable')
+        return NoCapacity(
+            reason='every endpoint is at its request limit',
+            load_summary=', '.join(found.limited_ids),
+            retry_after_s=self.endpoint_limiter.retry_after_s(request.service, now),
+        )
 
     def _region_of(self, request: PlacementRequest) -> str:
         """Return the region in which the request's key should run."""
--- a/packages/node/src/plantainloft_node/placement/selection.py
+++ b/packages/node/src/plantainloft_node/placement/selection.py
@@ -14,7 +14,13 @@
 from plantainloft_core.routes import Route
 from plantainloft_node.placement.endpoints import EndpointState
 
-__all__ = ['NoCapacity', 'PlacementRequest', 'Selection', 'earliest_completion']
+__all__ = [
+    'SPILL_MAX_USED_FRACTION',
+    'NoCapacity',
+    'PlacementRequest',
+    'Selection',
+    'earliest_completion',
+]
 
 # Requests that may be queued at an endpoint beyond its slots, as a ratio of its
 # slots, by priority (0 is the highest). Lower priorities are refused earlier,
@@ -42,11 +48,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Selection:
-    """The selected endpoint, its estimated load and its rank for the key."""
+    """The selected endpoint, its estimated load and its rank for the key.
+
+    ``limited_ids`` are the endpoints of the key's region that were left out because
+    this instance has used its share of the request limit that they name.
+    """
 
     endpoint: EndpointState
     load: float
     rank: int
+    limited_ids: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -54,11 +65,13 @@
     """No endpoint can take the request now.
 
     ``load_summary`` lists the ids of the candidate endpoints with their estimated
-    numbers of requests.
+    numbers of requests. ``retry_after_s`` is the time after which one may have capacity,
+    if it is known.
     """
 
     reason: str
     load_summary: str = ''
+    retry_after_s: float | None = None
 
 
 def earliest_completion(
--- a/packages/standins/src/plantainloft_standins/fleet_simulation.py
+++ b/packages/standins/src/plantainloft_standins/fleet_simulation.py
@@ -13,6 +13,7 @@
 from functools import partial
 from typing import NamedTuple
 
+from plantainloft_node.endpoint_limits.registry import EndpointLimitRegistry
 from plantainloft_node.fleet.heartbeats import HEARTBEAT_INTERVAL_S, URGENT_ROUND_DELAY_S
 from plantainloft_node.fleet.membership import FleetMember, FleetMembership, Heartbeat
 from plantainloft_node.fleet.report_planner import OutgoingDatagram, ReportPlanner
@@ -82,8 +83,11 @@
         self.limiter = limiter
         self._clock = clock
         self.crash_registry = CrashRegistry()
+        self.endpoint_limits = EndpointLimitRegistry()
         self.report_receiver = ReportReceiver(
-            members=self.members, crash_registry=self.crash_registry
+            members=self.members,
+            crash_registry=self.crash_registry,
+            endpoint_limits=self.endpoint_limits,
         )
         self.draining = False
         self.rate_by_service: dict[str, float] = {'desk': 1.0}
@@ -99,6 +103,7 @@
             seeds=seeds,
             rng=random.Random(seed),
             crash_registry=self.crash_registry,
+            endpoint_limits=self.endpoint_limits,
         )
 
     def _heartbeat(self) -> Heartbeat:
--- a/packages/standins/src/plantainloft_standins/leaving_simulation.py
+++ b/packages/standins/src/plantainloft_standins/leaving_simulation.py
@@ -176,7 +176,10 @@
             calls=calls, members=self.members, replicated_state=self.replicated_state
         )
         crash_registry = CrashRegistry()
-        self._report_receiver = ReportReceiver(members=self.members, crash_registry=crash_registry)
+        endpoint_limits = self.replicated_state.endpoint_registry.request_limits
+        self._report_receiver = ReportReceiver(
+            members=self.members, crash_registry=crash_registry, endpoint_limits=endpoint_limits
+        )
         self.report_planner = ReportPlanner(
             members=self.members,
             report_receiver=self._report_receiver,
@@ -184,6 +187,7 @@
             seeds=(),
             rng=random.Random(local_member.name),
             crash_registry=crash_registry,
+            endpoint_limits=endpoint_limits,
         )
         network.handler_by_call[(local_member.name, ROWS_CALL)] = (
             self.row_replication.answer_rows_call
--- a/tests/test_relaying.py
+++ b/tests/test_relaying.py
@@ -8,6 +8,7 @@
 
 import pytest
 
+from plantainloft_node.endpoint_limits.registry import EndpointLimitRegistry
 from plantainloft_node.fleet.datagrams import PackedReport, pack_datagrams
 from plantainloft_node.fleet.membership import FleetMember, FleetMembership, Heartbeat
 from plantainloft_node.fleet.relay_selection import zone_relays
@@ -304,6 +305,14 @@
     return pack_datagrams(sender or name, wants_reports=True, reports=[report])[0]
 
 
+def make_report_receiver(members: FleetMembership) -> ReportReceiver:
+    return ReportReceiver(
+        members=members,
+        crash_registry=CrashRegistry(),
+        endpoint_limits=EndpointLimitRegistry(),
+    )
+
+
 @pytest.mark.parametrize(
     'packed',
     [
@@ -317,14 +326,14 @@
 )
 def test_a_malformed_datagram_is_ignored(packed: bytes) -> None:
     members = FleetMembership(local_member=member('e1'))
-    report_receiver = ReportReceiver(members=members, crash_registry=CrashRegistry())
+    report_receiver = make_report_receiver(members)
     assert report_receiver.receive(packed, 'e2', 1.0) is None
     assert members.peers() == []
 
 
 def test_a_datagram_with_a_forged_sender_is_ignored() -> None:
     members = FleetMembership(local_member=member('e1'))
-    report_receiver = ReportReceiver(members=members, crash_registry=CrashRegistry())
+    report_receiver = make_report_receiver(members)
     report_receiver.receive(datagram('e2', draining=True), 'stranger', 1.0)
     assert members.peers() == []
     report_receiver.receive(datagram('e2'), 'e2', 1.0)
@@ -334,7 +343,7 @@
 
 def test_a_duplicate_datagram_does_not_prolong_liveness() -> None:
     members = FleetMembership(local_member=member('e1'))
-    report_receiver = ReportReceiver(members=members, crash_registry=CrashRegistry())
+    report_receiver = make_report_receiver(members)
     packed = datagram('e2', number=5)
     report_receiver.receive(packed, 'e2', 1.0)
     report_receiver.receive(packed, 'e2', 2.5)
