A refusal without the limit header doesn't end an endpoint's limit

A 429 of an endpoint that refuses for its limit may leave the header out; taken for the end, it would bring full traffic back. Only a response of a request that ran shows that the limit has ended.

--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -201,8 +201,14 @@
         if head.status == _MISDIRECTED:
             return
         header_values = find_all_headers(head.headers, self._names.request_limit)
-        # Only a response of the service itself shows that the endpoint names no limit.
-        if header_values or head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
+        # A refusal or failure without the header may come from a part of the endpoint
+        # that doesn't know the limit, and doesn't show that the limit has ended.
+        has_run = (
+            head.status < HTTPStatus.INTERNAL_SERVER_ERROR
+            and head.status not in _NOT_RUN_STATUSES
+            and find_header(head.headers, self._names.not_run) is None
+        )
+        if header_values or has_run:
             state.record_request_limit(header_values, sent_at=sent_at, now=anyio.current_time())
 
     async def _return_to_pool(
--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -21,6 +21,7 @@
     WeightedService,
     build_route_table,
 )
+from plantainloft_node.endpoint_limits.limiter import FleetView
 from plantainloft_node.engine.caller_connection import CallerConnection
 from plantainloft_node.engine.connection_pool import ConnectionPool
 from plantainloft_node.engine.dispatcher import Dispatcher, RetryLimits
@@ -180,6 +181,12 @@
     connections: list[CallerConnection]
     pool: ConnectionPool
     crash_registry: CrashRegistry
+    placement: Placement
+
+    def set_limit_sharers(self, *names: str) -> None:
+        """Set the instances among which the request limits of endpoints are divided."""
+        fleet = FleetView(dict.fromkeys(names, 'ankara'), frozenset(names), reachable_fraction=1.0)
+        self.placement.update_endpoint_limits(fleet, anyio.current_time())
 
     async def connect(self) -> SocketStream:
         host, _, port = self.address.partition(':')
@@ -309,6 +316,7 @@
                 connections,
                 pool,
                 quarantine.crash_registry,
+                placement,
             ),
             endpoints,
         )
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -2,11 +2,13 @@
 
 import logging
 
+import anyio
 import pytest
 from entry_fixtures import (
     ConnectionScript,
     ScriptedConnection,
     get_request,
+    post_request,
     running_forwarding_server,
     signed_ok_response,
 )
@@ -92,3 +94,28 @@
     async with running_forwarding_server(answer_with(header)) as (server, _):
         answer = await server.send_request(get_request())
         assert header.strip().lower() in answer.lower()
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize(
+    'refusal',
+    [
+        b'HTTP/1.1 429 Busy\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n',
+        b'HTTP/1.1 500 Error\r\nX-Signature: s\r\nContent-Length: 0\r\n\r\n',
+    ],
+)
+async def test_a_refusal_without_the_header_does_not_end_a_limit(refusal: bytes) -> None:
+    async def answer(connection: ScriptedConnection) -> None:
+        await connection.read_request()
+        await connection.send(signed_ok_response(b'ok', extra_headers=b'X-Request-Limit: 30\r\n'))
+        await connection.read_request()
+        await connection.send(refusal)
+
+    async with running_forwarding_server(answer) as (server, (endpoint,)):
+        server.set_limit_sharers('e1')
+        await server.send_request(get_request())
+        await anyio.sleep(0.1)
+        await server.send_request(post_request(b'x'))
+        assert len(endpoint.requests) == 2
+        ((_, limit),) = server.endpoint_registry.limited_endpoints()
+        assert limit.per_s == 30.0
