Shares of endpoints' limits: released from when they are known, claims or not

And with no claim known yet, nobody held a share for the first three seconds; now the limit is divided among all instances until there are claims.

--- a/packages/node/src/plantainloft_node/endpoint_limits/limiter.py
+++ b/packages/node/src/plantainloft_node/endpoint_limits/limiter.py
@@ -209,8 +209,11 @@
             self._endpoints_by_group.setdefault(group, []).append(endpoint)
         for group in self._views_by_group.keys() - self._endpoints_by_group.keys():
             self._views_by_group.pop(group)
-        for group in self._endpoints_by_group:
+        for group, limited in self._endpoints_by_group.items():
             self._update_views(group, now)
+            for endpoint in limited:
+                # A share that grows is released from now on, not from the next request.
+                self._budget(endpoint, now)
         for number in self._budget_by_number.keys() - self._registry.numbers():
             self._budget_by_number.pop(number)
 
@@ -260,15 +263,14 @@
         group = group_number(endpoint.record.service, endpoint.region)
         views = self._views_by_group.get(group)
         if views is None:
-            # The claims of others are not known yet, so that all instances count.
-            views = deque((_TimedView(now, ShareView(self._fleet.region_by_instance, 1.0)),))
+            views = deque((_TimedView(now, self._current_view(group, now)),))
             self._views_by_group[group] = views
             self._revision += 1
         return views
 
     def _update_views(self, group: int, now: float) -> None:
         views = self._views(self._endpoints_by_group[group][0], now)
-        view = self._claimants_view(group, now)
+        view = self._current_view(group, now)
         if views[-1].view != view:
             views.append(_TimedView(now, view))
             self._revision += 1
@@ -276,11 +278,15 @@
             views.popleft()
             self._revision += 1
 
-    def _claimants_view(self, group: int, now: float) -> ShareView:
+    def _current_view(self, group: int, now: float) -> ShareView:
+        claims = self._registry.claims.current(group, now)
+        if not claims:
+            # Any instance may have requests: a part for each needs no coordination.
+            return ShareView(self._fleet.region_by_instance, reachable_fraction=1.0)
         name_by_number = {instance_number(name): name for name in self._fleet.region_by_instance}
         names = (
             name_by_number.get(claim.instance_number, f'#{claim.instance_number}')
-            for claim in self._registry.claims.current(group, now)
+            for claim in claims
         )
         region_by_holder = {
             name: self._fleet.region_by_instance.get(name, '')
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -114,6 +114,7 @@
     async with running_forwarding_server(answer) as (server, (endpoint,)):
         server.set_limit_sharers('e1')
         await server.send_request(get_request())
+        server.set_limit_sharers('e1')
         await anyio.sleep(0.1)
         await server.send_request(post_request(b'x'))
         assert len(endpoint.requests) == 2
