--- a/packages/node/src/plantainloft_node/endpoint_limits/limiter.py
+++ b/packages/node/src/plantainloft_node/endpoint_limits/limiter.py
@@ -181,7 +181,10 @@
             self._registry.claims.record(group, self._number, now)
 
     def idle_endpoints(self, service: str, region: str, now: float) -> list[LimitedEndpoint]:
-        """Return the endpoints whose limit this instance does not use up."""
+        """Return the endpoints whose limit this instance does not use up.
+
+        After a limit has ended, requests come back by their keys only.
+        """
         endpoints = self._endpoints_by_group.get(group_number(service, region), ())
         return [endpoint for endpoint in endpoints if self._is_idle(endpoint, now)]
 
@@ -254,8 +257,9 @@
 
     def _free_at(self, endpoint: LimitedEndpoint, now: float) -> float | None:
         """Return since or from when one more request may be sent; ``None`` without a share."""
+        known = self._registry.get(endpoint_number(endpoint.record.incarnation))
         budget = self._budget(endpoint, now)
-        if budget is None or not budget.share.requests:
+        if known is None or known.per_s is None or budget is None or not budget.share.requests:
             return None
         return budget.free_at()
 
