--- a/packages/ctl/src/plantainloft_ctl/commands/organisations.py
+++ b/packages/ctl/src/plantainloft_ctl/commands/organisations.py
@@ -4,13 +4,12 @@
 import sys
 from dataclasses import dataclass
 from pathlib import Path
-from typing import Annotated, Any
+from typing import Annotated
 
 import cappa
-import httpx
 
 from plantainloft_core.organisations import digest_key
-from plantainloft_ctl.command_helpers import EXIT_FAILED
+from plantainloft_ctl.command_helpers import EXIT_FAILED, fetch_listing
 from plantainloft_ctl.organisations import (
     aggregate_organisations,
     find_key_holders,
@@ -20,8 +19,6 @@
 
 __all__ = ['KeyDigest', 'Organisations']
 
-TIMEOUT_S = 2.0
-
 
 @dataclass(kw_only=True)
 class Organisations:
@@ -41,7 +38,7 @@
         organisations_by_instance = {
             node: organisations
             for node in self.nodes
-            if (organisations := _fetch_organisations(node)) is not None
+            if (organisations := fetch_listing('organisations', node, 'organisations')) is not None
         }
         if not organisations_by_instance:
             raise cappa.Exit(code=EXIT_FAILED)
@@ -65,16 +62,3 @@
     def __call__(self) -> None:
         key = getpass.getpass('key: ') if sys.stdin.isatty() else sys.stdin.readline()
         print(digest_key(key.strip().encode()))
-
-
-def _fetch_organisations(node: str) -> list[dict[str, Any]] | None:
-    try:
-        response = httpx.get(f'{node.rstrip("/")}/organisations', timeout=TIMEOUT_S)
-    except httpx.HTTPError as exc:
-        print(f'organisations: no response from {node} ({type(exc).__name__})', file=sys.stderr)
-        return None
-    if response.is_error:
-        print(f'organisations: {node} returned status {response.status_code}', file=sys.stderr)
-        return None
-    organisations: list[dict[str, Any]] = response.json()
-    return organisations
--- a/packages/ctl/src/plantainloft_ctl/commands/quarantine.py
+++ b/packages/ctl/src/plantainloft_ctl/commands/quarantine.py
@@ -8,6 +8,7 @@
 import httpx
 
 from plantainloft_ctl.command_helpers import EXIT_FAILED
+from plantainloft_ctl.tables import format_table
 
 __all__ = ['Quarantine']
 
@@ -60,8 +61,4 @@
         )
         for entry in quarantined
     ]
-    widths = [max(map(len, column)) for column in zip(HEADINGS, *rows, strict=True)]
-    return [
-        '  '.join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
-        for row in (HEADINGS, *rows)
-    ]
+    return format_table(HEADINGS, rows)
--- a/packages/ctl/src/plantainloft_ctl/organisations.py
+++ b/packages/ctl/src/plantainloft_ctl/organisations.py
@@ -3,6 +3,8 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
 
+from plantainloft_ctl.tables import format_table
+
 # One organisation as reported by an instance, and the whole list of an instance.
 OrganisationEntry = Mapping[str, Any]
 InstanceListing = Sequence[OrganisationEntry]
@@ -50,12 +52,7 @@
 
 def format_organisation_table(rows: Sequence[OrganisationRow]) -> list[str]:
     """Format ``rows`` as table lines: headings, then one line per organisation."""
-    rows_of_cells = [_cells(row) for row in rows]
-    widths = [max(map(len, column)) for column in zip(HEADINGS, *rows_of_cells, strict=True)]
-    return [
-        '  '.join(cell.ljust(width) for cell, width in zip(row, widths, strict=True)).rstrip()
-        for row in (HEADINGS, *rows_of_cells)
-    ]
+    return format_table(HEADINGS, [_cells(row) for row in rows])
 
 
 def find_key_holders(
