plantainctl endpoint-limits, and the way from a refused request to an endpoint's limit

Operators see which endpoints name a limit, since when it was last named, the shares of the instances asked and what they sent; explain shows the lines in which an instance learned of a limit.

--- a/packages/ctl/src/plantainloft_ctl/main.py
+++ b/packages/ctl/src/plantainloft_ctl/main.py
@@ -5,6 +5,7 @@
 import cappa
 
 from plantainloft_ctl.commands.burn import Burn
+from plantainloft_ctl.commands.endpoint_limits import EndpointLimits
 from plantainloft_ctl.commands.explain import Explain
 from plantainloft_ctl.commands.history import History
 from plantainloft_ctl.commands.losses import Losses
@@ -32,6 +33,7 @@
         | Quarantine
         | Organisations
         | KeyDigest
+        | EndpointLimits
     ]
 
 
--- a/packages/ctl/src/plantainloft_ctl/request_timeline.py
+++ b/packages/ctl/src/plantainloft_ctl/request_timeline.py
@@ -9,7 +9,15 @@
 
 # Kinds of log lines that show what an instance knew when it made a decision.
 CONTEXT_KINDS = frozenset(
-    ('belief', 'store_lost', 'store_regained', 'store_history', 'reload', 'quarantine')
+    (
+        'belief',
+        'endpoint_limit',
+        'store_lost',
+        'store_regained',
+        'store_history',
+        'reload',
+        'quarantine',
+    )
 )
 # Events this long before a request may have influenced how it was handled:
 # the bounds on how long updates take to reach an instance, plus a margin.
--- a/tests/test_from_id_to_cause.py
+++ b/tests/test_from_id_to_cause.py
@@ -1,4 +1,4 @@
-"""For five kinds of failure, the logs lead from the request id to the cause."""
+"""For six kinds of failure, the logs lead from the request id to the cause."""
 
 import anyio
 import pytest
@@ -17,6 +17,7 @@
 )
 
 from plantainloft_core.organisations import digest_key
+from plantainloft_ctl.commands.endpoint_limits import EndpointLimits
 from plantainloft_ctl.request_timeline import explain_request, parse_log_lines
 
 pytestmark = pytest.mark.anyio
@@ -173,3 +174,36 @@
     assert 'Front: request over_limit.' in text
     assert 'organisation=ankara-bar' in text
     assert 'fleet_wanted=' in text
+
+
+async def test_refused_because_every_endpoint_is_at_its_request_limit(
+    entry_deployment: EntryDeployment, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def answer_with_limit(connection: ScriptedConnection) -> None:
+        while True:
+            await connection.read_request()
+            await connection.send(
+                SIGNED_OK_RESPONSE.replace(b'OK\r\n', b'OK\r\nServer-Limit: 0\r\n')
+            )
+
+    entry_deployment.endpoints[0].script = answer_with_limit
+    entry = entry_deployment.entry_processes[0]
+    answers = [
+        await http_get(
+            entry.caller_address,
+            '/files/1',
+            extra_headers=request_id_header(f'limited-{number}'),
+        )
+        for number in range(4)
+    ]
+    assert answers[0].startswith(b'HTTP/1.1 200') and b'server-limit: 0' in answers[0].lower()
+    assert answers[3].startswith(b'HTTP/1.1 503') and b'retry-after' in answers[3].lower()
+    text = '\n'.join(timeline(entry_deployment, 'limited-3'))
+    assert 'endpoint i-desk names a limit of 0 requests a second' in text
+    assert 'reason=every endpoint is at its request limit, endpoints=i-desk' in text
+    nodes = [f'http://{one.metrics_address}' for one in entry_deployment.entry_processes]
+    await anyio.sleep(2.0)
+    await anyio.to_thread.run_sync(EndpointLimits(nodes=nodes))
+    listed = capsys.readouterr().out.splitlines()
+    assert listed[1].split()[:2] == ['i-desk', '0/s']
+    assert listed[1].endswith('2 of 2')
