A limit learned between two updates is used at once

An instance that knew no limit knew no list of those that divide one either. A response with a limit left it with a first view without instances, and its share stayed at zero for the 3 s in which shares don't grow (test fails before). Such a view isn't kept any more. Tests of reports, their bounds and codecs.

--- a/packages/node/src/plantainloft_node/endpoint_limits/limiter.py
+++ b/packages/node/src/plantainloft_node/endpoint_limits/limiter.py
@@ -268,8 +268,10 @@
         views = self._views_by_group.get(group)
         if views is None:
             views = deque((_TimedView(now, self._current_view(group, now)),))
-            self._views_by_group[group] = views
             self._revision += 1
+            # Without any instance, shares would stay at zero until they may grow.
+            if self._fleet.region_by_instance:
+                self._views_by_group[group] = views
         return views
 
     def _update_views(self, group: int, now: float) -> None:
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -1,8 +1,10 @@
 """Request limits that endpoints name in their responses."""
 
 import logging
+import struct
 
 import anyio
+import msgpack
 import pytest
 from entry_fixtures import (
     ConnectionScript,
@@ -13,8 +15,29 @@
     signed_ok_response,
 )
 
+from plantainloft_core.discovery import EndpointRecord
+from plantainloft_node.endpoint_limits.claims import MAX_CLAIMS_PER_GROUP, Claim, GroupClaims
 from plantainloft_node.endpoint_limits.header_parsing import InvalidLimitError, parse_request_limit
-from plantainloft_node.endpoint_limits.registry import EndpointLimitRegistry, endpoint_number
+from plantainloft_node.endpoint_limits.limiter import EndpointLimiter, FleetView
+from plantainloft_node.endpoint_limits.registry import (
+    EndpointLimitRegistry,
+    LimitReport,
+    endpoint_number,
+)
+from plantainloft_node.endpoint_limits.shares import (
+    ShareRequest,
+    ShareView,
+    limit_window,
+    share_in_view,
+)
+from plantainloft_node.fleet.datagrams import (
+    ENDPOINT_LIMITS_FORMAT_VERSION,
+    FORMAT_VERSION,
+    MAX_DATAGRAM_BYTES,
+    pack_endpoint_limits,
+    unpack_datagram,
+)
+from plantainloft_node.placement.endpoints import EndpointRegistry
 
 NOW = 1000.0
 NUMBER = endpoint_number('i0')
@@ -120,3 +143,121 @@
         assert len(endpoint.requests) == 2
         ((_, limit),) = server.endpoint_registry.limited_endpoints()
         assert limit.per_s == 30.0
+
+
+def merged(registry: EndpointLimitRegistry, *reports: LimitReport) -> float | None:
+    """Return the limit known to ``registry`` after it has merged ``reports``."""
+    registry.merge(reports, NOW)
+    known = registry.get(NUMBER)
+    return None if known is None else known.per_s
+
+
+def test_a_peer_reports_a_limit_and_its_end() -> None:
+    registry = EndpointLimitRegistry()
+    assert merged(registry, LimitReport(NUMBER, 3.0, age_s=2.0)) == 3.0
+    assert merged(registry, LimitReport(NUMBER, 1.0, age_s=1.5)) == 1.0
+    assert merged(registry, LimitReport(NUMBER, None, age_s=0.1)) is None
+
+
+def test_an_older_report_neither_ends_a_limit_nor_revives_it() -> None:
+    registry = EndpointLimitRegistry()
+    registry.record_response('i0', [b'3'], sent_at=NOW - 3.0, now=NOW - 2.0)
+    assert merged(registry, LimitReport(NUMBER, None, age_s=2.5)) == 3.0
+    registry.record_response('i0', [], sent_at=NOW - 1.0, now=NOW - 0.5)
+    assert merged(registry, LimitReport(NUMBER, 3.0, age_s=2.0)) is None
+
+
+def test_a_report_just_after_the_limit_was_seen_does_not_raise_it() -> None:
+    registry = EndpointLimitRegistry()
+    registry.record_response('i0', [b'3'], sent_at=NOW - 1.0, now=NOW - 0.3)
+    assert merged(registry, LimitReport(NUMBER, 9.0, age_s=0.1)) == 3.0
+
+
+def test_a_limit_that_no_instance_has_seen_for_a_minute_is_dropped() -> None:
+    registry = EndpointLimitRegistry()
+    registry.record_response('i0', [b'3'], sent_at=NOW - 1.0, now=NOW)
+    registry.remove_expired(NOW + 59.0)
+    assert registry
+    registry.remove_expired(NOW + 61.0)
+    assert not registry
+
+
+def test_reports_that_name_very_many_endpoints_take_bounded_memory() -> None:
+    registry = EndpointLimitRegistry()
+    registry.merge([LimitReport(number, 3.0, 0.0) for number in range(5000)], NOW)
+    registry.claims.merge(
+        [GroupClaims(group, (Claim(1, 0.0),)) for group in range(5000)],
+        NOW,
+    )
+    assert len(registry) == 1024
+    assert len(registry.claims) == 256
+
+
+def test_limits_and_claims_fit_into_one_datagram() -> None:
+    limits = [LimitReport(2**32 - 1 - number, 3.5, 7.0) for number in range(400)]
+    claims = [Claim(2**32 - 1 - number, 2.0) for number in range(MAX_CLAIMS_PER_GROUP)]
+    packed = pack_endpoint_limits(
+        'front-ist-a-1', limits, [GroupClaims(2**32 - 1 - group, tuple(claims)) for group in (1, 2)]
+    )
+    datagram = unpack_datagram(packed)
+    assert len(packed) <= MAX_DATAGRAM_BYTES
+    assert datagram is not None
+    assert list(datagram.endpoint_limits) == limits[: len(datagram.endpoint_limits)]
+    assert [group.claims for group in datagram.limit_claims] == [tuple(claims)] * 2
+
+
+def test_builds_that_do_not_know_limits_ignore_only_their_datagrams() -> None:
+    packed = pack_endpoint_limits('e1', [LimitReport(1, 3.0, 0.0)], [])
+    assert msgpack.unpackb(packed)[0] != FORMAT_VERSION
+
+
+@pytest.mark.parametrize(
+    'fields',
+    [
+        ['e1', b'short', []],
+        ['e1', struct.pack('<IdH', 1, float('nan'), 0), []],
+        ['e1', struct.pack('<IdH', 1, -2.0, 0), []],
+        ['e1', bytes(14 * 41), []],
+        ['e1', b'', [[1, bytes(5 * 33)]]],
+        ['e1', b'', [['group', b'']]],
+        [7, b'', []],
+        ['e1', b''],
+    ],
+)
+def test_a_malformed_datagram_of_limits_is_ignored(fields: list[object]) -> None:
+    packed = msgpack.packb([ENDPOINT_LIMITS_FORMAT_VERSION, *fields])
+    assert unpack_datagram(packed) is None
+
+
+def test_a_limit_of_zero_lets_a_request_through_now_and_then() -> None:
+    window = limit_window(0.0)
+    assert (window.requests, window.window_s) == (1, 20.0)
+
+
+@pytest.mark.parametrize('limit_per_s', [0.3, 1.2, 3.0, 3.9, 50.0])
+@pytest.mark.parametrize('instances', [1, 7, 12, 195])
+def test_shares_add_up_to_the_limit(limit_per_s: float, instances: int) -> None:
+    names = {f'e{number}': 'ankara' for number in range(instances)}
+    window = limit_window(limit_per_s)
+    view = ShareView(names, reachable_fraction=1.0)
+    shares = [
+        share_in_view(view, window.requests, ShareRequest(name, 'i0', 'ankara')) for name in names
+    ]
+    assert sum(shares) == window.requests
+    assert window.requests / window.window_s == pytest.approx(limit_per_s)
+    assert window.window_s >= 4.0
+
+
+def test_a_limit_learned_between_two_updates_is_used_after_the_second() -> None:
+    """Failure: the instances were unknown until then, and the share stayed zero for 3 s."""
+    record = EndpointRecord(
+        id='i0', service='desk', address='a:1', zone='a', slots=4, draining=False, cold_s=0.0
+    )
+    endpoint_registry = EndpointRegistry(region_by_zone={'a': 'ankara'})
+    endpoint_registry.add_or_update(record, NOW)
+    state = endpoint_registry.by_id['i0']
+    limiter = EndpointLimiter(instance='e1', registry=endpoint_registry.request_limits)
+    state.record_request_limit([b'3'], sent_at=NOW - 0.1, now=NOW)
+    assert not limiter.allows(state, NOW)
+    limiter.update(FleetView({'e1': 'ankara'}, frozenset(('e1',)), 1.0), [state], NOW + 0.2)
+    assert limiter.allows(state, NOW + 1.0)
