--- a/packages/node/src/plantainloft_node/placement/placement.py
+++ b/packages/node/src/plantainloft_node/placement/placement.py
@@ -108,7 +108,8 @@
         if isinstance(choice, Selection):
             spilled = bool(local) and choice.endpoint in remote
             self._spillover_limiter.record_request(now, spilled=spilled)
-            return replace(choice, limited_ids=found.limited_ids)
+            if found.limited_ids:
+                return replace(choice, limited_ids=found.limited_ids)
         return choice
 
     @property
