The product's own interface keeps the request limits of endpoints, too

The nodes' heartbeats carry limits and claims in fields that other builds ignore; a node leaves endpoints out while it has used its share. Responses pass the header on. Counting instances that fell silent recently is a class of its own now, used for organisations as well.

--- a/packages/core/src/plantainloft_core/outcomes.py
+++ b/packages/core/src/plantainloft_core/outcomes.py
@@ -22,11 +22,16 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Served:
-    """The endpoint executed the request; this is its complete response."""
+    """The endpoint executed the request; this is its complete response.
+
+    ``request_limits`` are the limits of requests a second that the endpoint named in
+    its response, as it wrote them.
+    """
 
     status: int
     body: bytes
     endpoint: str
+    request_limits: tuple[bytes, ...] = ()
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
--- a/packages/ctl/src/plantainloft_ctl/commands/endpoint_limits.py
+++ b/packages/ctl/src/plantainloft_ctl/commands/endpoint_limits.py
@@ -18,7 +18,8 @@
 class EndpointLimits:
     """Show the request limits that endpoints name, and the instances' shares of them.
 
-    ``nodes`` are metrics URLs of entry instances. Query all instances to see the whole
+    ``nodes`` are metrics URLs of entry instances, or URLs of the product's own
+    interface followed by ``/v1``. Query all instances to see the whole
     of the shares: they add up to no more than the limit in one window.
     """
 
--- a/packages/node/src/plantainloft_node/admission.py
+++ b/packages/node/src/plantainloft_node/admission.py
@@ -11,13 +11,11 @@
 from plantainloft_node.limits.limiter import LimitUsage, RequestLimiter
 from plantainloft_node.limits.peer_usage_reports import PeerUsageReports
 from plantainloft_node.limits.shares import FleetSize
+from plantainloft_node.recent_instances import RecentInstances
 
 __all__ = ['API_KEY_HEADER', 'AdmissionControl']
 
 API_KEY_HEADER = 'api-key'
-# An instance that stopped responding still counts towards the fleet size for this
-# long: it may be partitioned from this one and still serve requests.
-SILENT_INSTANCE_RETENTION_S = 60.0
 
 
 class AdmissionControl:
@@ -26,7 +24,7 @@
     def __init__(self, *, limiter: RequestLimiter, peer_usage_reports: PeerUsageReports) -> None:
         self.limiter = limiter
         self._peer_usage_reports = peer_usage_reports
-        self._counted_until_by_name: dict[str, float] = {}
+        self._recent_instances = RecentInstances()
 
     def admit(self, config: Configuration, request: Request) -> Request | Unauthorised | Limited:
         """Return ``request`` with its organisation set, or the reason it is rejected."""
@@ -53,7 +51,7 @@
     def tick(self, config: Configuration, live: Iterable[Member]) -> None:
         """Update the limiter from peer reports; ``live`` includes this instance."""
         now = time.monotonic()
-        running = self._count_running_instances(live, now)
+        running = len(self._recent_instances.update(live, now))
         reporting = min(running, self._peer_usage_reports.reporting_instances(now))
         self.limiter.retain_organisations(config.organisations)
         fleet_usage = self._peer_usage_reports.fleet_usage(self.limiter.usage_report(now), now)
@@ -62,18 +60,3 @@
     def usage_by_organisation(self, config: Configuration) -> Mapping[str, LimitUsage]:
         """Return the current usage of each organisation that has a limit."""
         return self.limiter.usage_by_organisation(config.organisations, time.monotonic())
-
-    def _count_running_instances(self, live: Iterable[Member], now: float) -> int:
-        """Return how many instances may still be running.
-
-        Instances that stopped responding recently are included, since they may be
-        partitioned rather than stopped.
-        """
-        for member in live:
-            self._counted_until_by_name[member.name] = (
-                now + (not member.leaving) * SILENT_INSTANCE_RETENTION_S
-            )
-        self._counted_until_by_name = {
-            name: until for name, until in self._counted_until_by_name.items() if until >= now
-        }
-        return len(self._counted_until_by_name)
--- a/packages/node/src/plantainloft_node/app.py
+++ b/packages/node/src/plantainloft_node/app.py
@@ -5,6 +5,7 @@
 - ``GET /v1/status``: active configuration version, members and statistics by service.
 - ``GET /v1/quarantine``: the requests that are quarantined, so not sent to any endpoint.
 - ``POST /v1/quarantine/lift?request=FINGERPRINT``: lift the quarantine of a request.
+- ``GET /v1/endpoint-limits``: endpoints that name a request limit.
 - ``GET /v1/organisations``: organisations with their limits, usage and key digests.
 """
 
@@ -25,6 +26,7 @@
     Unauthorised,
 )
 from plantainloft_node.admission import API_KEY_HEADER
+from plantainloft_node.endpoint_limits.listing import list_limits
 from plantainloft_node.forwarding import Request
 from plantainloft_node.limits.organisation_listing import list_organisations
 from plantainloft_node.node import Node
@@ -35,6 +37,7 @@
 
 log = logging.getLogger(__name__)
 
+REQUEST_LIMIT_HEADER = 'x-request-limit'
 TIMEOUT_HEADER = 'x-request-timeout-ms'
 MS_PER_S = 1000.0
 _UNAVAILABLE = 503
@@ -51,7 +54,7 @@
 def outcome_response(outcome: Outcome) -> Response:
     """Convert an outcome to the HTTP response for the caller."""
     if isinstance(outcome, Served):
-        return Response(
+        response = Response(
             outcome.body,
             status_code=outcome.status,
             headers={
@@ -60,6 +63,9 @@
             },
             media_type='application/json',
         )
+        for request_limit in outcome.request_limits:
+            response.headers.append(REQUEST_LIMIT_HEADER, request_limit.decode('latin-1'))
+        return response
     if isinstance(outcome, Refused):
         return JSONResponse(
             {'outcome': 'refused', 'ran': False, 'reason': outcome.reason},
@@ -197,6 +203,11 @@
         usage_by_name = node.handler.admission.usage_by_organisation(config)
         return JSONResponse(list_organisations(config.organisations, usage_by_name))
 
+    async def endpoint_limits(request: HttpRequest) -> Response:
+        limits = node.forwarder.endpoint_limits
+        usages = limits.usage(node.follower.config, anyio.current_time())
+        return JSONResponse(list_limits(usages))
+
     return Starlette(
         routes=[
             Route('/v1/lookup', lookup),
@@ -208,6 +219,7 @@
             Route('/v1/status', status),
             Route('/v1/quarantine', list_quarantined),
             Route('/v1/organisations', organisations),
+            Route('/v1/endpoint-limits', endpoint_limits),
             Route('/v1/quarantine/lift', lift_quarantine, methods=['POST']),
         ]
     )
--- a/packages/node/src/plantainloft_node/endpoint_limits/limiter.py
+++ b/packages/node/src/plantainloft_node/endpoint_limits/limiter.py
@@ -47,8 +47,13 @@
 class LimitedEndpoint(Protocol):
     """The endpoint that a limit applies to."""
 
-    record: EndpointRecord
-    region: str
+    @property
+    def record(self) -> EndpointRecord:
+        """The incarnation of the endpoint."""
+
+    @property
+    def region(self) -> str:
+        """The region in which it runs."""
 
 
 class FleetView(NamedTuple):
--- a/packages/node/src/plantainloft_node/endpoint_selection.py
+++ b/packages/node/src/plantainloft_node/endpoint_selection.py
@@ -48,11 +48,13 @@
         *,
         tried_endpoints: Sequence[Endpoint],
         allowed_regions: Collection[str] = (),
+        excluded_endpoints: Collection[str] = (),
     ) -> Choice | Refused:
         """Choose an endpoint of ``service`` that is not in ``tried_endpoints``.
 
         ``tried_endpoints`` lists the endpoints that already rejected this request, in order.
         If ``allowed_regions`` is not empty, the request may only run in those regions.
+        The endpoints named in ``excluded_endpoints`` must get no request now.
         """
 
     @abc.abstractmethod
@@ -87,6 +89,7 @@
         *,
         tried_endpoints: Sequence[Endpoint],
         allowed_regions: Collection[str] = (),
+        excluded_endpoints: Collection[str] = (),
     ) -> Choice | Refused:
         """Choose round robin among the nearest endpoints."""
         disallowed = [
@@ -99,7 +102,10 @@
             service=service,
             zone=self._zone,
             loads_by_endpoint=self._loads.loads_of_service(config, service),
-            excluded=[endpoint.name for endpoint in (*tried_endpoints, *disallowed)],
+            excluded=[
+                *(endpoint.name for endpoint in (*tried_endpoints, *disallowed)),
+                *excluded_endpoints,
+            ],
         )
 
     def record_rejection(self, endpoint: Endpoint) -> None:
@@ -146,9 +152,10 @@
         *,
         tried_endpoints: Sequence[Endpoint],
         allowed_regions: Collection[str] = (),
+        excluded_endpoints: Collection[str] = (),
     ) -> Choice | Refused:
         """Choose in the region the split picks; spill over only within the shift cap."""
-        excluded = [endpoint.name for endpoint in tried_endpoints]
+        excluded = [*(endpoint.name for endpoint in tried_endpoints), *excluded_endpoints]
         service_config = config.services_by_name.get(service)
         if service_config is None:
             return Refused(reason='no such service', retry_after_s=1)
--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -9,6 +9,7 @@
 import json
 import logging
 import time
+from collections.abc import Collection
 from http import HTTPStatus
 from typing import NamedTuple
 from urllib.parse import quote
@@ -23,6 +24,7 @@
 from plantainloft_node.engine.attempts import Failed, NotSent
 from plantainloft_node.engine.http_client import BufferedResponse, HttpClient
 from plantainloft_node.engine.upstream_connection import UpstreamRequest
+from plantainloft_node.node_endpoint_limits import NodeEndpointLimits, limit_header_values
 from plantainloft_node.quarantine.crash_detector import CrashDetector, EndpointAttempt
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint, compute_fingerprint
 from plantainloft_node.quarantine.quarantine import Blocked, Quarantine
@@ -79,7 +81,9 @@
         endpoint_selector: EndpointSelector,
         loads: EndpointLoadTracker,
         quarantine: Quarantine,
+        endpoint_limits: NodeEndpointLimits,
     ) -> None:
+        self.endpoint_limits = endpoint_limits
         self._client = HttpClient()
         self._endpoint_selector = endpoint_selector
         self._loads = loads
@@ -101,18 +105,20 @@
         tried_endpoints: list[Endpoint] = []
         allowed_regions = request.organisation.regions if request.organisation else frozenset()
         for _ in range(MAX_ATTEMPTS):
+            at_limit = self.endpoint_limits.endpoints_at_limit(
+                config, request.service, anyio.current_time()
+            )
             choice = self._endpoint_selector.select(
                 config,
                 request.service,
                 tried_endpoints=tried_endpoints,
                 allowed_regions=allowed_regions,
+                excluded_endpoints=at_limit,
             )
             if isinstance(choice, Refused):
-                return refusal or choice
+                return refusal or _explain_refusal(choice, at_limit)
             tried_endpoints.append(choice.endpoint)
-            outcome = await self._send_to_endpoint(
-                choice.endpoint.name, choice.endpoint.address, request
-            )
+            outcome = await self._send_to_endpoint(choice.endpoint, request)
             if not isinstance(outcome, Refused):
                 return outcome
             self._endpoint_selector.record_rejection(choice.endpoint)
@@ -120,8 +126,10 @@
         return refusal or Refused(reason='not tried', retry_after_s=1)
 
     async def _send_to_endpoint(
-        self, name: str, address: str, request: Request
+        self, endpoint: Endpoint, request: Request
     ) -> Served | Refused | Unknown:
+        name = endpoint.name
+        address = endpoint.address
         remaining_s = request.deadline - time.time()
         if remaining_s <= 0:
             return Refused(reason='deadline passed', retry_after_s=1)
@@ -132,6 +140,8 @@
             headers['x-organisation'] = request.organisation.name
         headers['x-deadline-ms'] = str(int(request.deadline * MS_PER_S))
         self._loads.record_started(name)
+        sent_at = anyio.current_time()
+        self.endpoint_limits.record_sent(endpoint, sent_at)
         answer: BufferedResponse | NotSent | Failed = Failed(reason='no answer in time')
         try:
             with anyio.move_on_after(remaining_s):
@@ -148,11 +158,19 @@
                     _endpoint_attempt(name, address, request)
                 )
             return Unknown(reason=f'{name}: {answer.reason}')
+        self.endpoint_limits.record_response(
+            endpoint, answer.head, sent_at=sent_at, now=anyio.current_time()
+        )
         if answer.head.status == _UNAVAILABLE:
             return self._interpret_unavailable(name, answer.body)
         if answer.head.status < HTTPStatus.INTERNAL_SERVER_ERROR:
             self.quarantine.record_answer(request.fingerprint(), anyio.current_time())
-        return Served(status=answer.head.status, body=answer.body, endpoint=name)
+        return Served(
+            status=answer.head.status,
+            body=answer.body,
+            endpoint=name,
+            request_limits=tuple(limit_header_values(answer.head)),
+        )
 
     def _interpret_unavailable(self, name: str, body: bytes) -> Refused | Unknown:
         # A 503 proves that nothing ran only if its body is the endpoint's own
@@ -166,6 +184,16 @@
         return Refused(reason=f'{name} {refusal}', retry_after_s=1)
 
 
+def _explain_refusal(refusal: Refused, at_limit: Collection[str]) -> Refused:
+    if not at_limit:
+        return refusal
+    names = ', '.join(sorted(at_limit))
+    return Refused(
+        reason=f'{refusal.reason}; at their request limits: {names}',
+        retry_after_s=refusal.retry_after_s,
+    )
+
+
 def _endpoint_attempt(name: str, address: str, request: Request) -> EndpointAttempt:
     interval_number = int(time.time() / MIN_CRASH_INTERVAL_S)
     return EndpointAttempt(
--- a/packages/node/src/plantainloft_node/node.py
+++ b/packages/node/src/plantainloft_node/node.py
@@ -5,7 +5,6 @@
 passes them to the forwarder, which chooses an endpoint and sends them.
 """
 
-import math
 import time
 
 import anyio
@@ -30,6 +29,7 @@
 )
 from plantainloft_node.forwarding import Forwarder, Request
 from plantainloft_node.membership import Membership
+from plantainloft_node.node_endpoint_limits import NodeEndpointLimits
 from plantainloft_node.peering import (
     FrameHandler,
     GossipService,
@@ -99,6 +99,7 @@
         self._quarantine = build_node_quarantine(
             client=table, membership_list=self.membership_list, broadcast=lambda: self.gossip.wake()
         )
+        self._endpoint_limits = NodeEndpointLimits(instance=settings.name, zone=settings.zone)
         self.gossip = GossipService(
             membership_list=self.membership_list,
             claims=claims,
@@ -109,6 +110,7 @@
             ),
             crash_registry=self._quarantine.crash_registry,
             usage_report=lambda now: self.handler.admission.limiter.usage_report(now),
+            endpoint_limits=self._endpoint_limits.registry,
         )
         self.follower.on_config_change = self._on_config_change
         self.membership = Membership(
@@ -128,6 +130,7 @@
             endpoint_selector=self.endpoint_selector,
             loads=self.loads,
             quarantine=self._quarantine,
+            endpoint_limits=self._endpoint_limits,
         )
         self.handler = build_request_handler(
             settings=settings,
@@ -188,7 +191,9 @@
         while True:
             live = [member.name for member in self.membership_list.live_members()[1:]]
             self.endpoint_selector.update(self.follower.config, live_peers=live)
-            self.handler.admission.tick(self.follower.config, self.membership_list.live_members())
+            members = self.membership_list.live_members()
+            self.handler.admission.tick(self.follower.config, members)
+            self._endpoint_limits.update(self.follower.config, members, anyio.current_time())
             await anyio.sleep(UPDATE_INTERVAL_S)
 
     async def handle_splits(self, content: object) -> dict[str, dict[str, float]]:
@@ -212,7 +217,7 @@
     def latency_objective_s(self, service: str) -> float:
         """Return the latency objective of ``service`` in seconds."""
         declared = self.follower.config.services_by_name.get(service)
-        return math.inf if declared is None else declared.slo_ms / MS_PER_S
+        return float('inf') if declared is None else declared.slo_ms / MS_PER_S
 
     async def handle(self, request: Request, *, idempotency_key: str | None) -> Outcome:
         """Handle ``request`` under the active configuration."""
--- a/packages/node/src/plantainloft_node/peering/gossip.py
+++ b/packages/node/src/plantainloft_node/peering/gossip.py
@@ -9,7 +9,8 @@
 import logging
 import struct
 import time
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Mapping, Sequence
+from typing import NamedTuple
 
 import anyio
 
@@ -17,6 +18,14 @@
 from plantainloft_core.lookup import Member
 from plantainloft_core.membership_list import MembershipList
 from plantainloft_core.outcomes import Unreachable
+from plantainloft_node.endpoint_limits.claims import GroupClaims
+from plantainloft_node.endpoint_limits.registry import EndpointLimitRegistry, LimitReport
+from plantainloft_node.endpoint_limits.report_codec import (
+    pack_claims,
+    pack_limits,
+    unpack_claims,
+    unpack_limits,
+)
 from plantainloft_node.limits.organisation_usage import (
     OrganisationUsage,
     decode_usage,
@@ -41,6 +50,8 @@
 ROUND_INTERVAL_S = 0.5
 FANOUT = 5
 HEARTBEAT_TIMEOUT_S = 0.4
+# Those with the newest evidence are reported.
+MAX_LIMITS_PER_HEARTBEAT = 96
 
 
 class GossipService:
@@ -56,6 +67,7 @@
         on_newer_version: Callable[[int, str], None],
         crash_registry: CrashRegistry,
         usage_report: Callable[[float], Mapping[int, OrganisationUsage]],
+        endpoint_limits: EndpointLimitRegistry,
     ) -> None:
         """``usage_report`` returns the usage of organisations' limits on this node."""
         self.membership_list = membership_list
@@ -65,6 +77,7 @@
         self._on_newer_version = on_newer_version
         self._crash_registry = crash_registry
         self._usage_report = usage_report
+        self._endpoint_limits = endpoint_limits
         self.peer_usage_reports = PeerUsageReports()
         self._wake_event = anyio.Event()
         self._probing: set[str] = set()
@@ -145,19 +158,52 @@
             self._on_newer_version(heartbeat['version'], sender.peer_address)
         if sender.name != self.membership_list.local_member.name:
             self.peer_usage_reports.record(sender.name, _decode_usage_of(heartbeat), now)
+        self._merge_endpoint_limits(heartbeat, now)
         new_crashes = self._crash_registry.merge(_unpack_crashes_of(heartbeat), now)
         if self.membership_list.revision != revision_before or new_crashes:
             self.wake()
 
+    def _merge_endpoint_limits(self, heartbeat: Heartbeat, now: float) -> None:
+        reported = _unpack_endpoint_limits_of(heartbeat)
+        self._endpoint_limits.merge(reported.limits, now)
+        self._endpoint_limits.claims.merge(reported.claims, now)
+
     def _build_heartbeat(self, *, receiver: str) -> Heartbeat:
+        now = time.monotonic()
+        limits = self._endpoint_limits.reports(now)
         return Heartbeat(
             sender=list(self.membership_list.local_member),
             version=self._current_version(),
             claims=self._claims.claimed_by_region,
             events=pack_updates(self.membership_list.updates_for(receiver=receiver)),
-            crashes=pack_crashes(self._crash_registry.next_reports(time.monotonic())),
-            uses=encode_usage(self._usage_report(time.monotonic())),
+            crashes=pack_crashes(self._crash_registry.next_reports(now)),
+            uses=encode_usage(self._usage_report(now)),
+            endpoint_limits=pack_limits(limits[:MAX_LIMITS_PER_HEARTBEAT]),
+            limit_claims=[
+                [group_claims.group, pack_claims(group_claims.claims)]
+                for group_claims in self._endpoint_limits.claims.reports(now)
+            ],
+        )
+
+
+class _EndpointLimits(NamedTuple):
+    limits: Sequence[LimitReport] = ()
+    claims: Sequence[GroupClaims] = ()
+
+
+def _unpack_endpoint_limits_of(heartbeat: Heartbeat) -> _EndpointLimits:
+    # The fields may be missing or in another format, as in the functions below.
+    packed_claims = heartbeat.get('limit_claims', ())
+    try:
+        return _EndpointLimits(
+            unpack_limits(heartbeat.get('endpoint_limits', b'')),
+            [unpack_claims(group, packed) for group, packed in packed_claims],
+        )
+    except (ValueError, TypeError, struct.error) as exc:
+        log.warning(
+            'Membership: cannot decode endpoint limits from %s: %s.', heartbeat['sender'][0], exc
         )
+        return _EndpointLimits()
 
 
 def _unpack_crashes_of(heartbeat: Heartbeat) -> tuple[CrashReport, ...]:
--- a/packages/node/src/plantainloft_node/peering/messages.py
+++ b/packages/node/src/plantainloft_node/peering/messages.py
@@ -19,7 +19,8 @@
     ``claims`` is the sender's claim per region above its guaranteed floor, in requests
     in flight (see ``plantainloft_core.capacity_claims``). ``crashes`` is encoded by
     ``quarantine.crash_codec``, and ``uses`` (the usage of organisations' limits) by
-    ``limits.organisation_usage``.
+    ``limits.organisation_usage``. ``endpoint_limits`` and ``limit_claims`` (the claims of
+    each group, by its number) are encoded by ``endpoint_limits.report_codec``.
     """
 
     sender: list[Any]
@@ -28,6 +29,8 @@
     events: list[Any]
     crashes: bytes
     uses: bytes
+    endpoint_limits: bytes
+    limit_claims: list[Any]
 
 
 def pack_updates(updates: list[MemberUpdate]) -> list[Any]:
--- a/packages/standins/src/plantainloft_standins/endpoint.py
+++ b/packages/standins/src/plantainloft_standins/endpoint.py
@@ -5,7 +5,9 @@
 ``Idempotency-Key`` so that tests can detect duplicates. ``GET /load`` reports the
 requests in flight ``report_lag_s`` ago, or always zero after ``POST /mislead``.
 ``POST /drain`` makes the endpoint refuse new requests. A request whose path is
-``fatal_path`` ends the process while it runs. ``GET /executions`` lists runs by key
+``fatal_path`` ends the process while it runs. ``POST /limit?per_s=N`` adds the
+request limit N to each response, ``POST /limit`` without a number removes it.
+``GET /executions`` lists runs by key
 and how long requests were still being sent after draining began.
 """
 
@@ -29,6 +31,9 @@
 COLD_FACTOR = 4.0
 MS_PER_S = 1000.0
 EXIT_CRASHED = 70
+REQUEST_LIMIT_HEADER = 'x-request-limit'
+# Arrival times that are kept for tests.
+MAX_ARRIVALS = 10000
 
 
 class EndpointSettings(NamedTuple):
@@ -82,6 +87,8 @@
         self.inflight = 0
         self.drain = DrainRecord()
         self.mislead = False
+        self.request_limit = ''
+        self.arrivals: collections.deque[float] = collections.deque(maxlen=MAX_ARRIVALS)
         self.runs_by_key: collections.Counter[str] = collections.Counter()
         self.history: collections.deque[tuple[float, int]] = collections.deque(
             maxlen=1000,
@@ -124,7 +131,14 @@
     """Build the ASGI application of one endpoint stand-in."""
 
     async def work(request: Request) -> Response:
+        response = await run(request)
+        if state.request_limit:
+            response.headers[REQUEST_LIMIT_HEADER] = state.request_limit
+        return response
+
+    async def run(request: Request) -> Response:
         state.drain.record_request()
+        state.arrivals.append(time.monotonic())
         if state.drain.draining_since is not None:
             return _refuse('draining')
         limit = state.settings.slots + state.settings.queue
@@ -171,6 +185,10 @@
         state.mislead = True
         return JSONResponse({'mislead': True})
 
+    async def limit(request: Request) -> Response:
+        state.request_limit = request.query_params.get('per_s', '')
+        return JSONResponse({'limit': state.request_limit})
+
     async def executions(request: Request) -> Response:
         return JSONResponse(
             {
@@ -179,6 +197,7 @@
                 'slots': state.settings.slots,
                 'refused_draining': state.drain.refused,
                 'offered_after_drain_s': state.drain.last_request_after_s(),
+                'arrived_s_ago': [time.monotonic() - at for at in state.arrivals],
             }
         )
 
@@ -192,6 +211,7 @@
             Route('/load', load),
             Route('/drain', drain, methods=['POST']),
             Route('/mislead', mislead, methods=['POST']),
+            Route('/limit', limit, methods=['POST']),
             Route('/executions', executions),
         ]
     )
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -7,12 +7,14 @@
 import pytest
 from entry_fixtures import ScriptedConnection, ScriptedEndpoint
 
+from plantainloft_core.model import Endpoint
 from plantainloft_core.outcomes import Refused, Served, Unknown
 from plantainloft_core.table_client import LostResponse, TableClient, TxnCommitted, TxnConflict
 from plantainloft_core.txn_batching import TxnBatcher
 from plantainloft_node.endpoint_loads import EndpointLoadTracker
 from plantainloft_node.forwarding import Forwarder, Request
 from plantainloft_node.idempotency import IdempotencyStore, KeyClaim
+from plantainloft_node.node_endpoint_limits import NodeEndpointLimits
 from plantainloft_node.quarantine.crash_registry import CrashRegistry
 from plantainloft_node.quarantine.quarantine import Quarantine
 from plantainloft_standins.faults import Faults
@@ -164,8 +166,11 @@
             endpoint_selector=None,  # type: ignore[arg-type]
             loads=loads,
             quarantine=quarantine,
+            endpoint_limits=NodeEndpointLimits(instance='e1', zone='z'),
         )
         request = Request('booking', 'POST', 'x', {}, b'', deadline=4e9)
-        outcome = await forwarder._send_to_endpoint('e0', f'http://{endpoint.address}', request)
+        outcome = await forwarder._send_to_endpoint(
+            Endpoint('e0', 'booking', 'r', 'z', f'http://{endpoint.address}', 4, 'active'), request
+        )
         assert isinstance(outcome, kind)
         tasks.cancel_scope.cancel()
