An instance that gets no reports of endpoints' limits keeps to its equal part

Seen in a trial with the build before on every second of eight instances: its relays forward no claims, so each new instance took itself for the only one with requests for the endpoint and sent the whole limit (four of them, 12 a second). The unit test fails before.

--- a/packages/node/src/plantainloft_node/endpoint_limits/limiter.py
+++ b/packages/node/src/plantainloft_node/endpoint_limits/limiter.py
@@ -31,6 +31,8 @@
 # Longest time until all instances know a claim or that an instance is down. A share
 # grows only after it, while that of another instance has become smaller.
 SHARE_GROWTH_DELAY_S = 3.0
+# Peers that know a limit report it twice a second.
+REPORT_TTL_S = 2.0
 # After the end of a limit, the allowed rate doubles in each RAMP_DOUBLING_S, and after
 # RAMP_S there is no limit any more. Without it, the endpoint would get its full share of
 # requests at once, just after it has been short of capacity.
@@ -295,7 +297,7 @@
 
     def _current_view(self, group: int, now: float) -> ShareView:
         claims = self._registry.claims.current(group, now)
-        if not claims:
+        if not claims or not self._hears_peers(now):
             # Any instance may have requests: a part for each needs no coordination.
             return ShareView(self._fleet.region_by_instance, reachable_fraction=1.0)
         name_by_number = {instance_number(name): name for name in self._fleet.region_by_instance}
@@ -310,6 +312,14 @@
         }
         return ShareView(region_by_holder, self._fleet.reachable_fraction)
 
+    def _hears_peers(self, now: float) -> bool:
+        """Return whether the claims of others arrive.
+
+        They don't while the relays run a build that doesn't forward them.
+        """
+        is_alone = len(self._fleet.region_by_instance) <= 1
+        return is_alone or now - self._registry.reported_at < REPORT_TTL_S
+
     def _may_send(self, name: str) -> bool:
         is_listed = name in self._fleet.region_by_instance
         return not is_listed or name in self._fleet.reachable_instances
--- a/packages/node/src/plantainloft_node/endpoint_limits/registry.py
+++ b/packages/node/src/plantainloft_node/endpoint_limits/registry.py
@@ -4,7 +4,7 @@
 from collections.abc import Iterable, KeysView, Sequence
 from typing import NamedTuple
 
-from plantainloft_node.endpoint_limits.claims import ClaimTable
+from plantainloft_node.endpoint_limits.claims import ClaimTable, GroupClaims
 from plantainloft_node.endpoint_limits.header_parsing import InvalidLimitError, parse_request_limit
 from plantainloft_node.placement.rendezvous import rendezvous_score
 
@@ -53,6 +53,8 @@
 
     def __init__(self) -> None:
         self.claims = ClaimTable()
+        # When a peer last reported limits or claims, on the local clock.
+        self.reported_at = float('-inf')
         self._limit_by_number: dict[int, EndpointLimit] = {}
         self._logged_at_by_number: dict[int, float] = {}
 
@@ -78,10 +80,14 @@
             for number, known in newest_first
         ]
 
-    def merge(self, reported: Iterable[LimitReport], now: float) -> None:
-        """Merge the reports of a peer, received at ``now``; newer evidence wins."""
-        for report in reported:
+    def merge(
+        self, limits: Iterable[LimitReport], claims: Iterable[GroupClaims], now: float
+    ) -> None:
+        """Merge the report of a peer, received at ``now``; newer evidence wins."""
+        self.reported_at = now
+        for report in limits:
             self._merge_one(report, now - report.age_s, now)
+        self.claims.merge(claims, now)
 
     def remove_expired(self, now: float) -> None:
         """Remove the limits without recent evidence."""
--- a/packages/node/src/plantainloft_node/fleet/report_receiver.py
+++ b/packages/node/src/plantainloft_node/fleet/report_receiver.py
@@ -83,9 +83,8 @@
         is_urgent = False
         if datagram.fleet_usage and self._is_sent_from(datagram.sender, host):
             self._members.reported_usage = ReportedUsage(datagram.fleet_usage, now)
-        if self._is_sent_from(datagram.sender, host):
-            self._endpoint_limits.merge(datagram.endpoint_limits, now)
-            self._endpoint_limits.claims.merge(datagram.limit_claims, now)
+        if datagram.endpoint_limits and self._is_sent_from(datagram.sender, host):
+            self._endpoint_limits.merge(datagram.endpoint_limits, datagram.limit_claims, now)
         for item in datagram.reports:
             member = item.report.heartbeat.member
             if member.name == datagram.sender and _host(member.heartbeat_address) == host:
--- a/packages/node/src/plantainloft_node/peering/gossip.py
+++ b/packages/node/src/plantainloft_node/peering/gossip.py
@@ -165,8 +165,8 @@
 
     def _merge_endpoint_limits(self, heartbeat: Heartbeat, now: float) -> None:
         reported = _unpack_endpoint_limits_of(heartbeat)
-        self._endpoint_limits.merge(reported.limits, now)
-        self._endpoint_limits.claims.merge(reported.claims, now)
+        if reported.limits:
+            self._endpoint_limits.merge(reported.limits, reported.claims, now)
 
     def _build_heartbeat(self, *, receiver: str) -> Heartbeat:
         now = time.monotonic()
--- a/tests/test_endpoint_limits.py
+++ b/tests/test_endpoint_limits.py
@@ -147,7 +147,7 @@
 
 def merged(registry: EndpointLimitRegistry, *reports: LimitReport) -> float | None:
     """Return the limit known to ``registry`` after it has merged ``reports``."""
-    registry.merge(reports, NOW)
+    registry.merge(reports, (), NOW)
     known = registry.get(NUMBER)
     return None if known is None else known.per_s
 
@@ -184,8 +184,8 @@
 
 def test_reports_that_name_very_many_endpoints_take_bounded_memory() -> None:
     registry = EndpointLimitRegistry()
-    registry.merge([LimitReport(number, 3.0, 0.0) for number in range(5000)], NOW)
-    registry.claims.merge(
+    registry.merge(
+        [LimitReport(number, 3.0, 0.0) for number in range(5000)],
         [GroupClaims(group, (Claim(1, 0.0),)) for group in range(5000)],
         NOW,
     )
@@ -275,3 +275,20 @@
     state = endpoint_registry.by_id['i0']
     state.record_request_limit([b'1e9'], sent_at=NOW - 0.1, now=NOW)
     assert all(limiter.allows(state, NOW) for _ in range(3))
+
+
+def test_an_instance_that_gets_no_reports_keeps_to_its_equal_part() -> None:
+    """Failure: relays of an older build forward no claims; each instance took the whole limit."""
+    endpoint_registry = EndpointRegistry(region_by_zone={'a': 'ankara'})
+    endpoint_registry.add_or_update(make_record(), NOW)
+    state = endpoint_registry.by_id['i0']
+    limiter = EndpointLimiter(instance='e1', registry=endpoint_registry.request_limits)
+    names = [f'e{number}' for number in range(1, 9)]
+    fleet = FleetView(dict.fromkeys(names, 'ankara'), frozenset(names), 1.0)
+    for step in range(40):
+        now = NOW + step * 0.25
+        state.record_request_limit([b'3'], sent_at=now - 0.1, now=now)
+        limiter.update(fleet, [state], now)
+        limiter.record_demand('desk', 'ankara', now)
+    ((_, limit),) = endpoint_registry.limited_endpoints()
+    assert limiter.usage(state, limit, now).share <= 2
