Failing test: instances without links to endpoints serve nobody

Eight entry processes in front of eight endpoints, 120 requests a second; two processes lose their links to all endpoints, in four ways: open connections are reset and new ones refused; open ones deliver nothing and new ones hang; open ones live on while new ones are refused or hang. Callers, the store and the other instances still reach them. tests/cuttable_entry.py runs the program with connections that obey a file.

On the current code, from 1 s after the cut on, the two serve 0.0 of their first tries in the first two ways (the last two pass: the open connections are enough there); the others serve all of theirs. Asked for are two thirds of the share at the others.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -299,9 +299,22 @@
 
 
 class EntryProcessHandle:
-    """An entry process that runs as a subprocess, its addresses and its log."""
+    """An entry process that runs as a subprocess, its addresses and its log.
 
-    def __init__(self, *, number: int, store_address: str, work_dir: Path, seeds: str = '') -> None:
+    ``module`` is what it runs; ``link_fault_path`` is read by ``cuttable_entry`` only.
+    """
+
+    def __init__(
+        self,
+        *,
+        number: int,
+        store_address: str,
+        work_dir: Path,
+        seeds: str = '',
+        module: str = 'plantainloft_platform',
+    ) -> None:
+        self._module = module
+        self.link_fault_path = work_dir / f'links-{number}.json'
         self.host = f'127.0.9.{number}'
         ports = _free_ports(self.host)
         self.caller_address, self.readiness_address, self.lookup_address, self.metrics_address = (
@@ -319,8 +332,13 @@
 
     def start(self) -> None:
         self._process = subprocess.Popen(
-            [sys.executable, '-m', 'plantainloft_platform'],
-            env={**os.environ, 'PLANTAINLOFT_CONFIG': str(self.settings_path)},
+            [sys.executable, '-m', self._module],
+            env={
+                **os.environ,
+                'PLANTAINLOFT_CONFIG': str(self.settings_path),
+                'PYTHONPATH': str(Path(__file__).parent),
+                'LINK_FAULT_FILE': str(self.link_fault_path),
+            },
             stdout=self._log_file,
             stderr=subprocess.STDOUT,
         )
@@ -414,7 +432,11 @@
 
 
 async def start_entry_processes(
-    entry_processes: list[EntryProcessHandle], *, store_addresses: Sequence[str], work_dir: Path
+    entry_processes: list[EntryProcessHandle],
+    *,
+    store_addresses: Sequence[str],
+    work_dir: Path,
+    module: str = 'plantainloft_platform',
 ) -> None:
     """Start an entry process for each address of the store, and wait until all are ready.
 
@@ -427,6 +449,7 @@
                 store_address=store_address,
                 work_dir=work_dir,
                 seeds='127.0.9.1:7801',
+                module=module,
             )
         )
     for handle in entry_processes:
--- /dev/null
+++ b/tests/test_lost_endpoint_links.py
@@ -0,0 +1,38 @@
+"""Entry processes that lose their links to the endpoints serve callers all the same."""
+
+import time
+from pathlib import Path
+
+import anyio
+import pytest
+from cuttable_entry import HANG_NEW, REFUSE_NEW, RESET, SILENT
+from partitioned_fleet import INSTANCES, partitioned_fleet
+from platform_standin import EntryProcessHandle
+
+REQUESTS_PER_S = 120.0
+WARM_UP_S = 4.0
+CUT = (2, 5)
+# From this long after the cut, an instance has noticed it.
+DETECTION_S = 1.0
+OBSERVED_S = 4.0
+# Share of the requests at instances with links that instances without must serve.
+MIN_RELATIVE_SHARE = 2 / 3
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize('mode', [RESET, SILENT, REFUSE_NEW, HANG_NEW])
+async def test_instances_without_links_to_endpoints_serve_their_callers(
+    entry_processes: list[EntryProcessHandle], tmp_path: Path, mode: str
+) -> None:
+    """Failure: every request at an instance whose links to all endpoints are lost is refused."""
+    async with partitioned_fleet(entry_processes, tmp_path) as (fleet, tasks):
+        tasks.start_soon(fleet.send_requests, REQUESTS_PER_S)
+        await anyio.sleep(WARM_UP_S)
+        fleet.cut(CUT, mode)
+        since = time.monotonic() + DETECTION_S
+        await anyio.sleep(DETECTION_S + OBSERVED_S)
+        until = since + OBSERVED_S - 1.5
+        others = [entry for entry in range(INSTANCES) if entry not in CUT]
+        served_elsewhere = fleet.served_share(others, since, until)
+        assert served_elsewhere == 1.0
+        assert fleet.served_share(CUT, since, until) >= MIN_RELATIVE_SHARE * served_elsewhere
