Count connections to endpoints, and when each zone was last reached and heard

The logs of an instance without links to the endpoints can't tell whether a failed connection is the endpoint's fault or that of its own path, nor when it last reached any endpoint. Three series tell it by availability zone; placement is unchanged.

--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+from functools import partial
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -22,6 +23,7 @@
     UpstreamRequest,
     connect,
 )
+from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.placement.endpoints import EndpointState
 
 __all__ = ['EndpointRequest', 'Sender']
@@ -47,9 +49,10 @@
 class Sender:
     """Sends requests over pooled connections and reads the responses."""
 
-    def __init__(self, *, names: HeaderNames, pool: ConnectionPool) -> None:
+    def __init__(self, *, names: HeaderNames, pool: ConnectionPool, links: LinkMonitor) -> None:
         self._names = names
         self._pool = pool
+        self._links = links
         self._attempt_numbers = itertools.count()
 
     async def send(self, state: EndpointState, endpoint_request: EndpointRequest) -> AttemptOutcome:
@@ -110,15 +113,26 @@
         connection = await self._pool.acquire(state.record.incarnation, anyio.current_time())
         if connection is not None:
             return connection
+        zone = state.record.zone
         started_at = anyio.current_time()
         try:
             with anyio.fail_after(CONNECT_TIMEOUT_S):
-                connection = await connect(state.record.address, id_header=self._names.request_id)
+                connection = await connect(
+                    state.record.address,
+                    id_header=self._names.request_id,
+                    on_received=partial(self._record_heard, zone),
+                )
         except (OSError, TimeoutError) as exc:
+            self._links.record_connect_failed(zone)
             return NotSent(reason=f'connecting: {type(exc).__name__}')
-        state.record_connect_time(anyio.current_time() - started_at)
+        now = anyio.current_time()
+        self._links.record_connected(zone, now)
+        state.record_connect_time(now - started_at)
         return connection
 
+    def _record_heard(self, zone: str) -> None:
+        self._links.record_heard(zone, anyio.current_time())
+
     async def _send_and_receive(
         self,
         state: EndpointState,
--- a/packages/node/src/plantainloft_node/engine/upstream_connection.py
+++ b/packages/node/src/plantainloft_node/engine/upstream_connection.py
@@ -7,6 +7,7 @@
 
 import select
 import socket
+from collections.abc import Callable
 from typing import NamedTuple
 
 import anyio
@@ -79,11 +80,23 @@
         self.reason = reason
 
 
+def _do_nothing() -> None:
+    return
+
+
 class UpstreamConnection:
     """A connection to a server that carries one request at a time."""
 
-    def __init__(self, *, stream: SocketStream, id_header: bytes) -> None:
+    def __init__(
+        self,
+        *,
+        stream: SocketStream,
+        id_header: bytes,
+        on_received: Callable[[], None] = _do_nothing,
+    ) -> None:
+        """``on_received`` is called whenever bytes arrive."""
         self._stream = stream
+        self._on_received = on_received
         self._id_header = id_header
         self._protocol = h11.Connection(h11.CLIENT)
         self._request: UpstreamRequest | None = None
@@ -219,17 +232,21 @@
             received = b''
         except CONNECTION_ERRORS as exc:
             raise BrokenAnswerError(reason='connection reset') from exc
+        if received:
+            self._on_received()
         self._protocol.receive_data(received)
 
 
-async def connect(address: str, *, id_header: bytes = b'') -> UpstreamConnection:
+async def connect(
+    address: str, *, id_header: bytes = b'', on_received: Callable[[], None] = _do_nothing
+) -> UpstreamConnection:
     """Open a connection to ``address`` (``host:port``); raises ``OSError``."""
     host, _, port = address.rpartition(':')
     stream = await anyio.connect_tcp(host, int(port))
     raw_socket = stream.extra(SocketAttribute.raw_socket)
     for level, option, setting in TCP_KEEPALIVE_OPTIONS:
         raw_socket.setsockopt(level, option, setting)
-    return UpstreamConnection(stream=stream, id_header=id_header)
+    return UpstreamConnection(stream=stream, id_header=id_header, on_received=on_received)
 
 
 def _keep_alive_s(head: ResponseHead) -> float:
--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -10,6 +10,7 @@
 from plantainloft_node.fleet.membership import FleetMembership
 from plantainloft_node.limits.limiter import RequestLimiter
 from plantainloft_node.limits.organisation_listing import ListedOrganisation, list_organisations
+from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.placement.placement import Placement
 
 __all__ = ['MetricsReport']
@@ -31,6 +32,7 @@
         # that need this report.
         self.limiter: RequestLimiter | None = None
         self.endpoint_limiter: EndpointLimiter | None = None
+        self.links: LinkMonitor | None = None
 
     def observe(self, route: str, outcome: str, seconds: float) -> None:
         """Record one answered request and its duration."""
@@ -56,6 +58,7 @@
         self._set_organisation_gauges()
         self._set_endpoint_limit_gauges()
         self._set_announcement_gauges(now)
+        self._set_link_gauges(now)
         return metrics.text()
 
     def organisations(self) -> list[ListedOrganisation]:
@@ -106,6 +109,17 @@
                 'sends_against_announcement', count, announcement=announcement, attempt=attempt
             )
 
+    def _set_link_gauges(self, now: float) -> None:
+        if self.links is None:
+            return
+        for (zone, outcome), count in self.links.connects.items():
+            self._metrics.set_gauge('endpoint_connects', count, zone=zone, outcome=outcome)
+        for zone in self.links.zones():
+            observation = self.links.observation(zone)
+            reached_s, heard_s = now - observation.reached_at, now - observation.heard_at
+            self._metrics.set_gauge('endpoints_reached_seconds_ago', reached_s, zone=zone)
+            self._metrics.set_gauge('endpoints_heard_seconds_ago', heard_s, zone=zone)
+
     def _set_store_and_endpoint_gauges(self, now: float) -> None:
         metrics = self._metrics
         for name, poller in self._replicated_state.pollers.items():
--- a/packages/node/src/plantainloft_node/entry/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/entry/request_pipeline.py
@@ -16,6 +16,7 @@
 from plantainloft_node.entry.replicated_state import ReplicatedState
 from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.limits.limiter import RequestLimiter
+from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.placement.placement import Placement
 from plantainloft_node.quarantine.crash_detector import CrashDetector, EndpointAttempt
 from plantainloft_node.quarantine.quarantine import Quarantine
@@ -53,6 +54,8 @@
         settings=placement_settings(settings), endpoint_registry=replicated_state.endpoint_registry
     )
     pool = ConnectionPool()
+    links = LinkMonitor()
+    report.links = links
 
     def record_crash(attempt: EndpointAttempt, now: float) -> None:
         replicated_state.endpoint_registry.record_process_ended(attempt.incarnation, now)
@@ -62,7 +65,7 @@
     dispatcher = Dispatcher(
         names=names,
         placement=placement,
-        sender=Sender(names=names, pool=pool),
+        sender=Sender(names=names, pool=pool, links=links),
         retry_limits=retry_limits(settings),
         crash_detector=crash_detector,
         quarantine=quarantine,
--- /dev/null
+++ b/packages/node/src/plantainloft_node/links/__init__.py
@@ -0,0 +1,1 @@
+"""Whether this instance reaches the endpoints of each availability zone."""
--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -29,6 +29,7 @@
 from plantainloft_node.engine.header_names import HeaderNames
 from plantainloft_node.engine.sender import Sender
 from plantainloft_node.limits.limiter import LimitSettings, RequestLimiter
+from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.placement.endpoints import EndpointRegistry
 from plantainloft_node.placement.placement import Placement, PlacementSettings
 from plantainloft_node.quarantine.crash_detector import CrashDetector
@@ -287,7 +288,7 @@
         dispatcher=Dispatcher(
             names=HEADER_NAMES,
             placement=placement,
-            sender=Sender(names=HEADER_NAMES, pool=pool),
+            sender=Sender(names=HEADER_NAMES, pool=pool, links=LinkMonitor()),
             retry_limits=RetryLimits(ratio=0.2, fixed_retries=64.0, window_s=10.0),
             crash_detector=crash_detector,
             quarantine=quarantine,
