Open connections to endpoints through a peer where the own links are lost

Cause: an instance had no other way to an endpoint than its own, and booked each failed connection on the endpoint, so that after three of 0.4 s each a request was refused, or timed out before.

Evidence: the logs of a cut instance show failed connections to all endpoints while the others use them; endpoint_connects{outcome} counts 24 to 66 failures at a cut instance and none at the others.

Change: a connection that doesn't open from here is asked of a peer, which copies bytes and decides nothing about requests. The endpoint, keys, limits, retries and quarantine are decided where the request came from, once. A peer's success shows that the failure was due to the own path: two endpoints of a zone (three over several zones) that only peers reach, with no connection from here opened in between, mean lost links, and requests for that zone then ask a peer first. Silence is tested by connections of their own, idempotent requests that wait on silent connections are sent again within the retry budget, and open connections that deliver are used on. Lost links are tested twice a second; after the return tunnels are given up over three seconds. What was learned from failures meanwhile is forgotten.

All tests of forwarding also pass with the endpoints behind a peer (tests/test_front_through_peer.py). A test of endpoint signals replaced the function that opens connections at its old place; it checks what it checked.

--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -5,7 +5,11 @@
 from typing import NamedTuple
 
 from plantainloft_node.endpoint_signals.signals import NO_SIGNALS, EndpointSignals
-from plantainloft_node.engine.upstream_connection import ResponseHead, UpstreamConnection
+from plantainloft_node.engine.upstream_connection import (
+    ResponseHead,
+    TunnelPath,
+    UpstreamConnection,
+)
 from plantainloft_node.quarantine.crash_detector import EndpointAttempt
 
 __all__ = [
@@ -26,7 +30,8 @@
     """The endpoint's response: its head and the first part of its body.
 
     ``body_source`` is the connection from which the rest of the body is still to
-    be read; ``None`` when ``body`` is complete.
+    be read; ``None`` when ``body`` is complete. ``path`` is the way through a peer, if the
+    request went through one.
     """
 
     endpoint_id: str
@@ -34,6 +39,7 @@
     signals: EndpointSignals
     body: bytes
     body_source: UpstreamConnection | None
+    path: TunnelPath | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -41,22 +47,33 @@
     """No byte of the request left this instance.
 
     ``withdrawn``: the endpoint is reachable, but announced in the meantime that it wants
-    no requests.
+    no requests. ``timed_out``: a connection was not opened in time. ``own_path``: this
+    instance has no way to the endpoint, which may be sound. ``is_confirmed``: a peer
+    doesn't reach the endpoint either.
     """
 
     reason: str
     withdrawn: bool = False
+    timed_out: bool = False
+    own_path: bool = False
+    is_confirmed: bool = False
+
+    @property
+    def blames_endpoint(self) -> bool:
+        """Whether it counts as a failure of the endpoint."""
+        return not self.withdrawn and not self.own_path
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class NotRun:
     """The endpoint itself reported that it did not run the request.
 
-    ``signals`` is what its response says besides.
+    ``signals`` is what its response says besides, ``path`` the way through a peer, if any.
     """
 
     reason: str
     signals: EndpointSignals = NO_SIGNALS
+    path: TunnelPath | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -64,12 +81,14 @@
     """The request may have run, but no complete response was received.
 
     ``connection_lost``: the connection to the endpoint ended before the response did.
-    ``signals`` is what the response says if there was one that must not be forwarded.
+    ``signals`` is what the response says if there was one that must not be forwarded,
+    ``path`` the way through a peer, if any.
     """
 
     reason: str
     connection_lost: bool = False
     signals: EndpointSignals = NO_SIGNALS
+    path: TunnelPath | None = None
 
 
 AttemptOutcome = Answered | NotSent | NotRun | Failed
@@ -139,6 +158,8 @@
         # The endpoints considered before a refusal, with their estimated loads.
         self.candidate_loads = ''
         self.placement: PlacementDetails | None = None
+        # The way through a peer that the latest attempt took, if any.
+        self.path: TunnelPath | None = None
         # The attempt whose response is still being streamed to the caller.
         self.streamed_attempt: EndpointAttempt | None = None
 
@@ -152,6 +173,7 @@
         self.tried_endpoint_ids.add(endpoint_id)
         self.current_endpoint_id = ''
         self.attempt_count += 1
+        self.path = None if isinstance(outcome, NotSent) else outcome.path
         if isinstance(outcome, NotSent):
             if not outcome.withdrawn:
                 self.connect_failures += 1
--- a/packages/node/src/plantainloft_node/engine/connection_pool.py
+++ b/packages/node/src/plantainloft_node/engine/connection_pool.py
@@ -1,6 +1,6 @@
 """A pool of idle keep-alive connections to endpoints."""
 
-from collections.abc import Collection
+from collections.abc import Callable, Collection
 
 from plantainloft_node.engine.upstream_connection import UpstreamConnection
 
@@ -11,6 +11,10 @@
 MAX_IDLE_PER_ENDPOINT = 4
 
 
+def _accept_all(_: UpstreamConnection) -> bool:
+    return True
+
+
 class ConnectionPool:
     """Idle connections by endpoint incarnation; the most recently used is taken first.
 
@@ -24,11 +28,22 @@
         """Return the number of idle connections."""
         return sum(map(len, self._idle_by_incarnation.values()))
 
-    async def acquire(self, incarnation: str, now: float) -> UpstreamConnection | None:
-        """Return an idle connection that is still usable, if there is one."""
+    async def acquire(
+        self,
+        incarnation: str,
+        now: float,
+        *,
+        accepts: Callable[[UpstreamConnection], bool] = _accept_all,
+    ) -> UpstreamConnection | None:
+        """Return an idle connection that is still usable, if there is one.
+
+        Connections that ``accepts`` turns down stay in the pool.
+        """
         idle = self._idle_by_incarnation.get(incarnation, [])
-        while idle:
-            connection = idle.pop()
+        for connection in reversed(tuple(idle)):
+            if connection not in idle or not accepts(connection):
+                continue
+            idle.remove(connection)
             if connection.is_usable(now):
                 return connection
             await connection.close()
@@ -46,6 +61,18 @@
         for connection in self._idle_by_incarnation.pop(incarnation, []):
             await connection.close()
 
+    async def close_unusable_tunnels(self, now: float) -> None:
+        """Close idle connections through peers that can't be used any more.
+
+        A peer that shuts down waits for them.
+        """
+        for idle in tuple(self._idle_by_incarnation.values()):
+            for connection in tuple(idle):
+                is_tunnel = connection in idle and connection.path is not None
+                if is_tunnel and not connection.is_usable(now):
+                    idle.remove(connection)
+                    await connection.close()
+
     async def close_all_except(self, incarnations: Collection[str]) -> None:
         """Close the idle connections to all endpoints but ``incarnations``.
 
--- a/packages/node/src/plantainloft_node/engine/dispatcher.py
+++ b/packages/node/src/plantainloft_node/engine/dispatcher.py
@@ -226,6 +226,9 @@
             'outcome': type(outcome).__name__,
             'reason': outcome.reason,
         }
+        if attempts.path is not None:
+            fields['via'] = attempts.path.peer
+            fields['tunnel'] = attempts.path.tunnel
         if isinstance(outcome, Failed) and outcome.connection_lost:
             attempt = self._endpoint_attempt(admitted, selection)
             fields['fingerprint'] = str(attempt.fingerprint)
@@ -340,6 +343,9 @@
             affinity_key=admitted.affinity_key,
             had_free_slot=selection.load < selection.endpoint.record.slots,
             is_retry=is_retry,
+            may_repeat=admitted.route.idempotent and admitted.body_complete,
+            priority=admitted.route.priority,
+            allowed_regions=admitted.route.regions,
         )
 
     def _budget(self, service: str) -> RetryBudget:
--- a/packages/node/src/plantainloft_node/engine/responses.py
+++ b/packages/node/src/plantainloft_node/engine/responses.py
@@ -245,6 +245,9 @@
     }
     if attempts.context.organisation:
         fields['organisation'] = attempts.context.organisation
+    if attempts.path is not None:
+        fields['via'] = attempts.path.peer
+        fields['tunnel'] = attempts.path.tunnel
     placement = attempts.placement
     if placement is not None:
         fields['endpoint_zone'] = placement.zone
--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -2,7 +2,7 @@
 
 import itertools
 import logging
-from functools import partial
+from dataclasses import replace
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -11,19 +11,17 @@
 from plantainloft_node.endpoint_signals.signals import EndpointSignals, decode_signals
 from plantainloft_node.engine.attempts import Answered, AttemptOutcome, Failed, NotRun, NotSent
 from plantainloft_node.engine.connection_pool import ConnectionPool
+from plantainloft_node.engine.connector import ConnectionNeeds, EndpointConnector
 from plantainloft_node.engine.header_names import HeaderNames
 from plantainloft_node.engine.headers import find_header
 from plantainloft_node.engine.request_body import BodyTooLargeError, RequestBody
 from plantainloft_node.engine.upstream_connection import (
-    CONNECT_TIMEOUT_S,
     CONNECTION_ERRORS,
     BrokenAnswerError,
     ResponseHead,
     UpstreamConnection,
     UpstreamRequest,
-    connect,
 )
-from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.placement.endpoints import EndpointState
 
 __all__ = ['EndpointRequest', 'Sender']
@@ -37,22 +35,32 @@
 
 
 class EndpointRequest(NamedTuple):
-    """A request to one endpoint; ``streamed_body`` supplies the rest of a long body."""
+    """A request to one endpoint; ``streamed_body`` supplies the rest of a long body.
+
+    ``may_repeat``: it may be sent again although it may have run. ``priority`` is that of
+    its route (0 is the highest). Unless ``allowed_regions`` is empty, its bytes may only
+    pass through instances of these regions.
+    """
 
     request: UpstreamRequest
     streamed_body: RequestBody | None
     affinity_key: str = ''
     had_free_slot: bool = False
     is_retry: bool = False
+    may_repeat: bool = False
+    priority: int = 0
+    allowed_regions: frozenset[str] = frozenset()
 
 
 class Sender:
     """Sends requests over pooled connections and reads the responses."""
 
-    def __init__(self, *, names: HeaderNames, pool: ConnectionPool, links: LinkMonitor) -> None:
+    def __init__(
+        self, *, names: HeaderNames, pool: ConnectionPool, connector: EndpointConnector
+    ) -> None:
         self._names = names
         self._pool = pool
-        self._links = links
+        self._connector = connector
         self._attempt_numbers = itertools.count()
 
     async def send(self, state: EndpointState, endpoint_request: EndpointRequest) -> AttemptOutcome:
@@ -79,7 +87,8 @@
         if unanswered_since is None:
             return
         now = anyio.current_time()
-        state.record_abandoned(now - unanswered_since, now)
+        if not self._connector.links.is_lost(state.record.zone):
+            state.record_abandoned(now - unanswered_since, now)
         if now - unanswered_since > state.service_latency.max_silence_s:
             # Abandoned without a response: the idle connections to the endpoint may
             # have stopped responding together with this one.
@@ -88,7 +97,8 @@
     async def _send(
         self, state: EndpointState, endpoint_request: EndpointRequest
     ) -> AttemptOutcome:
-        connection = await self._get_connection(state)
+        needs = ConnectionNeeds(endpoint_request.priority, endpoint_request.allowed_regions)
+        connection = await self._get_connection(state, needs)
         if isinstance(connection, NotSent):
             return connection
         if not state.accepts_requests(anyio.current_time()):
@@ -96,42 +106,32 @@
             await connection.close()
             return NotSent(reason='wants no requests any more', withdrawn=True)
         kept = False
+        outcome: AttemptOutcome
         try:
             outcome, kept = await self._send_and_receive(state, connection, endpoint_request)
         except CONNECTION_ERRORS as exc:
-            return Failed(reason=f'sending: {type(exc).__name__}', connection_lost=True)
+            outcome = Failed(reason=f'sending: {type(exc).__name__}', connection_lost=True)
         except BrokenAnswerError as exc:
-            return Failed(reason=exc.reason, connection_lost=True)
+            outcome = Failed(reason=exc.reason, connection_lost=True)
         finally:
             # Also when the caller disconnected or the deadline passed: closing the
             # connection lets the endpoint cancel the request.
             if not kept:
                 await connection.close()
-        return outcome
-
-    async def _get_connection(self, state: EndpointState) -> UpstreamConnection | NotSent:
-        connection = await self._pool.acquire(state.record.incarnation, anyio.current_time())
-        if connection is not None:
-            return connection
-        zone = state.record.zone
-        started_at = anyio.current_time()
-        try:
-            with anyio.fail_after(CONNECT_TIMEOUT_S):
-                connection = await connect(
-                    state.record.address,
-                    id_header=self._names.request_id,
-                    on_received=partial(self._record_heard, zone),
-                )
-        except (OSError, TimeoutError) as exc:
-            self._links.record_connect_failed(zone)
-            return NotSent(reason=f'connecting: {type(exc).__name__}')
-        now = anyio.current_time()
-        self._links.record_connected(zone, now)
-        state.record_connect_time(now - started_at)
-        return connection
+        if connection.path is None or isinstance(outcome, NotSent):
+            return outcome
+        return replace(outcome, path=connection.path)
 
-    def _record_heard(self, zone: str) -> None:
-        self._links.record_heard(zone, anyio.current_time())
+    async def _get_connection(
+        self, state: EndpointState, needs: ConnectionNeeds
+    ) -> UpstreamConnection | NotSent:
+        connector = self._connector
+        connection = await self._pool.acquire(
+            state.record.incarnation,
+            anyio.current_time(),
+            accepts=lambda idle: connector.may_use(idle, state, needs),
+        )
+        return connection or await connector.connect(state, needs)
 
     async def _send_and_receive(
         self,
@@ -142,13 +142,36 @@
         """Return the outcome and whether the connection must stay open."""
         state.announced.record_sent(is_retry=endpoint_request.is_retry, now=anyio.current_time())
         await connection.send(endpoint_request.request)
-        outcome = await self._receive_while_streaming(
-            state, connection, endpoint_request.streamed_body
-        )
+        outcome = await self._receive_unless_silent(state, connection, endpoint_request)
         if isinstance(outcome, Answered) and outcome.body_source is not None:
             return outcome, True
         return outcome, await self._return_to_pool(state, connection, outcome)
 
+    async def _receive_unless_silent(
+        self,
+        state: EndpointState,
+        connection: UpstreamConnection,
+        endpoint_request: EndpointRequest,
+    ) -> AttemptOutcome:
+        """Receive the response; give up if the links of the connection are lost."""
+        if connection.path is not None:
+            return await self._receive_while_streaming(
+                state, connection, endpoint_request.streamed_body
+            )
+        links = self._connector.links
+        scope = anyio.CancelScope()
+        # A request that may run only once waits until its deadline: the links may return.
+        abandon = scope.cancel if endpoint_request.may_repeat else None
+        waiting = links.record_sent(state.record.zone, anyio.current_time(), abandon=abandon)
+        try:
+            with scope:
+                return await self._receive_while_streaming(
+                    state, connection, endpoint_request.streamed_body
+                )
+        finally:
+            links.record_ended(waiting)
+        return Failed(reason='the links to its zone are lost', connection_lost=True)
+
     async def _receive_while_streaming(
         self,
         state: EndpointState,
@@ -180,6 +203,7 @@
         signals = decode_signals(head.status, head.headers, self._names)
         if not signals.is_misdirected:
             state.record_signals(signals, sent_at=sent_at, now=anyio.current_time())
+            self._connector.record_signals(connection, state, signals)
         if signals.leaves:
             await self._pool.close_idle(state.record.incarnation)
         rejection = self._check_head(head, signals)
@@ -229,6 +253,8 @@
             return False
         head = outcome.head if isinstance(outcome, Answered) else ResponseHead(status=0, headers=[])
         now = anyio.current_time()
+        if not self._connector.keeps(connection, state):
+            return False
         if not connection.reset_for_reuse(head, now):
             return False
         await self._pool.release(state.record.incarnation, connection)
@@ -244,11 +270,11 @@
     ) -> None:
         now = anyio.current_time()
         if isinstance(outcome, NotSent):
-            if not outcome.withdrawn:
+            if outcome.blames_endpoint:
                 state.health.record_unreachable(now)
             return
         if isinstance(outcome, Failed):
-            if not outcome.signals.rest_s:
+            if not outcome.signals.rest_s and not self._is_own_path(state, outcome):
                 state.health.record_failure(now)
         elif isinstance(outcome, NotRun):
             # Refusing is correct for an endpoint at capacity, or one that says when it
@@ -265,6 +291,14 @@
             )
             self._record_response(state, outcome, now)
 
+    def _is_own_path(self, state: EndpointState, outcome: Failed) -> bool:
+        """Return whether a failure may be due to the path rather than to the endpoint.
+
+        Whether the endpoint has ended is checked separately.
+        """
+        is_indirect = outcome.path is not None or self._connector.links.is_lost(state.record.zone)
+        return outcome.connection_lost and is_indirect
+
     def _record_response(self, state: EndpointState, outcome: Answered, now: float) -> None:
         if outcome.head.status >= HTTPStatus.INTERNAL_SERVER_ERROR:
             state.health.record_failure(now)
--- a/packages/node/src/plantainloft_node/engine/upstream_connection.py
+++ b/packages/node/src/plantainloft_node/engine/upstream_connection.py
@@ -12,7 +12,7 @@
 
 import anyio
 import h11
-from anyio.abc import SocketAttribute, SocketStream
+from anyio.abc import ByteStream, SocketAttribute, SocketStream
 
 from plantainloft_node.engine.headers import Headers, find_header
 
@@ -21,9 +21,11 @@
     'CONNECT_TIMEOUT_S',
     'BrokenAnswerError',
     'ResponseHead',
+    'TunnelPath',
     'UpstreamConnection',
     'UpstreamRequest',
     'connect',
+    'set_keepalive',
 ]
 
 READ_BYTES = 65536
@@ -81,7 +83,19 @@
 
 
 def _do_nothing() -> None:
-    return
+    """Serve as the default of callbacks."""
+
+
+def _always() -> bool:
+    return True
+
+
+class TunnelPath(NamedTuple):
+    """The peer through which a connection passes, its region, and the id of the tunnel."""
+
+    peer: str
+    region: str
+    tunnel: str
 
 
 class UpstreamConnection:
@@ -90,13 +104,24 @@
     def __init__(
         self,
         *,
-        stream: SocketStream,
+        stream: ByteStream,
         id_header: bytes,
         on_received: Callable[[], None] = _do_nothing,
+        on_closed: Callable[[], None] = _do_nothing,
+        is_reusable: Callable[[], bool] = _always,
+        path: TunnelPath | None = None,
     ) -> None:
-        """``on_received`` is called whenever bytes arrive."""
+        """Wrap an open ``stream``.
+
+        ``on_received`` is called whenever bytes arrive, ``on_closed`` once when the
+        connection is closed. ``is_reusable`` tells whether the stream itself allows
+        another request. ``path`` is set if the connection passes through a peer.
+        """
         self._stream = stream
         self._on_received = on_received
+        self._on_closed = on_closed
+        self._is_reusable = is_reusable
+        self.path = path
         self._id_header = id_header
         self._protocol = h11.Connection(h11.CLIENT)
         self._request: UpstreamRequest | None = None
@@ -158,7 +183,7 @@
     def reset_for_reuse(self, head: ResponseHead, now: float) -> bool:
         """Prepare for another request if that is safe; return whether it is."""
         protocol = self._protocol
-        if not self._body_sent or protocol.trailing_data[0]:
+        if not self._body_sent or not self._is_reusable() or protocol.trailing_data[0]:
             return False
         if protocol.our_state is not h11.DONE or protocol.their_state is not h11.DONE:
             return False
@@ -173,7 +198,7 @@
         If it is readable, the server has closed it or has sent bytes that belong to
         no request; either way it must not carry another request.
         """
-        if now >= self.usable_until:
+        if now >= self.usable_until or not self._is_reusable():
             return False
         poll = select.poll()
         poll.register(self._stream.extra(SocketAttribute.raw_socket).fileno(), select.POLLIN)
@@ -181,6 +206,9 @@
 
     async def close(self) -> None:
         """Close immediately; a server that still works on a request may cancel it."""
+        on_closed = self._on_closed
+        self._on_closed = _do_nothing
+        on_closed()
         await anyio.aclose_forcefully(self._stream)
 
     def _encode(self, protocol: h11.Connection, request: UpstreamRequest) -> bytes:
@@ -243,10 +271,15 @@
     """Open a connection to ``address`` (``host:port``); raises ``OSError``."""
     host, _, port = address.rpartition(':')
     stream = await anyio.connect_tcp(host, int(port))
+    set_keepalive(stream)
+    return UpstreamConnection(stream=stream, id_header=id_header, on_received=on_received)
+
+
+def set_keepalive(stream: SocketStream) -> None:
+    """Have a connection fail within seconds when the other side stops answering."""
     raw_socket = stream.extra(SocketAttribute.raw_socket)
     for level, option, setting in TCP_KEEPALIVE_OPTIONS:
         raw_socket.setsockopt(level, option, setting)
-    return UpstreamConnection(stream=stream, id_header=id_header, on_received=on_received)
 
 
 def _keep_alive_s(head: ResponseHead) -> float:
--- a/packages/node/src/plantainloft_node/entry/fleet_tasks.py
+++ b/packages/node/src/plantainloft_node/entry/fleet_tasks.py
@@ -21,6 +21,7 @@
 from plantainloft_node.fleet.membership import FleetMembership, Heartbeat
 from plantainloft_node.quarantine.crash_registry import CrashRegistry
 from plantainloft_node.replica.row_replica import RowReplica
+from plantainloft_node.tunnels.announcements import ANNOUNCEMENT_CALL, AnnouncementForwarder
 
 __all__ = ['start_fleet_tasks']
 
@@ -35,6 +36,7 @@
     replicated_state: ReplicatedState,
     own_heartbeat: Callable[[], Heartbeat],
     crash_registry: CrashRegistry,
+    announcements: AnnouncementForwarder,
     tasks: TaskGroup,
 ) -> HeartbeatExchange:
     """Start heartbeats, peer calls, store probes and instance registration.
@@ -61,8 +63,10 @@
         SMALL_ROWS_CALL: row_replication.answer_small_rows_call,
         MEMBERS_CALL: row_replication.answer_members_call,
         PROBE_CALL: probes.answer_probe_call,
+        ANNOUNCEMENT_CALL: announcements.answer_call,
     }
     tasks.start_soon(calls.serve, handler_by_kind)
+    tasks.start_soon(announcements.run, calls)
     tasks.start_soon(_announce_row_changes, replicated_state.rows, heartbeats)
     for component in (heartbeats, probes, instances):
         tasks.start_soon(component.run)
--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -5,12 +5,13 @@
 from plantainloft_node.endpoint_limits.limiter import EndpointLimiter, LimitUsage
 from plantainloft_node.engine.dispatcher import Dispatcher
 from plantainloft_node.engine.forwarding_handler import ForwardingHandler
+from plantainloft_node.entry.endpoint_links import EndpointLinks
 from plantainloft_node.entry.metrics import Metrics
 from plantainloft_node.entry.replicated_state import ReplicatedState
 from plantainloft_node.fleet.membership import FleetMembership
 from plantainloft_node.limits.limiter import RequestLimiter
 from plantainloft_node.limits.organisation_listing import ListedOrganisation, list_organisations
-from plantainloft_node.links.monitor import LinkMonitor
+from plantainloft_node.links.listing import list_links
 from plantainloft_node.placement.placement import Placement
 
 __all__ = ['MetricsReport']
@@ -32,7 +33,7 @@
         # that need this report.
         self.limiter: RequestLimiter | None = None
         self.endpoint_limiter: EndpointLimiter | None = None
-        self.links: LinkMonitor | None = None
+        self.endpoint_links: EndpointLinks | None = None
 
     def observe(self, route: str, outcome: str, seconds: float) -> None:
         """Record one answered request and its duration."""
@@ -110,15 +111,28 @@
             )
 
     def _set_link_gauges(self, now: float) -> None:
-        if self.links is None:
+        if self.endpoint_links is None:
             return
-        for (zone, outcome), count in self.links.connects.items():
-            self._metrics.set_gauge('endpoint_connects', count, zone=zone, outcome=outcome)
-        for zone in self.links.zones():
-            observation = self.links.observation(zone)
-            reached_s, heard_s = now - observation.reached_at, now - observation.heard_at
-            self._metrics.set_gauge('endpoints_reached_seconds_ago', reached_s, zone=zone)
-            self._metrics.set_gauge('endpoints_heard_seconds_ago', heard_s, zone=zone)
+        monitor, client = self.endpoint_links.monitor, self.endpoint_links.client
+        server = self.endpoint_links.server
+        set_gauge = self._metrics.set_gauge
+        listed = list_links(monitor, now)
+        for (zone, outcome), count in monitor.connects.items():
+            set_gauge('endpoint_connects', count, zone=zone, outcome=outcome)
+        set_gauge('zones_without_links', sum(one['lost_for_s'] is not None for one in listed))
+        for one in listed:
+            if one['reached_s_ago'] is not None:
+                set_gauge('endpoints_reached_seconds_ago', one['reached_s_ago'], zone=one['zone'])
+            if one['heard_s_ago'] is not None:
+                set_gauge('endpoints_heard_seconds_ago', one['heard_s_ago'], zone=one['zone'])
+        set_gauge('tunnels_used', client.open_by_peer.total())
+        set_gauge('tunnels_served', server.open_tunnels)
+        for answer, count in client.answers.items():
+            set_gauge('tunnel_requests', count, side='user', answer=answer)
+        for answer, count in server.answers.items():
+            set_gauge('tunnel_requests', count, side='peer', answer=answer)
+        for direction, count in server.copied_bytes().items():
+            set_gauge('tunnel_bytes', count, direction=direction)
 
     def _set_store_and_endpoint_gauges(self, now: float) -> None:
         metrics = self._metrics
--- a/packages/node/src/plantainloft_node/entry/periodic_updates.py
+++ b/packages/node/src/plantainloft_node/entry/periodic_updates.py
@@ -42,6 +42,7 @@
             self.update(anyio.current_time())
             incarnations = self._replicated_state.endpoint_registry.incarnations()
             await self._pool.close_all_except(incarnations)
+            await self._pool.close_unusable_tunnels(anyio.current_time())
             await anyio.sleep(UPDATE_INTERVAL_S)
 
     def update(self, now: float) -> None:
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -72,6 +72,7 @@
             replicated_state=self.replicated_state,
             report=self.report,
             quarantine=self.quarantine,
+            members=self.members,
         )
         self.report.limiter = self.pipeline.limiter
         self.report.endpoint_limiter = self.pipeline.placement.endpoint_limiter
@@ -105,6 +106,7 @@
             replicated_state=self.replicated_state,
             own_heartbeat=self._own_heartbeat,
             crash_registry=self.quarantine.crash_registry,
+            announcements=self.pipeline.endpoint_links.announcements,
             tasks=tasks,
         )
         self._heartbeats = heartbeats
@@ -118,6 +120,7 @@
         tasks.start_soon(updates.run)
         tasks.start_soon(self.pipeline.crash_detector.run)
         tasks.start_soon(self.quarantine.run)
+        tasks.start_soon(self.pipeline.endpoint_links.prober.run)
         return heartbeats
 
     def _start_listeners(self, tasks: TaskGroup) -> None:
@@ -129,6 +132,7 @@
         tasks.start_soon(listen, settings.caller_address, self.pipeline.forwarding_handler)
         tasks.start_soon(listen, settings.lookup_address, lookups)
         tasks.start_soon(listen, settings.readiness_address, ReadyHandler(ready=self.ready))
+        tasks.start_soon(self.pipeline.endpoint_links.server.listen, settings.heartbeat_address)
         if settings.metrics_address:
             operators = OperatorHandler(
                 metrics_text=self._metrics,
@@ -193,12 +197,16 @@
         log.info('Entry: stopping.', extra={'kind': 'stop', 'fields': fields})
         self._listeners.start_draining()
         await heartbeats.send_round(include_not_due=True)
+        await self.pipeline.endpoint_links.server.start_draining()
         lookups_expire_at = started_at + LOOKUP_CACHE_TTLS * self._settings.lookup_ttl_s
         deadline = started_at + self._settings.grace_s - SHUTDOWN_MARGIN_S
         now = started_at
-        while now < lookups_expire_at or (
-            self.pipeline.forwarding_handler.requests_in_progress and now < deadline
-        ):
+        while now < lookups_expire_at or (self._has_work() and now < deadline):
             await anyio.sleep(UPDATE_INTERVAL_S)
             now = anyio.current_time()
         self._listeners.close_when_idle()
+
+    def _has_work(self) -> bool:
+        """Return whether requests are in progress here, or through here."""
+        in_progress = self.pipeline.forwarding_handler.requests_in_progress
+        return bool(in_progress or self.pipeline.endpoint_links.server.open_tunnels)
--- a/packages/node/src/plantainloft_node/entry/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/entry/request_pipeline.py
@@ -12,13 +12,18 @@
     placement_settings,
     retry_limits,
 )
+from plantainloft_node.entry.endpoint_links import EndpointLinks, build_endpoint_links
 from plantainloft_node.entry.metrics_report import MetricsReport
 from plantainloft_node.entry.replicated_state import ReplicatedState
 from plantainloft_node.entry.settings import EntrySettings
+from plantainloft_node.fleet.membership import FleetMembership
 from plantainloft_node.limits.limiter import RequestLimiter
-from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.placement.placement import Placement
-from plantainloft_node.quarantine.crash_detector import CrashDetector, EndpointAttempt
+from plantainloft_node.quarantine.crash_detector import (
+    CrashDetector,
+    EndpointAttempt,
+    refuses_connections,
+)
 from plantainloft_node.quarantine.quarantine import Quarantine
 
 __all__ = ['RequestPipeline', 'build_request_pipeline']
@@ -33,6 +38,7 @@
     forwarding_handler: ForwardingHandler
     crash_detector: CrashDetector
     limiter: RequestLimiter
+    endpoint_links: EndpointLinks
 
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply the limits of reloaded settings."""
@@ -48,24 +54,27 @@
     replicated_state: ReplicatedState,
     report: MetricsReport,
     quarantine: Quarantine,
+    members: FleetMembership,
 ) -> RequestPipeline:
     """Return the components that process requests, based on the state in ``replicated_state``."""
     placement = Placement(
         settings=placement_settings(settings), endpoint_registry=replicated_state.endpoint_registry
     )
     pool = ConnectionPool()
-    links = LinkMonitor()
-    report.links = links
+    endpoint_links = build_endpoint_links(
+        names=names, members=members, endpoint_registry=replicated_state.endpoint_registry
+    )
+    report.endpoint_links = endpoint_links
 
     def record_crash(attempt: EndpointAttempt, now: float) -> None:
         replicated_state.endpoint_registry.record_process_ended(attempt.incarnation, now)
         quarantine.record_crash(attempt, now)
 
-    crash_detector = CrashDetector(on_crash=record_crash)
+    crash_detector = CrashDetector(on_crash=record_crash, has_ended=refuses_connections)
     dispatcher = Dispatcher(
         names=names,
         placement=placement,
-        sender=Sender(names=names, pool=pool, links=links),
+        sender=Sender(names=names, pool=pool, connector=endpoint_links.connector),
         retry_limits=retry_limits(settings),
         crash_detector=crash_detector,
         quarantine=quarantine,
@@ -78,4 +87,12 @@
         route_table=lambda: replicated_state.routing_state.route_table,
         record_outcome=report.observe,
     )
-    return RequestPipeline(placement, pool, dispatcher, forwarding_handler, crash_detector, limiter)
+    return RequestPipeline(
+        placement=placement,
+        pool=pool,
+        dispatcher=dispatcher,
+        forwarding_handler=forwarding_handler,
+        crash_detector=crash_detector,
+        limiter=limiter,
+        endpoint_links=endpoint_links,
+    )
--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -26,7 +26,11 @@
 from plantainloft_node.engine.upstream_connection import UpstreamRequest
 from plantainloft_node.node_endpoint_limits import NodeEndpointLimits, limit_header_values
 from plantainloft_node.node_endpoint_signals import NodeEndpointSignals
-from plantainloft_node.quarantine.crash_detector import CrashDetector, EndpointAttempt
+from plantainloft_node.quarantine.crash_detector import (
+    CrashDetector,
+    EndpointAttempt,
+    refuses_connections,
+)
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint, compute_fingerprint
 from plantainloft_node.quarantine.quarantine import Blocked, Quarantine
 
@@ -90,7 +94,9 @@
         self._endpoint_selector = endpoint_selector
         self._loads = loads
         self.quarantine = quarantine
-        self.crash_detector = CrashDetector(on_crash=quarantine.record_crash)
+        self.crash_detector = CrashDetector(
+            on_crash=quarantine.record_crash, has_ended=refuses_connections
+        )
 
     async def check_quarantine(self, request: Request) -> Quarantined | None:
         """Return the quarantine outcome if ``request`` must not be sent, else None."""
--- a/packages/node/src/plantainloft_node/placement/endpoints.py
+++ b/packages/node/src/plantainloft_node/placement/endpoints.py
@@ -157,6 +157,11 @@
         """Record a request that was abandoned; its answer would have taken longer."""
         self._own_latency.record_abandoned(after_s, now)
 
+    def forget_failures(self) -> None:
+        """Forget ejections, unanswered requests and slow answers."""
+        self.health = EndpointHealth(latency=self.service_latency)
+        self._own_latency = EndpointLatency()
+
     def is_slow(self, now: float) -> bool:
         """Return whether the endpoint's answers take far longer than its service's.
 
@@ -237,6 +242,24 @@
             if state.record.incarnation == incarnation:
                 state.health.record_unreachable(now)
 
+    def find(self, incarnation: str) -> EndpointState | None:
+        """Return the endpoint with this ``incarnation``."""
+        state = self.by_id.get(incarnation.partition('@')[0])
+        return state if state is not None and state.record.incarnation == incarnation else None
+
+    def endpoints_in_zone(self, zone: str) -> list[EndpointState]:
+        """Return the endpoints of all services in ``zone``."""
+        return [state for state in self.by_id.values() if state.record.zone == zone]
+
+    def forget_failures(self, zones: frozenset[str]) -> None:
+        """Forget what was learned from failures of the endpoints in ``zones``.
+
+        They were due to the path from this instance to the endpoints.
+        """
+        for state in self.by_id.values():
+            if state.record.zone in zones:
+                state.forget_failures()
+
     def remove(self, endpoint_id: str) -> None:
         """Remove an endpoint whose incarnation has gone."""
         state = self.by_id.pop(endpoint_id, None)
--- a/packages/node/src/plantainloft_node/quarantine/crash_detector.py
+++ b/packages/node/src/plantainloft_node/quarantine/crash_detector.py
@@ -5,7 +5,7 @@
 """
 
 import logging
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from typing import NamedTuple
 
 import anyio
@@ -13,7 +13,7 @@
 from plantainloft_node.engine.upstream_connection import CONNECT_TIMEOUT_S, connect
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint
 
-__all__ = ['CrashDetector', 'EndpointAttempt']
+__all__ = ['CrashDetector', 'EndpointAttempt', 'refuses_connections']
 
 log = logging.getLogger(__name__)
 
@@ -35,9 +35,19 @@
 class CrashDetector:
     """Checks endpoints whose connections broke and reports crashes."""
 
-    def __init__(self, *, on_crash: Callable[[EndpointAttempt, float], None]) -> None:
-        """``on_crash`` is called with each attempt whose endpoint crashed and the time."""
+    def __init__(
+        self,
+        *,
+        on_crash: Callable[[EndpointAttempt, float], None],
+        has_ended: Callable[[EndpointAttempt], Awaitable[bool]],
+    ) -> None:
+        """Set up the detector.
+
+        ``on_crash`` is called with each attempt whose endpoint crashed and the time.
+        ``has_ended`` returns whether the endpoint of an attempt accepts no connections.
+        """
         self._on_crash = on_crash
+        self._has_ended = has_ended
         streams = anyio.create_memory_object_stream[EndpointAttempt](MAX_QUEUED_CHECKS)
         self._send_stream = streams[0]
         self._receive_stream = streams[1]
@@ -86,7 +96,7 @@
             self._drop_old_checks(now)
             check = _Check(started_at=now)
             self._check_by_incarnation[attempt.incarnation] = check
-            check.crashed = not await _accepts_connections(attempt.address)
+            check.crashed = await self._has_ended(attempt)
             check.done.set()
         await check.done.wait()
         return check.crashed
@@ -106,14 +116,15 @@
         self.done = anyio.Event()
 
 
-async def _accepts_connections(address: str) -> bool:
+async def refuses_connections(attempt: EndpointAttempt) -> bool:
+    """Return whether no connection to the endpoint of ``attempt`` opens from here."""
     connection = None
     with anyio.move_on_after(CONNECT_TIMEOUT_S):
         try:
-            connection = await connect(address)
+            connection = await connect(attempt.address)
         except OSError:
-            return False
+            return True
     if connection is None:
-        return False
+        return True
     await connection.close()
-    return True
+    return False
--- /dev/null
+++ b/packages/node/src/plantainloft_node/tunnels/connector.py
@@ -0,0 +1,183 @@
+"""Opens connections to endpoints directly, or through a peer where links are lost."""
+
+import random
+from collections.abc import Callable
+from dataclasses import replace
+
+import anyio
+
+from plantainloft_node.endpoint_signals.signals import EndpointSignals
+from plantainloft_node.engine.attempts import NotSent
+from plantainloft_node.engine.connector import ConnectionNeeds, EndpointConnector
+from plantainloft_node.engine.upstream_connection import (
+    CONNECT_TIMEOUT_S,
+    TunnelPath,
+    UpstreamConnection,
+)
+from plantainloft_node.links.monitor import LinkMonitor
+from plantainloft_node.placement.endpoints import EndpointRegistry, EndpointState
+from plantainloft_node.tunnels.client import NoTunnel, TunnelClient
+
+__all__ = ['FallbackConnector']
+
+# A connection to an endpoint in any region opens within this time, unless a packet is
+# lost. After it a peer is asked as well, and the endpoint once more.
+FIRST_ATTEMPT_S = 0.2
+# Other endpoints that are asked whether the own path works.
+MAX_WITNESSES = 2
+NO_NEEDS = ConnectionNeeds()
+
+SignalListener = Callable[[TunnelPath, EndpointState, EndpointSignals], None]
+
+
+class FallbackConnector(EndpointConnector):
+    """Asks a peer for a connection that can't be opened from here.
+
+    A peer's success shows that a failure was due to the own path: it is not held against
+    the endpoint.
+    """
+
+    def __init__(
+        self,
+        *,
+        links: LinkMonitor,
+        id_header: bytes,
+        tunnels: TunnelClient,
+        endpoint_registry: EndpointRegistry,
+        on_signals: SignalListener,
+    ) -> None:
+        """``on_signals`` is called with what an endpoint announces on a tunnel."""
+        super().__init__(links=links)
+        self._id_header = id_header
+        self._tunnels = tunnels
+        self._endpoint_registry = endpoint_registry
+        self._on_signals = on_signals
+
+    async def connect(
+        self, state: EndpointState, needs: ConnectionNeeds
+    ) -> UpstreamConnection | NotSent:
+        """Open a connection to ``state``, directly if its links are not known to be lost."""
+        if self.links.is_lost(state.record.zone):
+            tunnel = await self._tunnels.open(state, needs)
+            if isinstance(tunnel, UpstreamConnection):
+                return tunnel
+            return NotSent(
+                reason=f'links lost, no way through peers ({tunnel.reason})',
+                own_path=not tunnel.is_unreachable,
+            )
+        direct = await self.connect_directly(
+            state, id_header=self._id_header, timeout_s=FIRST_ATTEMPT_S
+        )
+        if isinstance(direct, UpstreamConnection):
+            return direct
+        return await self._connect_either_way(state, needs, first_failure=direct)
+
+    def may_use(
+        self, connection: UpstreamConnection, state: EndpointState, needs: ConnectionNeeds
+    ) -> bool:
+        """Return whether an idle ``connection`` may carry a request."""
+        if connection.path is None:
+            return self.links.may_use_open_connection(state.record.zone)
+        return self._tunnels.is_usable(connection.path, needs)
+
+    def keeps(self, connection: UpstreamConnection, state: EndpointState) -> bool:
+        """Return whether ``connection`` is kept: tunnels only while they are needed."""
+        if connection.path is None:
+            return True
+        share = self.links.detour_share(state.record.zone, anyio.current_time())
+        return random.random() < share
+
+    def record_signals(
+        self, connection: UpstreamConnection, state: EndpointState, signals: EndpointSignals
+    ) -> None:
+        """Pass on what the endpoint has announced to the peer that the request came from."""
+        if connection.path is not None and (signals.leaves or signals.rest_s):
+            self._on_signals(connection.path, state, signals)
+
+    async def is_own_path_sound(self, state: EndpointState, *, since: float) -> bool:
+        """Return whether a connection to ``state`` that failed shows a fault of the endpoint.
+
+        It does if another endpoint of its zone was reached or heard from after ``since``,
+        or accepts a connection now.
+        """
+        zone = state.record.zone
+        if self.links.vouches_for(zone, since):
+            return True
+        if self.links.is_lost(zone):
+            return False
+        others = [
+            one for one in self._endpoint_registry.endpoints_in_zone(zone) if one is not state
+        ]
+        for other in random.sample(others, min(MAX_WITNESSES, len(others))):
+            if await self._opens_directly(other):
+                return True
+        return False
+
+    async def test_links(self, state: EndpointState) -> None:
+        """Open a connection to ``state`` and close it: the monitor sees the outcome."""
+        if self.links.is_lost(state.record.zone):
+            await self._opens_directly(state)
+            return
+        connection = await self.connect(state, NO_NEEDS)
+        if isinstance(connection, UpstreamConnection):
+            await connection.close()
+
+    async def _opens_directly(self, state: EndpointState) -> bool:
+        connection = await self.connect_directly(state, timeout_s=FIRST_ATTEMPT_S)
+        if isinstance(connection, NotSent):
+            return False
+        await connection.close()
+        return True
+
+    async def _connect_either_way(
+        self, state: EndpointState, needs: ConnectionNeeds, *, first_failure: NotSent
+    ) -> UpstreamConnection | NotSent:
+        """Ask a peer and try the endpoint once more, at the same time; the first one wins."""
+        opened: list[UpstreamConnection] = []
+        no_tunnel: list[NoTunnel] = []
+
+        async def connect_again(tasks: anyio.abc.TaskGroup) -> None:
+            connection = await self.connect_directly(
+                state,
+                id_header=self._id_header,
+                timeout_s=CONNECT_TIMEOUT_S - FIRST_ATTEMPT_S,
+            )
+            if isinstance(connection, UpstreamConnection):
+                opened.append(connection)
+                tasks.cancel_scope.cancel()
+
+        async def ask_peer(tasks: anyio.abc.TaskGroup) -> None:
+            with anyio.move_on_after(CONNECT_TIMEOUT_S):
+                tunnel = await self._tunnels.open(state, needs)
+                if isinstance(tunnel, NoTunnel):
+                    no_tunnel.append(tunnel)
+                else:
+                    opened.append(tunnel)
+                    tasks.cancel_scope.cancel()
+
+        try:
+            async with anyio.create_task_group() as tasks:
+                tasks.start_soon(ask_peer, tasks)
+                if first_failure.timed_out:
+                    tasks.start_soon(connect_again, tasks)
+        except BaseException:
+            for connection in opened:
+                await connection.close()
+            raise
+        if not opened:
+            is_confirmed = any(one.is_unreachable for one in no_tunnel)
+            return replace(first_failure, is_confirmed=is_confirmed)
+        for surplus in opened[1:]:
+            await surplus.close()
+        if opened[0].path is not None:
+            self._record_reached_by_peer(state)
+        return opened[0]
+
+    def _record_reached_by_peer(self, state: EndpointState) -> None:
+        zone = state.record.zone
+        self.links.record_reached_by_peer(
+            zone,
+            state.record.incarnation,
+            anyio.current_time(),
+            zone_size=len(self._endpoint_registry.endpoints_in_zone(zone)),
+        )
--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -9,7 +9,7 @@
 from typing import NamedTuple
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import SocketStream, TaskGroup
 
 from plantainloft_core.discovery import EndpointRecord
 from plantainloft_core.organisations import NO_ORGANISATIONS, OrganisationIndex
@@ -24,6 +24,7 @@
 from plantainloft_node.endpoint_limits.limiter import FleetView
 from plantainloft_node.engine.caller_connection import CallerConnection
 from plantainloft_node.engine.connection_pool import ConnectionPool
+from plantainloft_node.engine.connector import DirectConnector, EndpointConnector
 from plantainloft_node.engine.dispatcher import Dispatcher, RetryLimits
 from plantainloft_node.engine.forwarding_handler import ForwardingHandler
 from plantainloft_node.engine.header_names import HeaderNames
@@ -32,7 +33,7 @@
 from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.placement.endpoints import EndpointRegistry
 from plantainloft_node.placement.placement import Placement, PlacementSettings
-from plantainloft_node.quarantine.crash_detector import CrashDetector
+from plantainloft_node.quarantine.crash_detector import CrashDetector, refuses_connections
 from plantainloft_node.quarantine.crash_registry import CrashRegistry
 from plantainloft_node.quarantine.quarantine import Quarantine
 from plantainloft_standins.quarantine_store import MemoryQuarantineStore
@@ -253,6 +254,19 @@
     )
 
 
+ConnectorFactory = Callable[[EndpointRegistry, TaskGroup], Awaitable[EndpointConnector]]
+
+
+async def make_direct_connector(_: EndpointRegistry, __: TaskGroup) -> EndpointConnector:
+    return DirectConnector(links=LinkMonitor(), id_header=HEADER_NAMES.request_id)
+
+
+class ConnectorChoice:
+    """How the handlers of ``running_forwarding_server`` reach their endpoints."""
+
+    make: ConnectorFactory = staticmethod(make_direct_connector)
+
+
 @asynccontextmanager
 async def running_forwarding_server(
     *scripts: ConnectionScript,
@@ -276,38 +290,39 @@
     settings = PlacementSettings(region='ankara', instance='e1', cold_over=1.5, cold_slack=5.0)
     placement = Placement(settings=settings, endpoint_registry=endpoint_registry)
     pool = ConnectionPool()
+    endpoints = [ScriptedEndpoint(script=script) for script in scripts]
+    connections: list[CallerConnection] = []
     quarantine = Quarantine(
         crash_registry=CrashRegistry(),
         store=MemoryQuarantineStore(),
         has_no_live_peers=lambda: False,
         broadcast=lambda: None,
     )
-    crash_detector = CrashDetector(on_crash=quarantine.record_crash)
-    forwarding_handler = ForwardingHandler(
-        names=HEADER_NAMES,
-        dispatcher=Dispatcher(
+    crash_detector = CrashDetector(on_crash=quarantine.record_crash, has_ended=refuses_connections)
+    async with anyio.create_task_group() as tasks:
+        connector = await ConnectorChoice.make(endpoint_registry, tasks)
+        forwarding_handler = ForwardingHandler(
             names=HEADER_NAMES,
-            placement=placement,
-            sender=Sender(names=HEADER_NAMES, pool=pool, links=LinkMonitor()),
-            retry_limits=RetryLimits(ratio=0.2, fixed_retries=64.0, window_s=10.0),
-            crash_detector=crash_detector,
-            quarantine=quarantine,
-        ),
-        limiter=limiter or RequestLimiter(instance='e1', settings=LIMIT_SETTINGS),
-        route_table=lambda: table_versions[-1],
-        record_outcome=lambda name, outcome, seconds: None,
-    )
-    endpoints = [ScriptedEndpoint(script=script) for script in scripts]
-    connections: list[CallerConnection] = []
-
-    async def serve_caller(stream: SocketStream) -> None:
-        connection = CallerConnection(
-            stream=stream, handler=forwarding_handler, clock=anyio.current_time
+            dispatcher=Dispatcher(
+                names=HEADER_NAMES,
+                placement=placement,
+                sender=Sender(names=HEADER_NAMES, pool=pool, connector=connector),
+                retry_limits=RetryLimits(ratio=0.2, fixed_retries=64.0, window_s=10.0),
+                crash_detector=crash_detector,
+                quarantine=quarantine,
+            ),
+            limiter=limiter or RequestLimiter(instance='e1', settings=LIMIT_SETTINGS),
+            route_table=lambda: table_versions[-1],
+            record_outcome=lambda name, outcome, seconds: None,
         )
-        connections.append(connection)
-        await connection.run()
 
-    async with anyio.create_task_group() as tasks:
+        async def serve_caller(stream: SocketStream) -> None:
+            connection = CallerConnection(
+                stream=stream, handler=forwarding_handler, clock=anyio.current_time
+            )
+            connections.append(connection)
+            await connection.run()
+
         for number, endpoint in enumerate(endpoints):
             await tasks.start(
                 lambda *, task_status, current=endpoint: current.run(task_status=task_status)
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -1,5 +1,7 @@
 """What endpoints announce in their responses: leaving, and rest."""
 
+from typing import Any
+
 import anyio
 import pytest
 from entry_fixtures import (
@@ -24,7 +26,7 @@
 )
 from plantainloft_node.endpoint_signals.retry_after import MAX_REST_S, parse_retry_after
 from plantainloft_node.endpoint_signals.signals import EndpointSignals, decode_signals
-from plantainloft_node.engine import sender
+from plantainloft_node.engine import connector
 from plantainloft_node.engine.header_names import HeaderNames
 from plantainloft_node.placement.endpoints import EndpointRegistry, EndpointState
 from plantainloft_node.placement.placement import (
@@ -203,10 +205,10 @@
     """Failure: a request chosen before the announcement reached the endpoint after it."""
     async with running_forwarding_server(answer_with(b''), answer_with(b'')) as (server, endpoints):
         states = server.endpoint_registry.by_id
-        connect = sender.connect
+        connect = connector.connect
 
-        async def connect_then_announce(address: str, *, id_header: bytes) -> object:
-            connection = await connect(address, id_header=id_header)
+        async def connect_then_announce(address: str, **options: Any) -> object:
+            connection = await connect(address, **options)
             for state in states.values():
                 if state.record.address == address and not any(
                     other.is_leaving for other in states.values()
@@ -214,7 +216,7 @@
                     receive(state, EndpointSignals(leaves=True), anyio.current_time())
             return connection
 
-        monkeypatch.setattr(sender, 'connect', connect_then_announce)
+        monkeypatch.setattr(connector, 'connect', connect_then_announce)
         answer = await server.send_request(post_request(b'x'))
         assert answer.startswith(b'HTTP/1.1 200')
         assert sorted(len(endpoint.requests) for endpoint in endpoints) == [0, 1]
