Report no crash of an endpoint whose connections broke with the own links

Three such reports for one request quarantine it everywhere.

Cause: an endpoint counted as crashed if it accepted no new connection from this instance after a connection broke, whatever the state of the path to it.

Change: a failed check counts only if another endpoint of the zone accepts a connection from here, or a peer that is asked doesn't reach the endpoint either. Where nobody can tell, nothing is reported; an instance without peers decides alone, as before.

Why this works: on the commit before, both cases of test_cut_instances_report_no_crash_of_sound_endpoints failed (connections reset, silent); they pass. tests/test_crashing_requests.py passes: real crashes are still counted, also while all endpoints of a small fleet are down.

--- a/packages/node/src/plantainloft_node/entry/endpoint_links.py
+++ b/packages/node/src/plantainloft_node/entry/endpoint_links.py
@@ -7,6 +7,7 @@
 from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.links.prober import LinkProber
 from plantainloft_node.placement.endpoints import EndpointRegistry
+from plantainloft_node.quarantine.crash_detector import EndpointAttempt
 from plantainloft_node.tunnels.announcements import AnnouncementForwarder
 from plantainloft_node.tunnels.client import TunnelClient
 from plantainloft_node.tunnels.connector import FallbackConnector
@@ -26,6 +27,11 @@
     announcements: AnnouncementForwarder
     endpoint_registry: EndpointRegistry
 
+    async def has_ended(self, attempt: EndpointAttempt) -> bool:
+        """Return whether the endpoint of ``attempt`` has ended."""
+        state = self.endpoint_registry.find(attempt.incarnation)
+        return state is None or await self.connector.is_gone(state)
+
 
 def build_endpoint_links(
     *, names: HeaderNames, members: FleetMembership, endpoint_registry: EndpointRegistry
--- a/packages/node/src/plantainloft_node/entry/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/entry/request_pipeline.py
@@ -19,11 +19,7 @@
 from plantainloft_node.fleet.membership import FleetMembership
 from plantainloft_node.limits.limiter import RequestLimiter
 from plantainloft_node.placement.placement import Placement
-from plantainloft_node.quarantine.crash_detector import (
-    CrashDetector,
-    EndpointAttempt,
-    refuses_connections,
-)
+from plantainloft_node.quarantine.crash_detector import CrashDetector, EndpointAttempt
 from plantainloft_node.quarantine.quarantine import Quarantine
 
 __all__ = ['RequestPipeline', 'build_request_pipeline']
@@ -70,7 +66,7 @@
         replicated_state.endpoint_registry.record_process_ended(attempt.incarnation, now)
         quarantine.record_crash(attempt, now)
 
-    crash_detector = CrashDetector(on_crash=record_crash, has_ended=refuses_connections)
+    crash_detector = CrashDetector(on_crash=record_crash, has_ended=endpoint_links.has_ended)
     dispatcher = Dispatcher(
         names=names,
         placement=placement,
--- a/packages/node/src/plantainloft_node/tunnels/client.py
+++ b/packages/node/src/plantainloft_node/tunnels/client.py
@@ -42,10 +42,12 @@
     """No peer has opened a connection.
 
     ``is_unreachable``: a peer that reaches other endpoints doesn't reach this one either.
+    ``peers_failed``: no peer that tried has reached it, and at least one has tried.
     """
 
     reason: str
     is_unreachable: bool = False
+    peers_failed: bool = False
 
 
 class _PeerAnswer(NamedTuple):
@@ -69,6 +71,10 @@
         # Answers of peers, by result; ``unanswered`` if there was none.
         self.answers: Counter[str] = Counter()
 
+    def has_peers(self) -> bool:
+        """Return whether any other instance is up."""
+        return bool(self._members.peers_up(anyio.current_time()))
+
     def is_usable(self, path: TunnelPath, needs: ConnectionNeeds) -> bool:
         """Return whether an idle connection through ``path`` may carry a request."""
         if needs.allowed_regions and path.region not in needs.allowed_regions:
@@ -92,6 +98,7 @@
             now=now,
         )
         reasons: list[str] = []
+        peers_failed = False
         for peer in peers:
             tunnel = f'{self._members.local_member.name}-{next(self._numbers)}'
             request = OpenRequest(
@@ -107,8 +114,10 @@
                 return NoTunnel(
                     reason=', '.join(reasons),
                     is_unreachable=is_unreachable,
+                    peers_failed=is_unreachable,
                 )
-        return NoTunnel(reason=', '.join(reasons) or 'no peer to ask')
+            peers_failed = peers_failed or answer.result is OpenResult.UNCERTAIN
+        return NoTunnel(reason=', '.join(reasons) or 'no peer to ask', peers_failed=peers_failed)
 
     def _connection(self, stream: SocketStream, path: TunnelPath) -> UpstreamConnection:
         self.open_by_peer[path.peer] += 1
--- a/packages/node/src/plantainloft_node/tunnels/connector.py
+++ b/packages/node/src/plantainloft_node/tunnels/connector.py
@@ -94,6 +94,27 @@
         if connection.path is not None and (signals.leaves or signals.rest_s):
             self._on_signals(connection.path, state, signals)
 
+    async def is_gone(self, state: EndpointState) -> bool:
+        """Return whether no process accepts connections at the endpoint's address.
+
+        Another endpoint of the zone must show that the own path works, or else a peer must
+        fail to reach the endpoint too: instances that lose their links would otherwise
+        report that sound endpoints have crashed.
+        """
+        zone = state.record.zone
+        if not self.links.is_lost(zone):
+            started_at = anyio.current_time()
+            if await self._opens_directly(state):
+                return False
+            if await self.is_own_path_sound(state, since=started_at):
+                return True
+        tunnel = await self._tunnels.open(state, NO_NEEDS)
+        if isinstance(tunnel, UpstreamConnection):
+            await tunnel.close()
+            self._record_reached_by_peer(state)
+            return False
+        return tunnel.peers_failed or not self._tunnels.has_peers()
+
     async def is_own_path_sound(self, state: EndpointState, *, since: float) -> bool:
         """Return whether a connection to ``state`` that failed shows a fault of the endpoint.
 
--- a/tests/partitioned_fleet.py
+++ b/tests/partitioned_fleet.py
@@ -71,6 +71,12 @@
                 tasks.start_soon(self._send, self._rng.randrange(len(self.entries)))
                 await anyio.sleep(1 / per_s)
 
+    async def send_at_once(self, entry: int, count: int) -> None:
+        """Send ``count`` requests to one instance and wait for their responses."""
+        async with anyio.create_task_group() as tasks:
+            for _ in range(count):
+                tasks.start_soon(self._send, entry)
+
     async def _send(self, entry: int) -> None:
         number = next(self._numbers)
         headers = (
--- a/tests/test_lost_endpoint_links.py
+++ b/tests/test_lost_endpoint_links.py
@@ -6,7 +6,7 @@
 import anyio
 import pytest
 from cuttable_entry import HANG_NEW, REFUSE_NEW, RESET, SILENT
-from partitioned_fleet import INSTANCES, partitioned_fleet
+from partitioned_fleet import INSTANCES, RUN_TIME_S, partitioned_fleet
 from platform_standin import EntryProcessHandle
 
 REQUESTS_PER_S = 120.0
@@ -36,3 +36,27 @@
         served_elsewhere = fleet.served_share(others, since, until)
         assert served_elsewhere == 1.0
         assert fleet.served_share(CUT, since, until) >= MIN_RELATIVE_SHARE * served_elsewhere
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize('mode', [RESET, SILENT])
+async def test_cut_instances_report_no_crash_of_sound_endpoints(
+    entry_processes: list[EntryProcessHandle], tmp_path: Path, mode: str
+) -> None:
+    """Failure: connections lost with the own links were reported as crashes of endpoints."""
+    async with partitioned_fleet(entry_processes, tmp_path) as (fleet, tasks):
+        tasks.start_soon(fleet.send_requests, REQUESTS_PER_S)
+        await anyio.sleep(WARM_UP_S)
+        for entry in CUT:
+            tasks.start_soon(fleet.send_at_once, entry, 20)
+        await anyio.sleep(RUN_TIME_S / 2)
+        fleet.cut(CUT, mode)
+        await anyio.sleep(OBSERVED_S)
+        checks = [
+            record
+            for handle in entry_processes
+            for record in handle.log_records()
+            if record['kind'] == 'crash_check'
+        ]
+        assert checks
+        assert not [record for record in checks if record['ended']]
