--- a/tests/tunnel_fixtures.py
+++ b/tests/tunnel_fixtures.py
@@ -31,6 +31,12 @@
     client: TunnelClient
     connector: FallbackConnector
     server: TunnelServer
+    scope: anyio.CancelScope
+
+    async def serve(self) -> None:
+        """Serve tunnels until ``scope`` is cancelled, as if the process had ended."""
+        with self.scope:
+            await self.server.listen(self.members.local_member.heartbeat_address)
 
 
 def make_member(name: str, *, host: str, zone: str = ZONE, region: str = 'ankara') -> FleetMember:
@@ -53,7 +59,7 @@
         on_signals=announcements.forward,
     )
     server = TunnelServer(members=members, connector=connector, endpoint_registry=endpoint_registry)
-    return TunnelParts(members, links, client, connector, server)
+    return TunnelParts(members, links, client, connector, server, anyio.CancelScope())
 
 
 async def start_pair(
@@ -69,7 +75,7 @@
     user.members.record_heartbeat(_heartbeat(peer_member), now + 3600.0)
     peer.members.record_heartbeat(_heartbeat(user_member), now + 3600.0)
     lose_links(user.links, now)
-    tasks.start_soon(peer.server.listen, peer_member.heartbeat_address)
+    tasks.start_soon(peer.serve)
     await anyio.sleep(0.02)
     return user, peer
 
