Refuse a request that was never sent when its deadline passes

A request that may run only once was lost although nothing of it had left the instance.

Cause: an attempt counted as sent from the choice of its endpoint on, while its connection was still being opened.

Change: it counts from its first byte on.

Why this works: the new test got 504 before and 503 after; tests of forwarding, tunnels and organisations pass.

--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -150,7 +150,8 @@
         self.sent_count = 0
         self.connect_failures = 0
         self.misdirected_count = 0
-        # Set while an attempt is in progress, and permanently once one may have run.
+        # Set from the first byte that an attempt sends until its outcome, and permanently
+        # once one may have run.
         self.may_have_run = False
         self._failure_reasons: list[str] = []
         # The endpoint that is processing the request now, if any.
@@ -163,6 +164,10 @@
         # The attempt whose response is still being streamed to the caller.
         self.streamed_attempt: EndpointAttempt | None = None
 
+    def record_send(self) -> None:
+        """Record that the first byte of the current attempt is about to be sent."""
+        self.may_have_run = True
+
     def record(
         self, endpoint_id: str, outcome: AttemptOutcome, *, may_have_run_before: bool
     ) -> None:
--- a/packages/node/src/plantainloft_node/engine/dispatcher.py
+++ b/packages/node/src/plantainloft_node/engine/dispatcher.py
@@ -183,10 +183,9 @@
             selection,
             now,
             strip_organisation_key=route_table.requires_keys,
-            is_retry=attempts.attempt_count > 0,
+            attempts=attempts,
         )
         may_have_run_before = attempts.may_have_run
-        attempts.may_have_run = True
         attempts.current_endpoint_id = selection.endpoint.record.id
         attempts.placement = _placement_details(selection, admitted, now)
         outcome = await self._sender.send(selection.endpoint, endpoint_request)
@@ -312,7 +311,7 @@
         now: float,
         *,
         strip_organisation_key: bool,
-        is_retry: bool,
+        attempts: Attempts,
     ) -> EndpointRequest:
         names = self._names
         exchange = admitted.exchange
@@ -342,10 +341,11 @@
             streamed_body=None if admitted.body_complete else exchange.body,
             affinity_key=admitted.affinity_key,
             had_free_slot=selection.load < selection.endpoint.record.slots,
-            is_retry=is_retry,
+            is_retry=attempts.attempt_count > 0,
             may_repeat=admitted.route.idempotent and admitted.body_complete,
             priority=admitted.route.priority,
             allowed_regions=admitted.route.regions,
+            on_send=attempts.record_send,
         )
 
     def _budget(self, service: str) -> RetryBudget:
--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+from collections.abc import Callable
 from dataclasses import replace
 from http import HTTPStatus
 from typing import NamedTuple
@@ -34,12 +35,17 @@
 _SUCCESS_STATUSES = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 
 
+def _do_nothing() -> None:
+    """Serve as the default of ``EndpointRequest.on_send``."""
+
+
 class EndpointRequest(NamedTuple):
     """A request to one endpoint; ``streamed_body`` supplies the rest of a long body.
 
     ``may_repeat``: it may be sent again although it may have run. ``priority`` is that of
     its route (0 is the highest). Unless ``allowed_regions`` is empty, its bytes may only
-    pass through instances of these regions.
+    pass through instances of these regions. ``on_send`` is called before the first byte is
+    sent.
     """
 
     request: UpstreamRequest
@@ -50,6 +56,7 @@
     may_repeat: bool = False
     priority: int = 0
     allowed_regions: frozenset[str] = frozenset()
+    on_send: Callable[[], None] = _do_nothing
 
 
 class Sender:
@@ -141,6 +148,7 @@
     ) -> tuple[AttemptOutcome, bool]:
         """Return the outcome and whether the connection must stay open."""
         state.announced.record_sent(is_retry=endpoint_request.is_retry, now=anyio.current_time())
+        endpoint_request.on_send()
         await connection.send(endpoint_request.request)
         outcome = await self._receive_unless_silent(state, connection, endpoint_request)
         if isinstance(outcome, Answered) and outcome.body_source is not None:
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -15,6 +15,8 @@
     ScriptedEndpoint,
     answer_with,
     get_request,
+    make_route,
+    make_route_table,
     post_request,
     running_forwarding_server,
     signed_ok_response,
@@ -22,8 +24,14 @@
 from tunnel_fixtures import ZONE, TunnelParts, lose_links, start_pair
 
 from plantainloft_node.endpoint_signals.signals import EndpointSignals
-from plantainloft_node.engine.connector import ConnectionNeeds, EndpointConnector
+from plantainloft_node.engine.attempts import NotSent
+from plantainloft_node.engine.connector import (
+    ConnectionNeeds,
+    DirectConnector,
+    EndpointConnector,
+)
 from plantainloft_node.engine.upstream_connection import UpstreamConnection
+from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.placement.endpoints import EndpointRegistry, EndpointState
 from plantainloft_node.tunnels.client import NoTunnel
 from plantainloft_node.tunnels.frames import OpenRequest, OpenResult, pack_open_request
@@ -258,3 +266,30 @@
         assert answer.startswith(b'HTTP/1.1 200')
         assert second.startswith(b'HTTP/1.1 200')
         assert not pair.user.links.is_lost(ZONE)
+
+
+class HangingConnector(DirectConnector):
+    """Connections to endpoints neither open nor fail."""
+
+    async def connect(self, state: EndpointState, needs: ConnectionNeeds) -> NotSent:
+        await anyio.sleep_forever()
+        raise AssertionError
+
+
+async def test_a_request_that_was_never_sent_is_refused_at_its_deadline(
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Failure: 504 for a request that had only waited for connections, so that it was lost."""
+
+    async def make(_: EndpointRegistry, __: TaskGroup) -> EndpointConnector:
+        return HangingConnector(links=LinkMonitor(), id_header=b'')
+
+    monkeypatch.setattr(ConnectorChoice, 'make', staticmethod(make))
+    route = make_route(idempotent=False, prefix='/notices/', timeout_s=0.2)
+    async with running_forwarding_server(answer_with(b''), table=make_route_table(route)) as (
+        server,
+        endpoints,
+    ):
+        answer = await server.send_request(post_request(b'x'))
+        assert answer.startswith(b'HTTP/1.1 503')
+        assert not endpoints[0].requests
