plantainctl endpoint-links, and the way from a request to the peer it went through

plantainctl endpoint-links lists the instances that reach the endpoints of a zone only through others; explain shows the lines of that instance's tunnel beside those of the request, and when links were lost and came back.

--- a/packages/ctl/src/plantainloft_ctl/main.py
+++ b/packages/ctl/src/plantainloft_ctl/main.py
@@ -6,6 +6,7 @@
 
 from plantainloft_ctl.commands.burn import Burn
 from plantainloft_ctl.commands.endpoint_limits import EndpointLimits
+from plantainloft_ctl.commands.endpoint_links import EndpointLinks
 from plantainloft_ctl.commands.endpoint_signals import EndpointSignals
 from plantainloft_ctl.commands.explain import Explain
 from plantainloft_ctl.commands.history import History
@@ -36,6 +37,7 @@
         | KeyDigest
         | EndpointLimits
         | EndpointSignals
+        | EndpointLinks
     ]
 
 
--- a/packages/ctl/src/plantainloft_ctl/request_timeline.py
+++ b/packages/ctl/src/plantainloft_ctl/request_timeline.py
@@ -14,6 +14,7 @@
         'bad_signal',
         'endpoint_leaving',
         'endpoint_limit',
+        'endpoint_links',
         'endpoint_rest',
         'store_lost',
         'store_regained',
@@ -22,6 +23,8 @@
         'quarantine',
     )
 )
+# Lines of the instance through which a request passed.
+TUNNEL_KIND = 'tunnel'
 # Events this long before a request may have influenced how it was handled:
 # the bounds on how long updates take to reach an instance, plus a margin.
 LOOK_BACK_S = 10.0
@@ -49,19 +52,26 @@
 def explain_request(request: str, lines: list[LogLine]) -> list[str]:
     """Return the timeline of ``request``; empty if no line mentions it.
 
-    Lines about the request itself are marked ``*``. The others show what the
-    instances that handled it learned around that time.
+    Lines about the request itself are marked ``*``, those about a tunnel that it took
+    through another instance ``+``. The others show what the instances that handled it
+    learned around that time.
     """
     request_lines = [line for line in lines if line.get('request') == request]
     if not request_lines:
         return []
-    instances = {line['instance'] for line in request_lines}
+    tunnels = {line['tunnel'] for line in request_lines if 'tunnel' in line}
+    tunnel_lines = [
+        line for line in lines if line.get('tunnel') in tunnels and line.get('kind') == TUNNEL_KIND
+    ]
+    instances = {line['instance'] for line in (*request_lines, *tunnel_lines)}
     since = request_lines[0]['t'] - LOOK_BACK_S
     until = request_lines[-1]['t'] + LOOK_AHEAD_S
+    marked = {id(line): '+' for line in tunnel_lines}
+    marked.update({id(line): '*' for line in request_lines})
     return [
-        _format_line(line, mark='*' if line in request_lines else ' ')
+        _format_line(line, mark=marked.get(id(line), ' '))
         for line in lines
-        if line in request_lines or _is_context(line, instances, since, until)
+        if id(line) in marked or _is_context(line, instances, since, until)
     ]
 
 
--- a/packages/node/src/plantainloft_node/entry/operator_api.py
+++ b/packages/node/src/plantainloft_node/entry/operator_api.py
@@ -14,6 +14,8 @@
 from plantainloft_node.engine.exchange import Exchange
 from plantainloft_node.entry.lookups import LocalHandler
 from plantainloft_node.limits.organisation_listing import ListedOrganisation
+from plantainloft_node.links.listing import list_links
+from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.quarantine.fingerprints import parse_fingerprint
 from plantainloft_node.quarantine.quarantine import Quarantine
 
@@ -29,6 +31,7 @@
     - ``GET /organisations``: lists the organisations with their limits and usage.
     - ``GET /endpoint-limits``: lists the endpoints that name a request limit.
     - ``GET /endpoint-signals``: lists the endpoints that leave or ask for rest.
+    - ``GET /endpoint-links``: lists the links to the endpoints of each zone.
     - any other path: returns all metrics as text.
     """
 
@@ -40,12 +43,14 @@
         organisations: Callable[[], list[ListedOrganisation]],
         endpoint_limits: Callable[[], list[LimitUsage]],
         announcements: EndpointAnnouncements,
+        links: LinkMonitor,
     ) -> None:
         self._metrics_text = metrics_text
         self._organisations = organisations
         self._endpoint_limits = endpoint_limits
         self._announcements = announcements
         self._quarantine = quarantine
+        self._links = links
 
     def reply(self, exchange: Exchange) -> tuple[int, bytes]:
         """Return the status and body of the response."""
@@ -61,6 +66,9 @@
         if exchange.path == '/endpoint-signals':
             announced = list_announcements(self._announcements, anyio.current_time())
             return HTTPStatus.OK, json.dumps(announced).encode()
+        if exchange.path == '/endpoint-links':
+            listed_links = list_links(self._links, anyio.current_time())
+            return HTTPStatus.OK, json.dumps(listed_links).encode()
         return HTTPStatus.OK, self._metrics_text().encode()
 
     def _lift(self, raw: str) -> tuple[int, bytes]:
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -140,6 +140,7 @@
                 organisations=self.report.organisations,
                 endpoint_limits=self.report.endpoint_limits,
                 announcements=self.replicated_state.endpoint_registry.announcements,
+                links=self.pipeline.endpoint_links.monitor,
             )
             tasks.start_soon(listen, settings.metrics_address, operators)
 
--- a/tests/test_lost_endpoint_links.py
+++ b/tests/test_lost_endpoint_links.py
@@ -9,6 +9,9 @@
 from partitioned_fleet import INSTANCES, RUN_TIME_S, partitioned_fleet
 from platform_standin import EntryProcessHandle
 
+from plantainloft_ctl.commands.endpoint_links import EndpointLinks
+from plantainloft_ctl.request_timeline import explain_request, parse_log_lines
+
 REQUESTS_PER_S = 120.0
 WARM_UP_S = 4.0
 CUT = (2, 5)
@@ -60,3 +63,33 @@
         ]
         assert checks
         assert not [record for record in checks if record['ended']]
+
+
+@pytest.mark.anyio
+async def test_operators_see_who_is_cut_off_and_through_whom_a_request_went(
+    entry_processes: list[EntryProcessHandle],
+    tmp_path: Path,
+    capsys: pytest.CaptureFixture[str],
+) -> None:
+    async with partitioned_fleet(entry_processes, tmp_path, instances=3) as (fleet, tasks):
+        tasks.start_soon(fleet.send_requests, REQUESTS_PER_S)
+        await anyio.sleep(WARM_UP_S)
+        fleet.cut((1,), RESET)
+        await anyio.sleep(DETECTION_S + 1.0)
+        nodes = [f'http://{handle.metrics_address}' for handle in entry_processes]
+        await anyio.to_thread.run_sync(EndpointLinks(nodes=nodes))
+        table = capsys.readouterr().out.splitlines()
+        assert table[1].startswith(nodes[1])
+        assert 'ank-a' in table[1]
+        assert not any('ank-a' in line for line in table[2:])
+        texts = [handle.log_path.read_text() for handle in entry_processes]
+        lines = parse_log_lines(texts)
+        answered = [
+            line for line in lines if line['kind'] == 'answered' and line['instance'] == 'e2'
+        ]
+        through_peer = [line for line in answered if 'via' in line]
+        assert through_peer
+        timeline = explain_request(str(through_peer[0]['request']), lines)
+        peer = through_peer[0]['via']
+        assert any(line.startswith('+') and f' {peer} ' in line for line in timeline)
+        assert any('Links: endpoints of ank-a' in line for line in timeline)
