Ask peers of several distances for a connection

The three peers now lie in three tiers, one that does not reach the endpoint either is left out for a second, and asks under way count as failed until they are answered, so that their limit holds.

The test of the order of peers asks for one peer of each tier, nearest first, where it asked for three of the nearest.

--- a/packages/node/src/plantainloft_node/tunnels/client.py
+++ b/packages/node/src/plantainloft_node/tunnels/client.py
@@ -139,6 +139,7 @@
         timeout_s = REGION_ANSWER_TIMEOUT_S if is_near else REMOTE_ANSWER_TIMEOUT_S
         stream: SocketStream | None = None
         result: OpenResult | None = None
+        self._selector.record_asked(anyio.current_time())
         try:
             with anyio.fail_after(timeout_s):
                 host, _, port = peer.heartbeat_address.rpartition(':')
--- a/packages/node/src/plantainloft_node/tunnels/peer_selection.py
+++ b/packages/node/src/plantainloft_node/tunnels/peer_selection.py
@@ -22,8 +22,10 @@
         OpenResult.BUSY: 0.3,
         OpenResult.DRAINING: 10.0,
         OpenResult.UNKNOWN_ENDPOINT: 0.3,
+        OpenResult.UNCERTAIN: 1.0,
     }
 )
+_WITHOUT_LINK = frozenset((OpenResult.NO_LINK, OpenResult.UNCERTAIN))
 # A peer that doesn't answer may be overloaded, cut off, or of a build without tunnels.
 UNANSWERED_LEFT_OUT_S = 2.0
 # A peer that opened a connection this recently most likely has its links still.
@@ -65,22 +67,29 @@
         allowed = [peer for peer in peers if not allowed_regions or peer.region in allowed_regions]
         if self._remaining_failed_asks(now) < 1:
             allowed = [peer for peer in allowed if self._is_trusted(peer, now)]
-        selected: list[FleetMember] = []
-        for tier in self._tiers(allowed, now):
-            selected.extend(self._ordered(tier, tunnels_by_name, now))
-        return selected[:MAX_PEERS_ASKED]
+        ordered = [self._ordered(tier, tunnels_by_name, now) for tier in self._tiers(allowed, now)]
+        # Instances of one zone often lose their links together, so that the second one to
+        # be asked is farther away than the first.
+        first = [tier[0] for tier in ordered]
+        others = [peer for tier in ordered for peer in tier[1:]]
+        return [*first, *others][:MAX_PEERS_ASKED]
+
+    def record_asked(self, now: float) -> None:
+        """Record that a peer is asked; it counts as failed until it has answered."""
+        self._failed_asks_left = self._remaining_failed_asks(now) - 1
+        self._failed_asks_updated_at = now
 
     def record_result(self, name: str, result: OpenResult | None, now: float) -> None:
         """Record the answer of a peer; ``None`` if there was none."""
         if result is OpenResult.OPENED:
             self._opened_at_by_name[name] = now
-        elif result is OpenResult.NO_LINK or result is None:
+        if result is None or result in _WITHOUT_LINK:
             self._opened_at_by_name.pop(name, None)
-            self._failed_asks_left = self._remaining_failed_asks(now) - 1
-            self._failed_asks_updated_at = now
+        else:
+            self._failed_asks_left += 1
         left_out_s = UNANSWERED_LEFT_OUT_S if result is None else LEFT_OUT_S.get(result, 0.0)
         self._left_out_until_by_name[name] = now + left_out_s
-        if result is OpenResult.NO_LINK:
+        if result in _WITHOUT_LINK:
             self._without_link_until_by_name[name] = now + left_out_s
 
     def _tiers(self, peers: Sequence[FleetMember], now: float) -> list[list[FleetMember]]:
--- a/tests/test_peer_selection.py
+++ b/tests/test_peer_selection.py
@@ -46,9 +46,10 @@
 
 
 def test_the_nearest_peers_come_first(selector: PeerSelector) -> None:
-    assert all(name.startswith('zone-') for name in select(selector))
-    without_zone = [*ELSEWHERE, *IN_REGION]
-    assert all(name.startswith('region-') for name in select(selector, without_zone))
+    prefixes = [name.partition('-')[0] for name in select(selector)]
+    assert prefixes == ['zone', 'region', 'far']
+    without_zone = select(selector, [*ELSEWHERE, *IN_REGION])
+    assert [name.partition('-')[0] for name in without_zone][:2] == ['region', 'far']
     assert len(select(selector, ELSEWHERE)) == MAX_PEERS_ASKED
 
 
@@ -95,6 +96,7 @@
     for step in range(1000):
         now = 10.0 + step * 0.01
         for name in select(selector, now=now):
+            selector.record_asked(now)
             selector.record_result(name, OpenResult.NO_LINK, now)
             asked += 1
     assert asked <= 10 * MAX_FAILED_ASKS_PER_S + MAX_FAILED_ASKS_PER_S
@@ -106,6 +108,7 @@
     """Failure: failed requests to many peers kept an instance from asking the few good ones."""
     selector.record_result('zone-2', OpenResult.OPENED, 1.0)
     for number in range(100):
+        selector.record_asked(1.1)
         selector.record_result(f'far-{number}', None, 1.1)
     assert select(selector, now=1.2)[0] == 'zone-2'
 
