Tests: each run has loopback addresses of its own

Two runs of the suite at the same time took each other's addresses: entry processes listened on fixed ones, and ports were counted up from neighbouring process ids. The model of links checks detection in the plays it makes anyway.

--- a/packages/standins/src/plantainloft_standins/processes.py
+++ b/packages/standins/src/plantainloft_standins/processes.py
@@ -22,10 +22,12 @@
 STOP_TIMEOUT_S = 15.0
 FIRST_PORT = 12_000
 LAST_PORT = 30_000
+# Processes that start one after the other begin this many ports apart.
+PORTS_PER_PROCESS = 4099
 
 
 _ports = itertools.cycle(range(FIRST_PORT, LAST_PORT))
-next(itertools.islice(_ports, os.getpid() % (LAST_PORT - FIRST_PORT), None))
+next(itertools.islice(_ports, os.getpid() * PORTS_PER_PROCESS % (LAST_PORT - FIRST_PORT), None))
 
 
 def free_port() -> int:
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -23,6 +23,8 @@
 
 JSON_TYPE = [(b'content-type', b'application/json')]
 OPERATOR_TABLE = 'op'
+# Runs of the tests that can go on at the same time on addresses of their own.
+RUN_COUNT = 250
 ENDPOINT_TABLE = 'servers'
 SIGNED_OK_RESPONSE = (
     b'HTTP/1.1 200 OK\r\nX-Plantainloft-Response-Signature: s\r\nContent-Length: 2\r\n\r\nok'
@@ -298,6 +300,11 @@
 """
 
 
+def entry_host(number: int) -> str:
+    """Return the address of an entry process; each run of the tests has its own."""
+    return f'127.{1 + os.getpid() % RUN_COUNT}.9.{number}'
+
+
 class EntryProcessHandle:
     """An entry process that runs as a subprocess, its addresses and its log.
 
@@ -315,7 +322,7 @@
     ) -> None:
         self._module = module
         self.link_fault_path = work_dir / f'links-{number}.json'
-        self.host = f'127.0.9.{number}'
+        self.host = entry_host(number)
         ports = _free_ports(self.host)
         self.caller_address, self.readiness_address, self.lookup_address, self.metrics_address = (
             f'{self.host}:{port}' for port in ports
@@ -448,7 +455,7 @@
                 number=number,
                 store_address=store_address,
                 work_dir=work_dir,
-                seeds='127.0.9.1:7801',
+                seeds=f'{entry_host(1)}:7801',
                 module=module,
             )
         )
--- a/tests/test_link_model.py
+++ b/tests/test_link_model.py
@@ -46,6 +46,15 @@
     return result.served_share(cut_off, since, until) / result.served_share(others, since, until)
 
 
+def seconds_to_detect(result: LinkResult) -> list[float]:
+    """Return how long after its first request each instance noticed its lost links."""
+    seconds = []
+    for number, lost_at in result.lost_at_by_instance.items():
+        requests_at = [one.at for one in result.first_tries if one.instance == number]
+        seconds.append(lost_at[0] - min(at for at in requests_at if at >= CUT_AT_S))
+    return seconds
+
+
 @pytest.mark.parametrize('mode', list(LinkMode))
 @pytest.mark.parametrize('instances', SIZES)
 def test_a_few_instances_without_links_serve_their_callers(instances: int, mode: LinkMode) -> None:
@@ -57,22 +66,9 @@
     assert result.served_share(others, 0.0, 10.0) >= 0.99
     assert result.most_runs <= 1
     assert result.lost_at_by_instance.keys() <= cut_off
-
-
-@pytest.mark.parametrize('mode', [LinkMode.RESET, LinkMode.SILENT])
-@pytest.mark.parametrize('instances', SIZES)
-def test_lost_links_are_noticed_within_a_second_of_the_first_request(
-    instances: int, mode: LinkMode
-) -> None:
-    """Failure: requests waited for connections that could not open."""
-    cut_off = few(instances)
-    result = play(instances, cut(cut_off, mode))
-    assert result.lost_at_by_instance.keys() == cut_off
-    for number, lost_at in result.lost_at_by_instance.items():
-        first_request_at = min(
-            one.at for one in result.first_tries if one.instance == number and one.at >= CUT_AT_S
-        )
-        assert lost_at[0] - first_request_at <= DETECTION_S
+    if mode in {LinkMode.RESET, LinkMode.SILENT}:
+        assert result.lost_at_by_instance.keys() == cut_off
+        assert max(seconds_to_detect(result)) <= DETECTION_S
 
 
 @pytest.mark.parametrize('mode', [LinkMode.RESET, LinkMode.SILENT])
