Links: try again after isolation without tests, test cold endpoints if all are cold

Found by reading: an instance that had found no endpoint reachable refused every request until a test of its links succeeded, and tests left cold endpoints out. After a power failure of all endpoints, all are cold: no test, and no request, would ever have been sent. Now a request tries an endpoint half a second after the last failure, and cold endpoints are tested if there are no others.

--- a/packages/node/src/plantainloft_node/links/isolation.py
+++ b/packages/node/src/plantainloft_node/links/isolation.py
@@ -10,6 +10,8 @@
 # nothing has arrived for this long either.
 FAILED_CONNECTS = 3
 MIN_SILENCE_S = 0.6
+# While no endpoint is reachable, one is tried again after this time.
+RETRY_AFTER_S = 0.5
 
 
 class IsolationDetector:
@@ -17,6 +19,7 @@
 
     def __init__(self) -> None:
         self._failed_connects = 0
+        self._failed_at = float('-inf')
         self._isolated_since: float | None = None
 
     @property
@@ -24,9 +27,14 @@
         """Whether no endpoint is reachable from here."""
         return self._isolated_since is not None
 
+    def has_just_failed(self, now: float) -> bool:
+        """Return whether another attempt at any endpoint would most likely fail."""
+        return self.is_isolated and now - self._failed_at < RETRY_AFTER_S
+
     def record_connect_failed(self, now: float, *, heard_at: float) -> None:
         """Record a connection that failed; ``heard_at`` is when bytes last arrived."""
         self._failed_connects += 1
+        self._failed_at = now
         if self.is_isolated or self._failed_connects < FAILED_CONNECTS:
             return
         if now - heard_at < MIN_SILENCE_S:
--- a/packages/node/src/plantainloft_node/links/monitor.py
+++ b/packages/node/src/plantainloft_node/links/monitor.py
@@ -65,6 +65,10 @@
         """Whether no endpoint is reachable, from here or through a peer."""
         return self._isolation.is_isolated
 
+    def reaches_nothing(self, now: float) -> bool:
+        """Return whether a connection that is asked for now would most likely fail."""
+        return self._isolation.has_just_failed(now)
+
     def is_lost(self, zone: str) -> bool:
         """Return whether the links to ``zone`` are lost."""
         links = self.links_by_zone.get(zone)
--- a/packages/node/src/plantainloft_node/links/prober.py
+++ b/packages/node/src/plantainloft_node/links/prober.py
@@ -55,9 +55,11 @@
     def _endpoints_to_test(self, zone: str, now: float) -> list[EndpointState]:
         if zone in self._endpoint_registry.evacuated_zones:
             return []
-        candidates = [
+        willing = [
             state
             for state in self._endpoint_registry.endpoints_in_zone(zone)
-            if state.accepts_requests(now) and not state.is_cold(now)
+            if state.accepts_requests(now)
         ]
+        # A cold endpoint has enough to do, but after a power failure all are cold.
+        candidates = [state for state in willing if not state.is_cold(now)] or willing
         return random.sample(candidates, min(ENDPOINTS_PER_TEST, len(candidates)))
--- a/packages/node/src/plantainloft_node/tunnels/connector.py
+++ b/packages/node/src/plantainloft_node/tunnels/connector.py
@@ -60,7 +60,7 @@
         self, state: EndpointState, needs: ConnectionNeeds
     ) -> UpstreamConnection | NotSent:
         """Open a connection to ``state``, directly if its links are not known to be lost."""
-        if self.links.is_isolated:
+        if self.links.reaches_nothing(anyio.current_time()):
             return NotSent(reason='no endpoint is reachable', own_path=True)
         return await self._connect(state, needs, first_timeout_s=FIRST_ATTEMPT_S)
 
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -366,6 +366,10 @@
         assert self._process is not None
         return await anyio.to_thread.run_sync(self._process.wait, abandon_on_cancel=True)
 
+    def is_running(self) -> bool:
+        assert self._process is not None
+        return self._process.poll() is None
+
     def kill(self) -> None:
         if self._process is not None and self._process.poll() is None:
             self._process.kill()
--- a/tests/test_link_monitor.py
+++ b/tests/test_link_monitor.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from plantainloft_node.links.isolation import FAILED_CONNECTS
+from plantainloft_node.links.isolation import FAILED_CONNECTS, RETRY_AFTER_S
 from plantainloft_node.links.monitor import (
     MAX_SILENCE_S,
     MAX_ZONE_SILENCE_S,
@@ -247,3 +247,13 @@
     monitor.record_heard('a', 2.0)
     monitor.record_reached_by_peer('a', 'x', 2.1, zone_size=9)
     assert not monitor.vouches_for('a', 1.5)
+
+
+def test_an_isolated_instance_tries_again_without_a_test(monitor: LinkMonitor) -> None:
+    """Failure: with no endpoint to test, an instance refused requests for good."""
+    for number in range(FAILED_CONNECTS):
+        monitor.record_connect_failed(ZONES[number % 3], 5.0)
+    assert monitor.reaches_nothing(5.1)
+    assert not monitor.reaches_nothing(5.1 + RETRY_AFTER_S)
+    monitor.record_connect_failed('a', 6.0)
+    assert monitor.reaches_nothing(6.1)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -32,7 +32,9 @@
 )
 from plantainloft_node.engine.upstream_connection import UpstreamConnection
 from plantainloft_node.links.monitor import LinkMonitor
+from plantainloft_node.links.prober import LinkProber
 from plantainloft_node.placement.endpoints import EndpointRegistry, EndpointState
+from plantainloft_node.tunnels.announcements import AnnouncementForwarder
 from plantainloft_node.tunnels.client import NoTunnel
 from plantainloft_node.tunnels.frames import OpenRequest, OpenResult, pack_open_request
 
@@ -293,3 +295,32 @@
         answer = await server.send_request(post_request(b'x'))
         assert answer.startswith(b'HTTP/1.1 503')
         assert not endpoints[0].requests
+
+
+async def test_cold_endpoints_are_tested_if_there_are_no_others(pairs: PairList) -> None:
+    """Failure: links lost before a power failure of all endpoints were never tested again."""
+    async with running_pair(pairs, answer_with(b'')) as pair:
+        pair.state.extend_cold(anyio.current_time() + 60.0)
+        prober = LinkProber(
+            links=pair.user.links,
+            connector=pair.user.connector,
+            endpoint_registry=pair.server.endpoint_registry,
+        )
+        with anyio.move_on_after(2.0):
+            await prober.run()
+        assert not pair.user.links.is_lost(ZONE)
+
+
+async def test_the_peer_learns_what_an_endpoint_announced_through_it(pairs: PairList) -> None:
+    """Failure: a peer sent requests to an endpoint that had asked for rest on its connection."""
+    async with running_pair(pairs, answer_with(b'')) as pair:
+        forwarder = AnnouncementForwarder(
+            members=pair.peer.members, endpoint_registry=pair.server.endpoint_registry
+        )
+        incarnation = pair.state.record.incarnation
+        assert not await forwarder.answer_call([incarnation, 'yes', 3.0])
+        assert not await forwarder.answer_call([incarnation, False, -1.0])
+        assert not await forwarder.answer_call(['unknown', False, 3.0])
+        assert pair.state.accepts_requests(anyio.current_time())
+        assert await forwarder.answer_call([incarnation, False, 3.0])
+        assert not pair.state.accepts_requests(anyio.current_time())
