--- a/packages/node/src/plantainloft_node/engine/connector.py
+++ b/packages/node/src/plantainloft_node/engine/connector.py
@@ -65,7 +65,7 @@
                 connection = await connect(
                     state.record.address,
                     id_header=id_header,
-                    on_received=partial(self._record_heard, zone),
+                    on_received=partial(self._record_received, zone),
                 )
         except (OSError, TimeoutError) as exc:
             self.links.record_connect_failed(zone, anyio.current_time())
@@ -77,8 +77,8 @@
         state.record_connect_time(now - started_at)
         return connection
 
-    def _record_heard(self, zone: str) -> None:
-        self.links.record_heard(zone, anyio.current_time())
+    def _record_received(self, zone: str) -> None:
+        self.links.record_received(zone, anyio.current_time())
 
 
 class DirectConnector(EndpointConnector):
--- a/packages/node/src/plantainloft_node/engine/upstream_connection.py
+++ b/packages/node/src/plantainloft_node/engine/upstream_connection.py
@@ -114,7 +114,7 @@
         """Wrap an open ``stream``.
 
         ``on_received`` is called whenever bytes arrive, ``on_closed`` once when the
-        connection is closed. ``is_reusable`` tells whether the stream itself allows
+        connection is closed. ``is_reusable`` returns whether the stream allows
         another request. ``path`` is set if the connection passes through a peer.
         """
         self._stream = stream
--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -123,8 +123,8 @@
         for one in listed:
             if one['reached_s_ago'] is not None:
                 set_gauge('endpoints_reached_seconds_ago', one['reached_s_ago'], zone=one['zone'])
-            if one['heard_s_ago'] is not None:
-                set_gauge('endpoints_heard_seconds_ago', one['heard_s_ago'], zone=one['zone'])
+            if one['received_s_ago'] is not None:
+                set_gauge('endpoints_received_seconds_ago', one['received_s_ago'], zone=one['zone'])
         set_gauge('tunnels_used', client.open_by_peer.total())
         set_gauge('tunnels_served', server.open_tunnels)
         for answer, count in client.answers.items():
--- a/packages/node/src/plantainloft_node/links/isolation.py
+++ b/packages/node/src/plantainloft_node/links/isolation.py
@@ -31,13 +31,13 @@
         """Return whether another attempt at any endpoint would most likely fail."""
         return self.is_isolated and now - self._failed_at < RETRY_AFTER_S
 
-    def record_connect_failed(self, now: float, *, heard_at: float) -> None:
-        """Record a connection that failed; ``heard_at`` is when bytes last arrived."""
+    def record_connect_failed(self, now: float, *, received_at: float) -> None:
+        """Record a connection that failed; ``received_at`` is when bytes last arrived."""
         self._failed_connects += 1
         self._failed_at = now
         if self.is_isolated or self._failed_connects < FAILED_CONNECTS:
             return
-        if now - heard_at < MIN_SILENCE_S:
+        if now - received_at < MIN_SILENCE_S:
             return
         self._isolated_since = now
         log.warning(
--- a/packages/node/src/plantainloft_node/links/listing.py
+++ b/packages/node/src/plantainloft_node/links/listing.py
@@ -18,7 +18,7 @@
     zone: str
     lost_for_s: float | None
     reached_s_ago: float | None
-    heard_s_ago: float | None
+    received_s_ago: float | None
     open_connections_live: bool
 
 
@@ -32,7 +32,7 @@
         zone=links.zone,
         lost_for_s=_elapsed_s(links.lost_since, now),
         reached_s_ago=_elapsed_s(links.reached_at, now),
-        heard_s_ago=_elapsed_s(links.timer.heard_at, now),
+        received_s_ago=_elapsed_s(links.timer.received_at, now),
         open_connections_live=links.open_connections_live,
     )
 
--- a/packages/node/src/plantainloft_node/links/monitor.py
+++ b/packages/node/src/plantainloft_node/links/monitor.py
@@ -1,7 +1,7 @@
 """Decides whether this instance has lost its links to the endpoints of a zone.
 
 A failed connection may be the endpoint's fault or that of the path to it, and one
-observer alone can't tell. So a link counts as lost only if a peer reaches endpoints
+observer alone can't know which. So a link counts as lost only if a peer reaches endpoints
 that this instance doesn't: several within a short time, with no connection from here
 opened since. Times are in seconds of the local clock; there is no network access.
 """
@@ -87,7 +87,7 @@
         return max(0.0, 1 - (now - links.returned_at) / RETURN_RAMP_S)
 
     def vouches_for(self, zone: str, since: float) -> bool:
-        """Return whether an endpoint of ``zone`` was reached or heard from after ``since``.
+        """Return whether an endpoint of ``zone`` was reached or sent something after ``since``.
 
         If so, a connection that failed then was not due to the own path.
         """
@@ -116,7 +116,7 @@
         self.connects[zone, 'failed'] += 1
         self._links(zone).record_connect_failed()
         if not any(links.lost_since for links in self.links_by_zone.values()):
-            self._isolation.record_connect_failed(now, heard_at=self.all_zones_timer.heard_at)
+            self._isolation.record_connect_failed(now, received_at=self.all_zones_timer.received_at)
 
     def record_reached_by_peer(
         self, zone: str, incarnation: str, now: float, *, zone_size: int
@@ -158,10 +158,10 @@
             waiting.links.timer.record_ended(token)
             self.all_zones_timer.record_ended(token)
 
-    def record_heard(self, zone: str, now: float) -> None:
+    def record_received(self, zone: str, now: float) -> None:
         """Record that bytes arrived from an endpoint of ``zone``."""
-        self._links(zone).timer.record_heard(now)
-        self.all_zones_timer.record_heard(now)
+        self._links(zone).timer.record_received(now)
+        self.all_zones_timer.record_received(now)
 
     def abandon_silent(self, now: float) -> None:
         """Abandon requests that wait on connections which have gone silent with their zone.
@@ -173,7 +173,7 @@
             if waiting.abandon is None or waiting.links.open_connections_live:
                 continue
             timer = waiting.links.timer
-            silent_s = now - max(waiting.sent_at, timer.heard_at)
+            silent_s = now - max(waiting.sent_at, timer.received_at)
             if silent_s > min(MAX_SILENCE_S, timer.silence_s):
                 waiting.abandon()
 
--- a/packages/node/src/plantainloft_node/links/schedule.py
+++ b/packages/node/src/plantainloft_node/links/schedule.py
@@ -1,6 +1,6 @@
 """Decides when links are tested by connections of their own.
 
-Requests alone may not tell: those on silent connections just wait, and a zone without
+Requests alone do not show it: those on silent connections just wait, and a zone without
 requests shows nothing. Times are in seconds of the local clock.
 """
 
--- a/packages/node/src/plantainloft_node/links/zone_links.py
+++ b/packages/node/src/plantainloft_node/links/zone_links.py
@@ -22,14 +22,14 @@
         self._min_silence_s = min_silence_s
         self._max_silence_s = max_silence_s
         self._mean_gap_s = max_silence_s
-        self.heard_at = NEVER
+        self.received_at = NEVER
         self._waiting_since: dict[int, float] = {}
 
-    def record_heard(self, now: float) -> None:
+    def record_received(self, now: float) -> None:
         """Record that bytes arrived."""
-        gap_s = min(now - self.heard_at, MAX_GAP_S)
+        gap_s = min(now - self.received_at, MAX_GAP_S)
         self._mean_gap_s += GAP_WEIGHT * (gap_s - self._mean_gap_s)
-        self.heard_at = now
+        self.received_at = now
 
     def record_sent(self, token: int, now: float) -> None:
         """Record that the request ``token`` was sent and awaits its response."""
@@ -49,7 +49,7 @@
         """Since when requests have waited without any arrival; ``None`` if none waits."""
         if not self._waiting_since:
             return None
-        return max(min(self._waiting_since.values()), self.heard_at)
+        return max(min(self._waiting_since.values()), self.received_at)
 
     @property
     def silence_s(self) -> float:
@@ -105,7 +105,7 @@
         """Return whether something has shown after ``since`` that the links work."""
         if self.lost_since is not None or self.reached_by_peers_at:
             return False
-        return max(self.reached_at, self.timer.heard_at) > since
+        return max(self.reached_at, self.timer.received_at) > since
 
     def suspected_at(self, now: float) -> list[float]:
         """Return when something recent has spoken against the links of other zones, too."""
@@ -116,4 +116,4 @@
     @property
     def open_connections_live(self) -> bool:
         """Whether connections that were open when the links were lost still deliver."""
-        return self.lost_since is None or self.timer.heard_at >= self.lost_since
+        return self.lost_since is None or self.timer.received_at >= self.lost_since
--- a/packages/node/src/plantainloft_node/tunnels/announcements.py
+++ b/packages/node/src/plantainloft_node/tunnels/announcements.py
@@ -1,4 +1,4 @@
-"""Tells a peer what an endpoint has announced in a response that passed through it.
+"""Informs a peer of what an endpoint has announced in a response that passed through it.
 
 The peer copies bytes without reading them. The endpoint has seen both instances: the
 peer's connection, and the request of the instance that uses it.
@@ -59,7 +59,7 @@
                 continue
             answer = await calls.call(member, ANNOUNCEMENT_CALL, list(queued[1:]))
             if isinstance(answer, Unreachable):
-                log.debug('Tunnels: %s not told of an announcement.', queued.peer)
+                log.debug('Tunnels: announcement not delivered to %s.', queued.peer)
 
     async def answer_call(self, content: Any) -> bool:
         """Record an announcement that a peer received through this instance."""
--- a/packages/node/src/plantainloft_node/tunnels/connector.py
+++ b/packages/node/src/plantainloft_node/tunnels/connector.py
@@ -110,7 +110,7 @@
     async def is_own_path_sound(self, state: EndpointState, *, since: float) -> bool:
         """Return whether a connection to ``state`` that failed shows a fault of the endpoint.
 
-        It does if another endpoint of its zone was reached or heard from after ``since``,
+        It does if another endpoint of its zone was reached or sent something after ``since``,
         or accepts a connection now.
         """
         zone = state.record.zone
--- a/packages/node/src/plantainloft_node/tunnels/frames.py
+++ b/packages/node/src/plantainloft_node/tunnels/frames.py
@@ -39,7 +39,7 @@
 
     ``UNREACHABLE``: the peer reaches other endpoints of the zone, but not this one.
     ``NO_LINK``: it has lost its own links to the zone. ``UNCERTAIN``: it doesn't reach the
-    endpoint either and can't tell why. ``UNWANTED``: the endpoint has announced to the
+    endpoint either, for unknown reasons. ``UNWANTED``: the endpoint has announced to the
     peer that it wants no requests.
     """
 
--- a/packages/node/src/plantainloft_node/tunnels/peer_selection.py
+++ b/packages/node/src/plantainloft_node/tunnels/peer_selection.py
@@ -33,7 +33,7 @@
 # Share of the requests for which other peers than those are asked first, so that all of
 # them get known.
 EXPLORED_SHARE = 0.1
-# While nobody has links, instances ask each other no more often than this, and requests
+# While no instance has links, they ask each other no more often than this, and requests
 # are refused at once.
 MAX_FAILED_ASKS_PER_S = 20.0
 
@@ -58,7 +58,7 @@
         tunnels_by_name: Mapping[str, int],
         now: float,
     ) -> list[FleetMember]:
-        """Return the peers to ask, in order; empty if nobody should be asked now.
+        """Return the peers to ask, in order; empty if none should be asked now.
 
         ``peers`` are those that are up and serving, ``tunnels_by_name`` the tunnels that
         are open through each. Unless ``allowed_regions`` is empty, the request may only
--- a/packages/node/src/plantainloft_node/tunnels/tunnel.py
+++ b/packages/node/src/plantainloft_node/tunnels/tunnel.py
@@ -101,7 +101,7 @@
             with self._abandon:
                 while True:
                     chunk = await self._endpoint.receive(READ_BYTES)
-                    self._links.record_heard(self.zone, anyio.current_time())
+                    self._links.record_received(self.zone, anyio.current_time())
                     self._end_waiting()
                     await self._send_frame(FrameKind.DATA, chunk)
                     self.copied_bytes['to_user'] += len(chunk)
--- a/packages/standins/src/plantainloft_standins/link_connections.py
+++ b/packages/standins/src/plantainloft_standins/link_connections.py
@@ -144,7 +144,7 @@
             await self._run()
         finally:
             self._carrier.links.record_ended(waiting)
-        self._carrier.links.record_heard(zone, anyio.current_time())
+        self._carrier.links.record_received(zone, anyio.current_time())
         return ResponseHead(status=STATUS_OK, headers=[])
 
     async def read_chunk(self) -> bytes:
--- a/tests/test_link_monitor.py
+++ b/tests/test_link_monitor.py
@@ -52,7 +52,7 @@
     """Failure: a lost region, a release or a crash of all endpoints looked like a partition."""
     for number in range(100):
         monitor.record_connect_failed('a', 0.5 + number * 0.01)
-        monitor.record_heard('b', 0.5 + number * 0.01)
+        monitor.record_received('b', 0.5 + number * 0.01)
     assert not monitor.is_lost('a')
     assert not changes
 
@@ -119,14 +119,14 @@
     """Failure: connections that lived on while new ones were refused were given up."""
     lose(monitor, 'a', 1.0)
     assert not monitor.may_use_open_connection('a')
-    monitor.record_heard('a', 1.1)
+    monitor.record_received('a', 1.1)
     assert monitor.may_use_open_connection('a')
 
 
 def test_requests_on_silent_connections_are_abandoned(monitor: LinkMonitor) -> None:
     """Failure: requests sent just before a silent cut waited until their deadlines."""
     abandoned: list[float] = []
-    monitor.record_heard('a', 0.9)
+    monitor.record_received('a', 0.9)
     monitor.record_sent('a', 1.0, abandon=lambda: abandoned.append(1.0))
     answered = monitor.record_sent('b', 1.0, abandon=lambda: abandoned.append(-1.0))
     lose(monitor, 'a', 1.2)
@@ -142,7 +142,7 @@
     abandoned: list[float] = []
     monitor.record_sent('a', 1.0, abandon=lambda: abandoned.append(1.0))
     lose(monitor, 'a', 1.2)
-    monitor.record_heard('a', 1.3)
+    monitor.record_received('a', 1.3)
     monitor.abandon_silent(9.0)
     assert not abandoned
 
@@ -152,7 +152,7 @@
 ) -> None:
     """Failure: a silent cut was noticed only when connections timed out, after 3 s."""
     for number in range(30):
-        monitor.record_heard(ZONES[number % 3], 2.0 + number * 0.02)
+        monitor.record_received(ZONES[number % 3], 2.0 + number * 0.02)
     cut_at = 2.6
     for number in range(12):
         monitor.record_sent(ZONES[number % 3], cut_at + number * 0.02)
@@ -167,7 +167,7 @@
 ) -> None:
     """Failure: an instance with a request every few seconds did not notice a silent cut."""
     for number in range(5):
-        monitor.record_heard('a', 3.0 * number)
+        monitor.record_received('a', 3.0 * number)
     monitor.record_sent('a', 20.0)
     times = (20.0 + number * 0.1 for number in itertools.count())
     tested_at = next(at for at in times if schedule.zones_due(at))
@@ -181,7 +181,7 @@
     monitor.record_sent('a', 1.0)
     for number in range(1000):
         at = 1.0 + number * 0.02
-        monitor.record_heard(ZONES[number % 3], at)
+        monitor.record_received(ZONES[number % 3], at)
         assert not schedule.zones_due(at)
 
 
@@ -189,12 +189,12 @@
     monitor: LinkMonitor, schedule: LinkTestSchedule
 ) -> None:
     """Failure: lost links to one of several zones were noticed by connections only."""
-    monitor.record_heard('a', 1.0)
+    monitor.record_received('a', 1.0)
     monitor.record_sent('a', 1.0)
     tested: list[str] = []
     for number in range(100):
         at = 1.0 + number * 0.02
-        monitor.record_heard('b', at)
+        monitor.record_received('b', at)
         tested += schedule.zones_due(at)
     assert set(tested) == {'a'}
     assert MAX_ZONE_SILENCE_S < 2.98 - 1.0
@@ -241,10 +241,10 @@
 
 def test_own_path_is_sound_only_if_something_newer_shows_it(monitor: LinkMonitor) -> None:
     """Failure: a cut instance reported that sound endpoints had crashed."""
-    monitor.record_heard('a', 1.0)
+    monitor.record_received('a', 1.0)
     assert monitor.vouches_for('a', 0.9)
     assert not monitor.vouches_for('a', 1.0)
-    monitor.record_heard('a', 2.0)
+    monitor.record_received('a', 2.0)
     monitor.record_reached_by_peer('a', 'x', 2.1, zone_size=9)
     assert not monitor.vouches_for('a', 1.5)
 
