--- a/tests/tunnel_fixtures.py
+++ b/tests/tunnel_fixtures.py
@@ -76,10 +76,23 @@
     peer.members.record_heartbeat(_heartbeat(user_member), now + 3600.0)
     lose_links(user.links, now)
     tasks.start_soon(peer.serve)
-    await anyio.sleep(0.02)
+    await _wait_until_listening(peer_member.heartbeat_address)
     return user, peer
 
 
+async def _wait_until_listening(address: str) -> None:
+    host, _, port = address.rpartition(':')
+    with anyio.fail_after(10):
+        while True:
+            try:
+                stream = await anyio.connect_tcp(host, int(port))
+            except OSError:
+                await anyio.sleep(0.01)
+                continue
+            await stream.aclose()
+            return
+
+
 def lose_links(links: LinkMonitor, now: float) -> None:
     for incarnation in ('x', 'y'):
         links.record_reached_by_peer(ZONE, incarnation, now, zone_size=2)
