Report no crash while the links are known to be lost and no peer answers

The new test had a sound endpoint reported as crashed before; nothing is reported now while the links to the zone, or all of them, are known to be lost.

--- a/packages/node/src/plantainloft_node/entry/endpoint_links.py
+++ b/packages/node/src/plantainloft_node/entry/endpoint_links.py
@@ -34,8 +34,9 @@
     async def has_ended(self, attempt: EndpointAttempt) -> bool:
         """Return whether the endpoint of ``attempt`` has ended.
 
-        If no instance can tell, the connections to other endpoints decide: if they broke
-        at the same time, the links were lost.
+        If no instance can tell, nothing is reported while links are known to be lost. Else
+        the connections to other endpoints decide: if they broke at the same time, the links
+        were lost.
         """
         state = self.endpoint_registry.find(attempt.incarnation)
         if state is None:
@@ -45,7 +46,11 @@
             now = anyio.current_time()
             others_are_open = not self.monitor.broken.includes_others(attempt.incarnation, now)
         is_gone = await self.connector.is_gone(state)
-        return others_are_open if is_gone is None else is_gone
+        if is_gone is None:
+            # Connections that have fallen silent look open.
+            links_are_lost = self.monitor.is_isolated or self.monitor.is_lost(state.record.zone)
+            return others_are_open and not links_are_lost
+        return is_gone
 
 
 def build_endpoint_links(
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -30,10 +30,13 @@
     DirectConnector,
     EndpointConnector,
 )
-from plantainloft_node.engine.upstream_connection import UpstreamConnection
+from plantainloft_node.engine.upstream_connection import UpstreamConnection, connect
+from plantainloft_node.entry.endpoint_links import EndpointLinks
 from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.links.prober import LinkProber
 from plantainloft_node.placement.endpoints import EndpointRegistry, EndpointState
+from plantainloft_node.quarantine.crash_detector import EndpointAttempt
+from plantainloft_node.quarantine.fingerprints import compute_fingerprint
 from plantainloft_node.tunnels.announcements import AnnouncementForwarder
 from plantainloft_node.tunnels.client import NoTunnel
 from plantainloft_node.tunnels.frames import OpenRequest, OpenResult, pack_open_request
@@ -324,3 +327,43 @@
         assert pair.state.accepts_requests(anyio.current_time())
         assert await forwarder.answer_call([incarnation, False, 3.0])
         assert not pair.state.accepts_requests(anyio.current_time())
+
+
+async def test_no_crash_is_reported_while_links_are_lost_and_no_peer_answers(
+    pairs: PairList,
+) -> None:
+    """Failure: silent connections that look open made a lost link look like a crash."""
+    async with running_pair(pairs, answer_with(b''), answer_with(b'')) as pair:
+        pair.peer.scope.cancel()
+        await anyio.sleep(WAIT_S)
+        other = pair.server.endpoint_registry.by_id['i1']
+        await open_idle_connection(pair, other)
+        links = EndpointLinks(
+            monitor=pair.user.links,
+            connector=pair.user.connector,
+            client=pair.user.client,
+            server=pair.user.server,
+            prober=LinkProber(
+                links=pair.user.links,
+                connector=pair.user.connector,
+                endpoint_registry=pair.server.endpoint_registry,
+            ),
+            announcements=AnnouncementForwarder(
+                members=pair.user.members, endpoint_registry=pair.server.endpoint_registry
+            ),
+            endpoint_registry=pair.server.endpoint_registry,
+            pool=pair.server.pool,
+        )
+        record = pair.state.record
+        fingerprint = compute_fingerprint(
+            method=b'GET', host=b'', target=b'/', body=b'', address='', credentials=()
+        )
+        attempt = EndpointAttempt(fingerprint, 'r1', record.incarnation, record.address)
+        assert pair.server.pool.others_are_open(record.incarnation)
+        assert not await links.has_ended(attempt)
+
+
+async def open_idle_connection(pair: PairServer, state: EndpointState) -> None:
+    connection = await connect(state.record.address)
+    connection.usable_until = anyio.current_time() + 60.0
+    await pair.server.pool.release(state.record.incarnation, connection)
