Test of crash reports: requests are under way at the cut on a busy machine, too

Sent 25 ms before the cut, to endpoints that answer after 50 ms, they had not arrived yet at load averages of 18 to 23, so that nothing broke and no check was made (assert checks: []). Endpoints now take a second, half of it before the cut; what is checked stays.

--- a/tests/partitioned_fleet.py
+++ b/tests/partitioned_fleet.py
@@ -16,6 +16,7 @@
     OPERATOR_TABLE,
     SIGNED_OK_RESPONSE,
     EntryProcessHandle,
+    answer_every_request,
     http_get,
     make_configuration,
     running_store,
@@ -46,6 +47,9 @@
         self.entries = entries
         self.endpoints = endpoints
         self.first_tries: list[FirstTry] = []
+        self.run_time_s = RUN_TIME_S
+        for endpoint in endpoints:
+            endpoint.script = self._answer
         self._numbers = itertools.count()
         self._rng = random.Random(7)
 
@@ -77,6 +81,12 @@
             for _ in range(count):
                 tasks.start_soon(self._send, entry)
 
+    async def _answer(self, connection: ScriptedConnection) -> None:
+        while True:
+            await connection.read_request()
+            await anyio.sleep(self.run_time_s)
+            await connection.send(SIGNED_OK_RESPONSE)
+
     async def _send(self, entry: int) -> None:
         number = next(self._numbers)
         headers = (
@@ -97,7 +107,7 @@
 ) -> AsyncIterator[tuple[PartitionedFleet, TaskGroup]]:
     """Run ``instances`` entry processes and ``ENDPOINTS`` endpoints of one service."""
     async with running_store() as (store, tasks):
-        endpoints = [ScriptedEndpoint(script=_answer) for _ in range(ENDPOINTS)]
+        endpoints = [ScriptedEndpoint(script=answer_every_request) for _ in range(ENDPOINTS)]
         await start_listed_endpoints(store, tasks, endpoints, slots=12)
         store.put(OPERATOR_TABLE, 'config', make_configuration(3))
         await start_entry_processes(
@@ -107,10 +117,3 @@
             module='cuttable_entry',
         )
         yield PartitionedFleet(entries=entry_processes, endpoints=endpoints), tasks
-
-
-async def _answer(connection: ScriptedConnection) -> None:
-    while True:
-        await connection.read_request()
-        await anyio.sleep(RUN_TIME_S)
-        await connection.send(SIGNED_OK_RESPONSE)
--- a/tests/test_lost_endpoint_links.py
+++ b/tests/test_lost_endpoint_links.py
@@ -6,7 +6,7 @@
 import anyio
 import pytest
 from cuttable_entry import HANG_NEW, REFUSE_NEW, RESET, SILENT
-from partitioned_fleet import INSTANCES, RUN_TIME_S, partitioned_fleet
+from partitioned_fleet import INSTANCES, partitioned_fleet
 from platform_standin import EntryProcessHandle
 
 from plantainloft_ctl.commands.endpoint_links import EndpointLinks
@@ -55,9 +55,11 @@
     async with partitioned_fleet(entry_processes, tmp_path) as (fleet, tasks):
         tasks.start_soon(fleet.send_requests, REQUESTS_PER_S)
         await anyio.sleep(WARM_UP_S)
+        # Long enough that requests are under way at the cut on a busy machine, too.
+        fleet.run_time_s = 1.0
         for entry in cut_off:
             tasks.start_soon(fleet.send_at_once, entry, 20)
-        await anyio.sleep(RUN_TIME_S / 2)
+        await anyio.sleep(fleet.run_time_s / 2)
         fleet.cut(cut_off, mode)
         await anyio.sleep(OBSERVED_S)
         checks = [
