--- a/packages/node/src/plantainloft_node/entry/endpoint_links.py
+++ b/packages/node/src/plantainloft_node/entry/endpoint_links.py
@@ -34,7 +34,7 @@
     async def has_ended(self, attempt: EndpointAttempt) -> bool:
         """Return whether the endpoint of ``attempt`` has ended.
 
-        If no instance can tell, nothing is reported while links are known to be lost. Else
+        If that is unknown, nothing is reported while links are known to be lost. Else
         the connections to other endpoints decide: if they broke at the same time, the links
         were lost.
         """
--- a/packages/node/src/plantainloft_node/tunnels/connector.py
+++ b/packages/node/src/plantainloft_node/tunnels/connector.py
@@ -90,7 +90,7 @@
     async def is_gone(self, state: EndpointState) -> bool | None:
         """Return whether no process accepts connections at the endpoint's address.
 
-        ``None`` if nobody can tell. Another endpoint of the zone must accept a connection,
+        ``None`` if that is unknown. Another endpoint of the zone must accept a connection,
         here or at a peer: instances that lose their links would otherwise report that
         sound endpoints have crashed.
         """
--- a/packages/node/src/plantainloft_node/tunnels/peer_selection.py
+++ b/packages/node/src/plantainloft_node/tunnels/peer_selection.py
@@ -68,7 +68,7 @@
         allowed = [peer for peer in peers if not allowed_regions or peer.region in allowed_regions]
         if self._remaining_failed_asks(now) < 1:
             allowed = [peer for peer in allowed if self._is_trusted(peer, now)]
-        # A peer that couldn't tell about one endpoint may well reach others.
+        # A peer that was uncertain about one endpoint may well reach others.
         tiers = self._tiers(allowed, now) or self._uncertain(allowed)
         ordered = [self._ordered(tier, tunnels_by_name, now) for tier in tiers]
         # Instances of one zone often lose their links together, so that the second one to
