--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -48,15 +48,13 @@
 
     ``withdrawn``: the endpoint is reachable, but announced in the meantime that it wants
     no requests. ``timed_out``: a connection was not opened in time. ``own_path``: this
-    instance has no way to the endpoint, which may be sound. ``is_confirmed``: a peer
-    doesn't reach the endpoint either.
+    instance has no way to the endpoint, which may be sound.
     """
 
     reason: str
     withdrawn: bool = False
     timed_out: bool = False
     own_path: bool = False
-    is_confirmed: bool = False
 
     @property
     def blames_endpoint(self) -> bool:
--- a/packages/node/src/plantainloft_node/tunnels/connector.py
+++ b/packages/node/src/plantainloft_node/tunnels/connector.py
@@ -2,7 +2,6 @@
 
 import random
 from collections.abc import Callable
-from dataclasses import replace
 
 import anyio
 
@@ -16,7 +15,7 @@
 )
 from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.placement.endpoints import EndpointRegistry, EndpointState
-from plantainloft_node.tunnels.client import NoTunnel, TunnelClient
+from plantainloft_node.tunnels.client import TunnelClient
 
 __all__ = ['FallbackConnector']
 
@@ -168,7 +167,6 @@
     ) -> UpstreamConnection | NotSent:
         """Ask a peer and try the endpoint once more, at the same time; the first one wins."""
         opened: list[UpstreamConnection] = []
-        no_tunnel: list[NoTunnel] = []
 
         async def connect_again(tasks: anyio.abc.TaskGroup) -> None:
             connection = await self.connect_directly(
@@ -183,9 +181,7 @@
         async def ask_peer(tasks: anyio.abc.TaskGroup) -> None:
             with anyio.move_on_after(CONNECT_TIMEOUT_S):
                 tunnel = await self._tunnels.open(state, needs)
-                if isinstance(tunnel, NoTunnel):
-                    no_tunnel.append(tunnel)
-                else:
+                if isinstance(tunnel, UpstreamConnection):
                     opened.append(tunnel)
                     tasks.cancel_scope.cancel()
 
@@ -199,8 +195,7 @@
                 await connection.close()
             raise
         if not opened:
-            is_confirmed = any(one.is_unreachable for one in no_tunnel)
-            return replace(first_failure, is_confirmed=is_confirmed)
+            return first_failure
         for surplus in opened[1:]:
             await surplus.close()
         if opened[0].path is None:
