--- a/packages/node/src/plantainloft_node/entry/endpoint_links.py
+++ b/packages/node/src/plantainloft_node/entry/endpoint_links.py
@@ -42,10 +42,12 @@
         if state is None:
             return True
         others_are_open = self.pool.others_are_open(attempt.incarnation)
-        if others_are_open is None:
-            now = anyio.current_time()
-            others_are_open = not self.monitor.broken.includes_others(attempt.incarnation, now)
+        broke_at = anyio.current_time()
         is_gone = await self.connector.is_gone(state)
+        if others_are_open is None:
+            # Asked last: this connection may be the first of several to break.
+            others_broke = self.monitor.broken.includes_others(attempt.incarnation, broke_at)
+            others_are_open = not others_broke
         if is_gone is None:
             # Connections that have fallen silent look open.
             links_are_lost = self.monitor.is_isolated or self.monitor.is_lost(state.record.zone)
--- a/packages/node/src/plantainloft_node/links/broken_connections.py
+++ b/packages/node/src/plantainloft_node/links/broken_connections.py
@@ -4,6 +4,7 @@
 
 # Connections that break with lost links break within this time of each other.
 SAME_TIME_S = 0.3
+RETENTION_S = 5.0
 
 
 class BrokenConnections:
@@ -17,14 +18,14 @@
         self._broke_at_by_incarnation = {
             known: at
             for known, at in self._broke_at_by_incarnation.items()
-            if now - at < SAME_TIME_S
+            if now - at < RETENTION_S
         }
         self._broke_at_by_incarnation[incarnation] = now
 
-    def includes_others(self, incarnation: str, now: float) -> bool:
-        """Return whether a connection to any other endpoint broke at the same time."""
+    def includes_others(self, incarnation: str, broke_at: float) -> bool:
+        """Return whether a connection to any other endpoint broke at about ``broke_at``."""
         return any(
-            now - at < SAME_TIME_S
+            abs(broke_at - at) < SAME_TIME_S
             for known, at in self._broke_at_by_incarnation.items()
             if known != incarnation
         )
