--- a/bench/ablation.py
+++ b/bench/ablation.py
@@ -16,8 +16,8 @@
 from unittest import mock
 
 from plantainloft_node.placement import endpoints, placement, selection
-from plantainloft_node.placement.retry_budget import RetryBudget
 from plantainloft_node.placement.spillover import SpilloverDecayLimiter
+from plantainloft_node.retry_budget.budget import RetryBudget
 from plantainloft_standins import load_simulation
 from plantainloft_standins.deployments import nearby_regions_scenario
 from plantainloft_standins.load_simulation import (
--- a/packages/node/src/plantainloft_node/engine/dispatcher.py
+++ b/packages/node/src/plantainloft_node/engine/dispatcher.py
@@ -32,12 +32,12 @@
 from plantainloft_node.engine.upstream_connection import UpstreamRequest
 from plantainloft_node.placement.demand import DemandMeter
 from plantainloft_node.placement.placement import NoCapacity, Placement, PlacementRequest, Selection
-from plantainloft_node.placement.retry_budget import RetryAllowance, RetryBudget
 from plantainloft_node.placement.weighted_round_robin import SmoothWeightedRoundRobin
 from plantainloft_node.quarantine.crash_detector import CrashDetector, EndpointAttempt
 from plantainloft_node.quarantine.crash_registry import CrashRegistry
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint, compute_fingerprint
 from plantainloft_node.quarantine.quarantine import AdmissionDecision, Admitted, Blocked, Quarantine
+from plantainloft_node.retry_budget.budget import RetryAllowance, RetryBudget
 
 __all__ = ['AdmittedRequest', 'Dispatcher', 'RetryLimits', 'refusal_with_retry_after']
 
--- a/packages/node/src/plantainloft_node/limits/limiter.py
+++ b/packages/node/src/plantainloft_node/limits/limiter.py
@@ -21,7 +21,7 @@
     share_after_start,
 )
 from plantainloft_node.placement.rendezvous import SCORE_RANGE, rendezvous_score
-from plantainloft_node.placement.retry_budget import SlidingWindowCounter
+from plantainloft_node.placement.sliding_window import SlidingWindowCounter
 
 __all__ = [
     'DEFAULT_LIMIT_SETTINGS',
--- a/packages/node/src/plantainloft_node/placement/cold_rate_limit.py
+++ b/packages/node/src/plantainloft_node/placement/cold_rate_limit.py
@@ -8,7 +8,7 @@
 from collections.abc import Mapping
 
 from plantainloft_node.placement.dealt_shares import dealt_share
-from plantainloft_node.placement.retry_budget import SlidingWindowCounter
+from plantainloft_node.placement.sliding_window import SlidingWindowCounter
 
 __all__ = ['ColdRateLimiter', 'cold_share']
 
--- a/packages/node/src/plantainloft_node/placement/spillover.py
+++ b/packages/node/src/plantainloft_node/placement/spillover.py
@@ -10,7 +10,7 @@
 region, a limit would refuse callers while other regions have free slots.
 """
 
-from plantainloft_node.placement.retry_budget import SlidingWindowCounter
+from plantainloft_node.placement.sliding_window import SlidingWindowCounter
 
 __all__ = ['SpilloverDecayLimiter']
 
--- /dev/null
+++ b/packages/node/src/plantainloft_node/retry_budget/__init__.py
@@ -0,0 +1,1 @@
+"""Limits the retries to each service, over all instances."""
--- a/packages/standins/src/plantainloft_standins/load_simulation.py
+++ b/packages/standins/src/plantainloft_standins/load_simulation.py
@@ -24,7 +24,7 @@
     PlacementSettings,
     Selection,
 )
-from plantainloft_node.placement.retry_budget import RetryAllowance, RetryBudget
+from plantainloft_node.retry_budget.budget import RetryAllowance, RetryBudget
 from plantainloft_standins.announcement_log import (
     NO_ANNOUNCEMENT,
     AnnouncementLog,
--- a/tests/test_placing.py
+++ b/tests/test_placing.py
@@ -18,12 +18,9 @@
     PlacementSettings,
     Selection,
 )
-from plantainloft_node.placement.retry_budget import (
-    RetryAllowance,
-    RetryBudget,
-    SlidingWindowCounter,
-)
+from plantainloft_node.placement.sliding_window import SlidingWindowCounter
 from plantainloft_node.placement.weighted_round_robin import SmoothWeightedRoundRobin
+from plantainloft_node.retry_budget.budget import RetryAllowance, RetryBudget
 
 NOW = 1000.0
 SERVICE_LIMITS = ServiceLimits(
