Log and count retries that are sent and withheld, with what allowed them

A line of kind retry_budget a second and service in use, the metric retries{service,outcome}, and retry_withheld in the line of the request that was not sent again. What is granted is unchanged.

The reason for the last: callers saw 503 and nothing said whether the budget or the route's attempts had ended the request.

--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -151,6 +151,7 @@
         # Set from the first byte that an attempt sends until its outcome, and permanently
         # once one may have run.
         self.may_have_run = False
+        self._withheld_reason = ''
         self._failure_reasons: list[str] = []
         # The endpoint that is processing the request now, if any.
         self.current_endpoint_id = ''
@@ -188,6 +189,15 @@
         if not isinstance(outcome, Answered):
             self._failure_reasons.append(f'{endpoint_id}: {outcome.reason}')
 
+    def record_withheld_retry(self, reason: str) -> None:
+        """Record why a retry that was possible otherwise was not sent."""
+        self._withheld_reason = reason
+
+    @property
+    def withheld_reason(self) -> str:
+        """Why the request was not sent again: ``budget``, ``attempts`` or empty."""
+        return self._withheld_reason
+
     def failure_reasons(self) -> Sequence[str]:
         """Return the reason for each failed attempt, in order."""
         return tuple(self._failure_reasons)
--- a/packages/node/src/plantainloft_node/engine/dispatcher.py
+++ b/packages/node/src/plantainloft_node/engine/dispatcher.py
@@ -37,9 +37,9 @@
 from plantainloft_node.quarantine.crash_registry import CrashRegistry
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint, compute_fingerprint
 from plantainloft_node.quarantine.quarantine import AdmissionDecision, Admitted, Blocked, Quarantine
-from plantainloft_node.retry_budget.budget import RetryAllowance, RetryBudget
+from plantainloft_node.retry_budget.registry import RetryBudgets
 
-__all__ = ['AdmittedRequest', 'Dispatcher', 'RetryLimits', 'refusal_with_retry_after']
+__all__ = ['AdmittedRequest', 'Dispatcher', 'refusal_with_retry_after']
 
 log = logging.getLogger(__name__)
 
@@ -54,14 +54,6 @@
 RETRY_AFTER_JITTER_S = 0.35
 
 
-class RetryLimits(NamedTuple):
-    """Limits on the retries to one service, across all instances."""
-
-    ratio: float
-    fixed_retries: float
-    window_s: float
-
-
 class AdmittedRequest(NamedTuple):
     """A request with its route and its deadline.
 
@@ -87,7 +79,7 @@
         names: HeaderNames,
         placement: Placement,
         sender: Sender,
-        retry_limits: RetryLimits,
+        retry_budgets: RetryBudgets,
         crash_detector: CrashDetector,
         quarantine: Quarantine,
     ) -> None:
@@ -96,8 +88,7 @@
         self._quarantine = quarantine
         self._placement = placement
         self._sender = sender
-        self.retry_limits = retry_limits
-        self._budget_by_service: dict[str, RetryBudget] = {}
+        self.retry_budgets = retry_budgets
         self._round_robin_by_route: dict[str, SmoothWeightedRoundRobin] = {}
         self.demand = DemandMeter()
 
@@ -106,13 +97,6 @@
         """The crashes of endpoints, by the request that caused them."""
         return self._quarantine.crash_registry
 
-    def remaining_retry_budgets(self, now: float) -> dict[str, float]:
-        """Return the remaining retry budget of each service."""
-        return {
-            service: budget.remaining(now, self._allowance())
-            for service, budget in self._budget_by_service.items()
-        }
-
     async def dispatch(
         self, admitted: AdmittedRequest, route_table: RouteTable, attempts: Attempts
     ) -> Answered | Refusal | Failed | Blocked:
@@ -129,8 +113,7 @@
         route = admitted.route
         round_robin = self._round_robin_by_route.setdefault(route.name, SmoothWeightedRoundRobin())
         service = round_robin.next_service(route.shares)
-        budget = self._budget(service)
-        budget.record_request(anyio.current_time())
+        self.retry_budgets.record_request(service, anyio.current_time())
         self.demand.record_request(service)
         while True:
             outcome = await self._attempt(admitted, service, route_table, attempts)
@@ -138,9 +121,9 @@
                 return _refusal_or_failure(outcome, attempts)
             if isinstance(outcome, Answered | Failed):
                 is_last = send_once or _is_final(outcome)
-                if is_last or not self._may_retry_executed(admitted, budget, attempts):
+                if is_last or not self._may_retry_executed(admitted, service, attempts):
                     return outcome
-            elif not self._may_retry_unexecuted(admitted, budget, attempts, outcome):
+            elif not self._may_retry_unexecuted(admitted, service, attempts, outcome):
                 return _refusal_or_failure(
                     refusal_with_retry_after('; '.join(attempts.failure_reasons())), attempts
                 )
@@ -261,7 +244,7 @@
         )
 
     def _may_retry_executed(
-        self, admitted: AdmittedRequest, budget: RetryBudget, attempts: Attempts
+        self, admitted: AdmittedRequest, service: str, attempts: Attempts
     ) -> bool:
         """Return whether a request that may have run may be sent again."""
         if not admitted.route.idempotent or not admitted.body_complete:
@@ -270,39 +253,34 @@
             self._fingerprint(admitted), anyio.current_time()
         ).is_quarantined:
             return False
-        return self._take_retry(admitted, budget, attempts)
+        return self._take_retry(admitted, service, attempts)
 
     def _may_retry_unexecuted(
         self,
         admitted: AdmittedRequest,
-        budget: RetryBudget,
+        service: str,
         attempts: Attempts,
         outcome: NotSent | NotRun,
     ) -> bool:
         """Return whether a request that did not run may be sent to another endpoint."""
         if isinstance(outcome, NotSent):
             return attempts.connect_failures < MAX_CONNECT_FAILURES
-        return admitted.body_complete and self._take_retry(admitted, budget, attempts)
+        return admitted.body_complete and self._take_retry(admitted, service, attempts)
 
-    def _take_retry(
-        self, admitted: AdmittedRequest, budget: RetryBudget, attempts: Attempts
-    ) -> bool:
+    def _take_retry(self, admitted: AdmittedRequest, service: str, attempts: Attempts) -> bool:
         if (
             attempts.sent_count >= admitted.route.max_attempts
             or attempts.misdirected_count > MAX_MISDIRECTED
         ):
+            attempts.record_withheld_retry('attempts')
             return False
         now = anyio.current_time()
         if now >= admitted.deadline:
             return False
-        return budget.try_acquire(now, self._allowance())
-
-    def _allowance(self) -> RetryAllowance:
-        return RetryAllowance(
-            ratio=self.retry_limits.ratio,
-            fixed_retries=self.retry_limits.fixed_retries,
-            instances=self._placement.instance_count,
-        )
+        if self.retry_budgets.try_acquire(service, now):
+            return True
+        attempts.record_withheld_retry('budget')
+        return False
 
     def _build_endpoint_request(
         self,
@@ -348,13 +326,6 @@
             on_send=attempts.record_send,
         )
 
-    def _budget(self, service: str) -> RetryBudget:
-        budget = self._budget_by_service.get(service)
-        if budget is None:
-            budget = RetryBudget(window_s=self.retry_limits.window_s)
-            self._budget_by_service[service] = budget
-        return budget
-
 
 def _placement_details(
     selection: Selection, admitted: AdmittedRequest, now: float
--- a/packages/node/src/plantainloft_node/engine/responses.py
+++ b/packages/node/src/plantainloft_node/engine/responses.py
@@ -245,6 +245,8 @@
     }
     if attempts.context.organisation:
         fields['organisation'] = attempts.context.organisation
+    if attempts.withheld_reason:
+        fields['retry_withheld'] = attempts.withheld_reason
     if attempts.path is not None:
         fields['via'] = attempts.path.peer
         fields['tunnel'] = attempts.path.tunnel
--- a/packages/node/src/plantainloft_node/entry/component_parameters.py
+++ b/packages/node/src/plantainloft_node/entry/component_parameters.py
@@ -2,11 +2,11 @@
 
 import time
 
-from plantainloft_node.engine.dispatcher import RetryLimits
 from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.fleet.membership import FleetMember
 from plantainloft_node.limits.limiter import LimitSettings
 from plantainloft_node.placement.placement import PlacementSettings
+from plantainloft_node.retry_budget.registry import RetryLimits
 
 __all__ = [
     'UPDATE_INTERVAL_S',
--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -51,8 +51,7 @@
         metrics.set_gauge('configuration_age_seconds', now - routing_state.route_table_since)
         metrics.set_gauge('members_up', len(self._members.peers_up(now)) + 1)
         metrics.set_gauge('requests_in_progress', forwarding_handler.requests_in_progress)
-        for service, remaining in dispatcher.remaining_retry_budgets(now).items():
-            metrics.set_gauge('retry_budget_left', remaining, service=service)
+        self._set_retry_gauges(dispatcher, now)
         metrics.set_gauge('spilled_share', placement.spilled_share(now))
         metrics.set_gauge('quarantined_requests', len(dispatcher.crash_registry.quarantined(now)))
         self._set_store_and_endpoint_gauges(now)
@@ -101,6 +100,13 @@
             self._metrics.set_gauge('endpoint_limit_share', usage.share, endpoint=endpoint_id)
             self._metrics.set_gauge('endpoint_limit_sent', usage.sent, endpoint=endpoint_id)
 
+    def _set_retry_gauges(self, dispatcher: Dispatcher, now: float) -> None:
+        for usage in dispatcher.retry_budgets.usage(now):
+            service = usage.service
+            self._metrics.set_gauge('retry_budget_left', usage.remaining, service=service)
+            self._metrics.set_gauge('retries', usage.sent, service=service, outcome='sent')
+            self._metrics.set_gauge('retries', usage.withheld, service=service, outcome='withheld')
+
     def _set_announcement_gauges(self, now: float) -> None:
         announcements = self._replicated_state.endpoint_registry.announcements
         self._metrics.set_gauge('endpoints_leaving', announcements.leaving_count())
--- a/packages/node/src/plantainloft_node/entry/periodic_updates.py
+++ b/packages/node/src/plantainloft_node/entry/periodic_updates.py
@@ -34,6 +34,7 @@
         self._demand = pipeline.dispatcher.demand
         self._pool = pipeline.pool
         self._crash_registry = pipeline.dispatcher.crash_registry
+        self._retry_budgets = pipeline.dispatcher.retry_budgets
         self._limiter = pipeline.limiter
 
     async def run(self) -> None:
@@ -50,6 +51,7 @@
         self._replicated_state.routing_state.expire_grace_periods(now)
         region_by_instance = self._members.region_by_limit_sharer(now)
         self._placement.update_instances(region_by_instance)
+        self._retry_budgets.update(instance_count=len(region_by_instance), now=now)
         if self._placement.endpoint_limiter:
             self._placement.update_endpoint_limits(
                 fleet_view(self._members, region_by_instance, now), now
--- a/packages/node/src/plantainloft_node/entry/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/entry/request_pipeline.py
@@ -21,6 +21,7 @@
 from plantainloft_node.placement.placement import Placement
 from plantainloft_node.quarantine.crash_detector import CrashDetector, EndpointAttempt
 from plantainloft_node.quarantine.quarantine import Quarantine
+from plantainloft_node.retry_budget.registry import RetryBudgets
 
 __all__ = ['RequestPipeline', 'build_request_pipeline']
 
@@ -39,7 +40,7 @@
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply the limits of reloaded settings."""
         self.placement.settings = placement_settings(settings)
-        self.dispatcher.retry_limits = retry_limits(settings)
+        self.dispatcher.retry_budgets.limits = retry_limits(settings)
         self.limiter.settings = limit_parameters(settings)
 
 
@@ -74,7 +75,7 @@
         names=names,
         placement=placement,
         sender=Sender(names=names, pool=pool, connector=endpoint_links.connector),
-        retry_limits=retry_limits(settings),
+        retry_budgets=RetryBudgets(limits=retry_limits(settings)),
         crash_detector=crash_detector,
         quarantine=quarantine,
     )
--- a/packages/node/src/plantainloft_node/placement/placement.py
+++ b/packages/node/src/plantainloft_node/placement/placement.py
@@ -162,11 +162,6 @@
                 )
         return choice
 
-    @property
-    def instance_count(self) -> int:
-        """The number of instances among which limits are divided."""
-        return len(self._region_by_instance)
-
     def spilled_share(self, now: float) -> float:
         """Return the share (0..1) of recent requests that spilled over."""
         return self._spillover_limiter.spilled_share(now)
--- a/packages/node/src/plantainloft_node/retry_budget/budget.py
+++ b/packages/node/src/plantainloft_node/retry_budget/budget.py
@@ -45,6 +45,14 @@
         """Count a caller's request for the service."""
         self._requests.add(now)
 
+    def request_count(self, now: float) -> int:
+        """Return the number of callers' requests in the window that ends now."""
+        return self._requests.count(now)
+
+    def retry_count(self, now: float) -> int:
+        """Return the number of retries in the window that ends now."""
+        return self._retries.count(now)
+
     def remaining(self, now: float, allowance: RetryAllowance) -> float:
         """Return the number of retries that may be sent now."""
         instances = max(1, allowance.instances)
--- /dev/null
+++ b/packages/node/src/plantainloft_node/retry_budget/registry.py
@@ -0,0 +1,121 @@
+"""The retry budgets of all services at this instance, and what they were used for."""
+
+import logging
+from collections import Counter
+from typing import NamedTuple
+
+from plantainloft_node.retry_budget.budget import RetryAllowance, RetryBudget
+
+__all__ = ['RetryBudgetUsage', 'RetryBudgets', 'RetryLimits']
+
+log = logging.getLogger(__name__)
+
+# A budget in use is logged at most this often, for each service.
+LOG_INTERVAL_S = 1.0
+
+
+class RetryLimits(NamedTuple):
+    """Limits on the retries to one service, across all instances."""
+
+    ratio: float
+    fixed_retries: float
+    window_s: float
+
+
+class RetryBudgetUsage(NamedTuple):
+    """Use of one service's budget at this instance.
+
+    ``requests`` and ``retries`` count the window that ends now, ``remaining`` is the number
+    of retries that may be sent now. ``sent`` and ``withheld`` count since the process
+    started; a retry is withheld if the budget doesn't allow it.
+    """
+
+    service: str
+    requests: int
+    retries: int
+    remaining: float
+    sent: int
+    withheld: int
+
+
+class RetryBudgets:
+    """Grants retries to each service and records what was granted and withheld."""
+
+    def __init__(self, *, limits: RetryLimits) -> None:
+        self.limits = limits
+        # The number of instances among which fixed retries are divided; 0 while unknown.
+        self._instance_count = 0
+        # The time (monotonic) of the first update; ``None`` before.
+        self._started_at: float | None = None
+        self._budget_by_service: dict[str, RetryBudget] = {}
+        self._sent_by_service: Counter[str] = Counter()
+        self._withheld_by_service: Counter[str] = Counter()
+        self._logged_at_by_service: dict[str, float] = {}
+
+    def update(self, *, instance_count: int, now: float) -> None:
+        """Set the number of instances that are known to share the budgets."""
+        if self._started_at is None:
+            self._started_at = now
+        self._instance_count = instance_count
+
+    def record_request(self, service: str, now: float) -> None:
+        """Count a caller's request for ``service``."""
+        self._budget(service).record_request(now)
+
+    def try_acquire(self, service: str, now: float) -> bool:
+        """Take one retry from the budget of ``service``; return whether one was left."""
+        acquired = self._budget(service).try_acquire(now, self._allowance())
+        counter = self._sent_by_service if acquired else self._withheld_by_service
+        counter[service] += 1
+        self._log_usage(service, now)
+        return acquired
+
+    def usage(self, now: float) -> list[RetryBudgetUsage]:
+        """Return the use of each service's budget, sorted by service."""
+        return [self._usage(service, now) for service in sorted(self._budget_by_service)]
+
+    def _usage(self, service: str, now: float) -> RetryBudgetUsage:
+        budget = self._budget_by_service[service]
+        return RetryBudgetUsage(
+            service=service,
+            requests=budget.request_count(now),
+            retries=budget.retry_count(now),
+            remaining=budget.remaining(now, self._allowance()),
+            sent=self._sent_by_service[service],
+            withheld=self._withheld_by_service[service],
+        )
+
+    def _allowance(self) -> RetryAllowance:
+        return RetryAllowance(
+            ratio=self.limits.ratio,
+            fixed_retries=self.limits.fixed_retries,
+            instances=self._instance_count,
+        )
+
+    def _budget(self, service: str) -> RetryBudget:
+        budget = self._budget_by_service.get(service)
+        if budget is None:
+            budget = RetryBudget(window_s=self.limits.window_s)
+            self._budget_by_service[service] = budget
+        return budget
+
+    def _log_usage(self, service: str, now: float) -> None:
+        if now - self._logged_at_by_service.get(service, float('-inf')) < LOG_INTERVAL_S:
+            return
+        self._logged_at_by_service[service] = now
+        usage = self._usage(service, now)
+        log.info(
+            'Retries: %d to %s in the last window, %.1f left.',
+            usage.retries,
+            service,
+            usage.remaining,
+            extra={
+                'kind': 'retry_budget',
+                'fields': {
+                    **usage._asdict(),
+                    'remaining': round(usage.remaining, 1),
+                    'instances': self._instance_count,
+                    'uptime_s': round(now - (self._started_at or now), 1),
+                },
+            },
+        )
--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -25,7 +25,7 @@
 from plantainloft_node.engine.caller_connection import CallerConnection
 from plantainloft_node.engine.connection_pool import ConnectionPool
 from plantainloft_node.engine.connector import DirectConnector, EndpointConnector
-from plantainloft_node.engine.dispatcher import Dispatcher, RetryLimits
+from plantainloft_node.engine.dispatcher import Dispatcher
 from plantainloft_node.engine.forwarding_handler import ForwardingHandler
 from plantainloft_node.engine.header_names import HeaderNames
 from plantainloft_node.engine.sender import Sender
@@ -36,10 +36,12 @@
 from plantainloft_node.quarantine.crash_detector import CrashDetector, refuses_connections
 from plantainloft_node.quarantine.crash_registry import CrashRegistry
 from plantainloft_node.quarantine.quarantine import Quarantine
+from plantainloft_node.retry_budget.registry import RetryBudgets, RetryLimits
 from plantainloft_standins.quarantine_store import MemoryQuarantineStore
 
 HEADER_NAMES = HeaderNames(signature=b'x-signature')
 LIMIT_SETTINGS = LimitSettings(window_s=5.0, overshoot_ratio=0.0, overshoot_requests=0.0)
+RETRY_LIMITS = RetryLimits(ratio=0.2, fixed_retries=64.0, window_s=10.0)
 ConnectionScript = Callable[['ScriptedConnection'], Awaitable[None]]
 SERVICE = 'case-desk'
 
@@ -307,7 +309,7 @@
                 names=HEADER_NAMES,
                 placement=placement,
                 sender=Sender(names=HEADER_NAMES, pool=pool, connector=connector),
-                retry_limits=RetryLimits(ratio=0.2, fixed_retries=64.0, window_s=10.0),
+                retry_budgets=RetryBudgets(limits=RETRY_LIMITS),
                 crash_detector=crash_detector,
                 quarantine=quarantine,
             ),
