--- a/packages/standins/src/plantainloft_standins/fleet_simulation.py
+++ b/packages/standins/src/plantainloft_standins/fleet_simulation.py
@@ -6,7 +6,6 @@
 answers with its full list of instances, as a real peer does.
 """
 
-import heapq
 import itertools
 import random
 from collections.abc import Callable, Iterable, Iterator
@@ -21,6 +20,7 @@
 from plantainloft_node.limits.limiter import DEFAULT_LIMIT_SETTINGS, LimitSettings, RequestLimiter
 from plantainloft_node.limits.shares import DemandProportionalShares, ShareRule
 from plantainloft_node.quarantine.crash_registry import CrashRegistry
+from plantainloft_standins.event_queue import EventQueue
 
 __all__ = ['FleetModel', 'FleetShape', 'ModelInstance', 'Traffic']
 
@@ -114,13 +114,7 @@
         return heartbeat._replace(usage_by_organisation=usage)
 
 
-class _Event(NamedTuple):
-    at: float
-    number: int
-    callback: Callable[[], None]
-
-
-class FleetModel:
+class FleetModel(EventQueue):
     """Simulates a fleet; ``can_deliver`` tells whether datagrams get from sender to receiver."""
 
     def __init__(
@@ -134,14 +128,12 @@
         """``listed``: whether an instance reads the list of instances when it starts."""
         self._limit_parameters = limit_parameters
         self._share_rule = share_rule
-        self.now = 0.0
+        super().__init__()
         self.can_deliver: DeliveryFilter = _allow_all
         self.instance_by_name: dict[str, ModelInstance] = {}
         self._shape = shape
         self._listed = listed
         self._rng = random.Random(shape.seed)
-        self._event_numbers = itertools.count()
-        self._events: list[_Event] = []
         self._member_by_name = {member.name: member for member in _generate_members(shape)}
 
     def start_all(self) -> None:
@@ -161,7 +153,7 @@
         instance = ModelInstance(
             local_member=local_member,
             seeds=_select_seeds(list(self._member_by_name.values())),
-            seed=next(self._event_numbers),
+            seed=self.next_number(),
             limiter=RequestLimiter(
                 instance=name, settings=self._limit_parameters, share_rule=self._share_rule()
             ),
@@ -197,20 +189,6 @@
         ):
             self._send(instance, datagram)
 
-    def after(self, seconds: float, callback: Callable[[], None]) -> None:
-        """Call ``callback`` after ``seconds`` of virtual time."""
-        event = _Event(self.now + seconds, next(self._event_numbers), callback)
-        heapq.heappush(self._events, event)
-
-    def run_for(self, seconds: float) -> None:
-        """Advance virtual time, running the events that fall due."""
-        end_s = self.now + seconds
-        while self._events and self._events[0].at <= end_s:
-            event = heapq.heappop(self._events)
-            self.now = event.at
-            event.callback()
-        self.now = end_s
-
     def up_at(self, name: str) -> set[str]:
         """Return the instances that ``name`` considers up, including itself."""
         members = self.instance_by_name[name].members
