Retry budget: divide fixed retries among all instances that may be running

What could happen: instances behind a partition of more than a minute no longer counted, on either side of it, so that each side divided all fixed retries among its own instances; and when instances ended, the others took over their parts within the window in which those had used them. Now all known instances count but those that have announced their shutdown and are down, and a smaller number counts after a window.

Cost: after a crash without return, parts stay smaller until the instance is deregistered (two hours).

--- a/packages/node/src/plantainloft_node/entry/periodic_updates.py
+++ b/packages/node/src/plantainloft_node/entry/periodic_updates.py
@@ -9,6 +9,7 @@
     fleet_size,
     fleet_view,
     has_current_fleet_usage,
+    max_running_instances,
     sum_fleet_usage,
     zone_demands,
 )
@@ -51,7 +52,9 @@
         self._replicated_state.routing_state.expire_grace_periods(now)
         region_by_instance = self._members.region_by_limit_sharer(now)
         self._placement.update_instances(region_by_instance)
-        self._retry_budgets.update(instance_count=len(region_by_instance), now=now)
+        self._retry_budgets.update(
+            instance_count=max_running_instances(self._members, now), now=now
+        )
         if self._placement.endpoint_limiter:
             self._placement.update_endpoint_limits(
                 fleet_view(self._members, region_by_instance, now), now
--- a/packages/node/src/plantainloft_node/fleet/demand.py
+++ b/packages/node/src/plantainloft_node/fleet/demand.py
@@ -12,6 +12,7 @@
     'fleet_size',
     'fleet_view',
     'has_current_fleet_usage',
+    'max_running_instances',
     'sum_fleet_usage',
     'zone_demands',
     'zone_heartbeats',
@@ -96,6 +97,18 @@
     return FleetSize(known=len(counted), reporting=up + bool(counted))
 
 
+def max_running_instances(members: FleetMembership, now: float) -> int:
+    """Return how many instances may be running, this one included.
+
+    Counts all that are known but those that have shut down, however long they have been
+    silent: they may be running behind a partition. The result is 0 until the list of
+    instances was read.
+    """
+    if not members.has_member_list:
+        return 0
+    return 1 + sum(not members.liveness.has_shut_down(peer.name, now) for peer in members.peers())
+
+
 def fleet_view(
     members: FleetMembership, region_by_instance: Mapping[str, str], now: float
 ) -> FleetView:
--- a/packages/node/src/plantainloft_node/fleet/liveness.py
+++ b/packages/node/src/plantainloft_node/fleet/liveness.py
@@ -64,6 +64,11 @@
         liveness = self._liveness_by_name.get(name)
         return liveness is not None and liveness.draining
 
+    def has_shut_down(self, name: str, now: float) -> bool:
+        """Return whether ``name`` announced that it is shutting down, and is down since."""
+        liveness = self.get(name)
+        return liveness is not None and liveness.draining and now >= liveness.until
+
     def is_available(self, name: str) -> bool:
         """Return whether ``name`` was last reported as ready and is not draining."""
         liveness = self._liveness_by_name.get(name)
--- a/packages/node/src/plantainloft_node/fleet/membership.py
+++ b/packages/node/src/plantainloft_node/fleet/membership.py
@@ -199,7 +199,7 @@
         liveness = self.liveness.get(name)
         if liveness is None:
             return now - self._added_at_by_name.get(name, now) < UNCOUNTED_AFTER_S
-        if liveness.draining and now >= liveness.until:
+        if self.liveness.has_shut_down(name, now):
             return False
         return now - liveness.at < UNCOUNTED_AFTER_S
 
--- a/packages/node/src/plantainloft_node/retry_budget/registry.py
+++ b/packages/node/src/plantainloft_node/retry_budget/registry.py
@@ -45,6 +45,7 @@
         self.limits = limits
         # The number of instances among which fixed retries are divided; 0 while unknown.
         self._instance_count = 0
+        self._counted_at = 0.0
         # The time (monotonic) of the first update; ``None`` before.
         self._started_at: float | None = None
         self._budget_by_service: dict[str, RetryBudget] = {}
@@ -53,10 +54,17 @@
         self._logged_at_by_service: dict[str, float] = {}
 
     def update(self, *, instance_count: int, now: float) -> None:
-        """Set the number of instances that share the budgets; 0 if it is unknown."""
+        """Set the number of instances that may be running; 0 if it is unknown.
+
+        A smaller number counts after a window: those that have ended have sent retries in
+        the last one.
+        """
         if self._started_at is None:
             self._started_at = now
-        self._instance_count = instance_count
+        is_outdated = now - self._counted_at > self.limits.window_s
+        if is_outdated or instance_count >= self._instance_count:
+            self._instance_count = instance_count
+            self._counted_at = now
 
     def record_request(self, service: str, now: float) -> None:
         """Count a caller's request for ``service``."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -1,6 +1,7 @@
 """Tests of fleet membership, by heartbeats and listings."""
 
 from plantainloft_node.entry.lookups import front_addresses
+from plantainloft_node.fleet.demand import max_running_instances
 from plantainloft_node.fleet.membership import (
     REPLACED_AFTER_S,
     FleetMember,
@@ -106,3 +107,15 @@
     assert sorted(members.remove_replaced(NOW + REPLACED_AFTER_S)) == ['e2', 'e3']
     assert [one.name for one in members.peers()] == ['e4']
     assert not members.is_replaced('e2', NOW + REPLACED_AFTER_S)
+
+
+def test_a_silent_instance_may_be_running_until_it_has_shut_down() -> None:
+    """Failure: both sides of a long partition divided fixed retries among themselves only."""
+    members = FleetMembership(local_member=member('e1'))
+    assert not max_running_instances(members, 0.0)
+    members.has_member_list = True
+    for name in ('e2', 'e3'):
+        members.record_heartbeat(heartbeat(name), 1.0)
+    members.record_heartbeat(heartbeat('e4', draining=True), 1.0)
+    assert max_running_instances(members, 1.5) == 4
+    assert max_running_instances(members, 300.0) == 3
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -115,6 +115,16 @@
     assert usable(budgets, NOW + 60) == ALLOWANCE.max_advance
 
 
+def test_a_shorter_list_of_instances_counts_after_a_window() -> None:
+    """Failure: instances took the parts of those that had just ended, which had used them."""
+    budgets = make_budgets(instance_count=12)
+    budgets.update(instance_count=12, now=NOW + 60)
+    budgets.update(instance_count=6, now=NOW + 61)
+    assert usable(budgets, NOW + 61) == ALLOWANCE.max_advance
+    budgets.update(instance_count=6, now=NOW + 75)
+    assert usable(budgets, NOW + 75) == ALLOWANCE._replace(instances=6).max_advance
+
+
 def test_usage_tells_what_was_sent_and_withheld() -> None:
     budgets = make_budgets(instance_count=12)
     for _ in range(10):
