--- a/packages/standins/src/plantainloft_standins/retry_simulation.py
+++ b/packages/standins/src/plantainloft_standins/retry_simulation.py
@@ -32,6 +32,9 @@
 ONE_WAY_DELAY_S = 0.03
 RUN_TIME_S = 0.3
 REQUEST_TIMEOUT_S = 2.5
+# A connection is dropped with the bytes that were not acknowledged for this long, whether
+# or not its process lives (``TCP_USER_TIMEOUT``).
+MAX_UNACKNOWLEDGED_S = 3.0
 
 InstanceLists = tuple[tuple[float, int], ...]
 
@@ -65,7 +68,7 @@
 class LinkCut(NamedTuple):
     """A period in which ``instances`` don't reach a ``share`` (0..1) of the endpoints.
 
-    What is sent there arrives when the links heal, unless it has been taken back.
+    What was sent there shortly before the links heal arrives then.
     """
 
     begins_s: float
@@ -243,10 +246,9 @@
     def _send(self, request: _Request) -> None:
         request.attempts += 1
         healed_at = self._links.healed_at(request.instance, self.now)
-        # What waits until its deadline is taken back from the wire.
-        if healed_at < request.deadline:
-            delay_s = max(0.0, healed_at - self.now) + ONE_WAY_DELAY_S
-            self.after(delay_s, partial(self._run, request))
+        held_s = max(0.0, healed_at - self.now)
+        if held_s < MAX_UNACKNOWLEDGED_S:
+            self.after(held_s + ONE_WAY_DELAY_S, partial(self._run, request))
 
     def _run(self, request: _Request) -> None:
         self._ledger.record_arrival(request.id, self.now)
