Retry budget: give back retries that were granted and not sent

What callers got: with few endpoints left, a request turned away was granted a retry, found no endpoint and was refused; the retry was spent, and missing for a request that had somewhere to go. Cause: a retry was booked when it was decided. It is now given back unless a byte of it was sent. The test of the front failed before (one retry sent, none arrived).

--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -152,6 +152,7 @@
         # once one may have run.
         self.may_have_run = False
         self._withheld_reason = ''
+        self._has_unsent_retry = False
         self._failure_reasons: list[str] = []
         # The endpoint that is processing the request now, if any.
         self.current_endpoint_id = ''
@@ -166,6 +167,7 @@
     def record_send(self) -> None:
         """Record that the first byte of the current attempt is about to be sent."""
         self.may_have_run = True
+        self._has_unsent_retry = False
 
     def record(
         self, endpoint_id: str, outcome: AttemptOutcome, *, may_have_run_before: bool
@@ -189,6 +191,15 @@
         if not isinstance(outcome, Answered):
             self._failure_reasons.append(f'{endpoint_id}: {outcome.reason}')
 
+    def record_granted_retry(self) -> None:
+        """Record that the request may be sent once more."""
+        self._has_unsent_retry = True
+
+    @property
+    def has_unsent_retry(self) -> bool:
+        """Whether a retry was granted and no byte of it was sent."""
+        return self._has_unsent_retry
+
     def record_withheld_retry(self, reason: str) -> None:
         """Record why a retry that was possible otherwise was not sent."""
         self._withheld_reason = reason
--- a/packages/node/src/plantainloft_node/engine/dispatcher.py
+++ b/packages/node/src/plantainloft_node/engine/dispatcher.py
@@ -115,18 +115,13 @@
         service = round_robin.next_service(route.shares)
         self.retry_budgets.record_request(service, anyio.current_time())
         self.demand.record_request(service)
-        while True:
-            outcome = await self._attempt(admitted, service, route_table, attempts)
-            if isinstance(outcome, Refusal):
-                return _refusal_or_failure(outcome, attempts)
-            if isinstance(outcome, Answered | Failed):
-                is_last = send_once or _is_final(outcome)
-                if is_last or not self._may_retry_executed(admitted, service, attempts):
-                    return outcome
-            elif not self._may_retry_unexecuted(admitted, service, attempts, outcome):
-                return _refusal_or_failure(
-                    refusal_with_retry_after('; '.join(attempts.failure_reasons())), attempts
-                )
+        try:
+            return await self._send_until_final(
+                admitted, service, route_table, attempts, send_once=send_once
+            )
+        finally:
+            if attempts.has_unsent_retry:
+                self.retry_budgets.release(service, anyio.current_time())
 
     def record_streamed_response(self, attempt: EndpointAttempt, *, complete: bool) -> None:
         """Record how the streamed response of ``attempt`` ended."""
@@ -140,6 +135,28 @@
             return Admitted()
         return await self._quarantine.admit(self._fingerprint(admitted))
 
+    async def _send_until_final(
+        self,
+        admitted: AdmittedRequest,
+        service: str,
+        route_table: RouteTable,
+        attempts: Attempts,
+        *,
+        send_once: bool,
+    ) -> Answered | Refusal | Failed:
+        while True:
+            outcome = await self._attempt(admitted, service, route_table, attempts)
+            if isinstance(outcome, Refusal):
+                return _refusal_or_failure(outcome, attempts)
+            if isinstance(outcome, Answered | Failed):
+                is_last = send_once or _is_final(outcome)
+                if is_last or not self._may_retry_executed(admitted, service, attempts):
+                    return outcome
+            elif not self._may_retry_unexecuted(admitted, service, attempts, outcome):
+                return _refusal_or_failure(
+                    refusal_with_retry_after('; '.join(attempts.failure_reasons())), attempts
+                )
+
     async def _attempt(
         self, admitted: AdmittedRequest, service: str, route_table: RouteTable, attempts: Attempts
     ) -> Answered | NotSent | NotRun | Failed | Refusal:
@@ -278,6 +295,7 @@
         if now >= admitted.deadline:
             return False
         if self.retry_budgets.try_acquire(service, now):
+            attempts.record_granted_retry()
             return True
         attempts.record_withheld_retry('budget')
         return False
--- a/packages/node/src/plantainloft_node/retry_budget/budget.py
+++ b/packages/node/src/plantainloft_node/retry_budget/budget.py
@@ -75,11 +75,7 @@
     def record_request(self, now: float, allowance: RetryAllowance) -> None:
         """Count a caller's request for the service, and store or pay with what it earns."""
         self._requests.add(now)
-        self._stored += RATIO_FRACTION * allowance.ratio
-        if self._stored > allowance.max_stored and self._advance.count(now):
-            self._advance.remove_newest()
-            self._stored -= 1
-        self._stored = min(allowance.max_stored, self._stored)
+        self._add(now, allowance, RATIO_FRACTION * allowance.ratio)
 
     def request_count(self, now: float) -> int:
         """Return the number of callers' requests in the window that ends now."""
@@ -112,6 +108,19 @@
         self._retries.add(now)
         return True
 
+    def release(self, now: float, allowance: RetryAllowance) -> None:
+        """Give one retry back that was acquired and not sent."""
+        self._retries.remove_newest()
+        self._add(now, allowance, 1.0)
+
+    def _add(self, now: float, allowance: RetryAllowance, retries: float) -> None:
+        """Store ``retries``, or pay with them for one that was sent in advance."""
+        self._stored += retries
+        if self._stored > allowance.max_stored and self._advance.count(now):
+            self._advance.remove_newest()
+            self._stored -= 1
+        self._stored = min(allowance.max_stored, self._stored)
+
     def _covers_stored(self, now: float, allowance: RetryAllowance) -> bool:
         """Return whether the allowance covers one more retry that was stored.
 
--- a/packages/node/src/plantainloft_node/retry_budget/registry.py
+++ b/packages/node/src/plantainloft_node/retry_budget/registry.py
@@ -80,6 +80,11 @@
         self._log_usage(service, now)
         return acquired
 
+    def release(self, service: str, now: float) -> None:
+        """Give a retry to ``service`` back that was acquired and not sent."""
+        self._budget(service).release(now, self._allowance())
+        self._sent_by_service[service] -= 1
+
     def usage(self, now: float) -> list[RetryBudgetUsage]:
         """Return the use of each service's budget, sorted by service."""
         return [self._usage(service, now) for service in sorted(self._budget_by_service)]
--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -197,6 +197,7 @@
     pool: ConnectionPool
     crash_registry: CrashRegistry
     placement: Placement
+    retry_budgets: RetryBudgets
 
     def set_limit_sharers(self, *names: str) -> None:
         """Set the instances among which the request limits of endpoints are divided."""
@@ -301,6 +302,9 @@
         broadcast=lambda: None,
     )
     crash_detector = CrashDetector(on_crash=quarantine.record_crash, has_ended=refuses_connections)
+    retry_budgets = RetryBudgets(limits=RETRY_LIMITS)
+    # The process has been running for longer than a window.
+    retry_budgets.update(instance_count=1, now=anyio.current_time() - 2 * RETRY_LIMITS.window_s)
     async with anyio.create_task_group() as tasks:
         connector = await ConnectorChoice.make(endpoint_registry, tasks)
         forwarding_handler = ForwardingHandler(
@@ -309,7 +313,7 @@
                 names=HEADER_NAMES,
                 placement=placement,
                 sender=Sender(names=HEADER_NAMES, pool=pool, connector=connector),
-                retry_budgets=RetryBudgets(limits=RETRY_LIMITS),
+                retry_budgets=retry_budgets,
                 crash_detector=crash_detector,
                 quarantine=quarantine,
             ),
@@ -346,6 +350,7 @@
                 pool,
                 quarantine.crash_registry,
                 placement,
+                retry_budgets,
             ),
             endpoints,
         )
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -88,6 +88,16 @@
     assert b'retry-after' in answer.lower()
 
 
+async def test_a_retry_that_finds_no_endpoint_is_given_back() -> None:
+    """Failure: retries that were never sent left none for those that could be."""
+    async with running_forwarding_server(refuse) as (server, endpoints):
+        answer = await server.send_request(post_request(b'x'))
+        (usage,) = server.retry_budgets.usage(anyio.current_time())
+    assert status_of(answer) == 503
+    assert len(endpoints[0].requests) == 1
+    assert (usage.sent, usage.retries) == (0, 0)
+
+
 async def test_a_non_idempotent_request_is_never_sent_twice() -> None:
     """Guards against running a non-idempotent request twice (a settlement recorded twice).
 
--- a/tests/test_retry_budget.py
+++ b/tests/test_retry_budget.py
@@ -93,6 +93,16 @@
     assert retries <= 0.2 * 10 * instances + 64
 
 
+def test_a_retry_that_was_not_sent_is_given_back() -> None:
+    budget = RetryBudget(window_s=WINDOW_S)
+    for _ in range(ALLOWANCE.max_advance):
+        assert budget.try_acquire(NOW, ALLOWANCE, uptime_s=60.0)
+    assert not budget.try_acquire(NOW, ALLOWANCE, uptime_s=60.0)
+    budget.release(NOW, ALLOWANCE)
+    assert budget.try_acquire(NOW, ALLOWANCE, uptime_s=60.0)
+    assert budget.retry_count(NOW) == ALLOWANCE.max_advance
+
+
 def make_budgets(*, instance_count: int, now: float = NOW) -> RetryBudgets:
     budgets = RetryBudgets(limits=LIMITS)
     budgets.update(instance_count=instance_count, now=now)
