Own interface: retries to a service have a budget

A request that an endpoint turned away was sent to a second one without any limit: with all endpoints full, they got each request twice. The product's own interface now keeps the same budget as the platform's, with settings of its own ([retries] ratio, fixed, window_s), divided among the members that may be running; none is fixed before the node has joined. A connection that fails is no retry.

Read, not run on the former code: it had no limit but two attempts a request.

--- a/packages/node/src/plantainloft_node/config/settings.py
+++ b/packages/node/src/plantainloft_node/config/settings.py
@@ -13,6 +13,7 @@
     read_ini,
 )
 from plantainloft_node.limits.limiter import DEFAULT_LIMIT_SETTINGS, LimitSettings
+from plantainloft_node.retry_budget.registry import DEFAULT_RETRY_LIMITS, RetryLimits
 
 __all__ = [
     'DEFAULT_SETTINGS_INI',
@@ -33,6 +34,7 @@
 DEFAULT_LEAVE_S = 2.0
 _STEERING_SECTION = 'steering'
 _LIMITS_SECTION = 'limits'
+_RETRIES_SECTION = 'retries'
 
 
 class NodeSettings(NamedTuple):
@@ -62,6 +64,7 @@
     limit_window_s: float
     limit_over: float
     limit_slack: float
+    retry_limits: RetryLimits
 
     @property
     def limit_parameters(self) -> LimitSettings:
@@ -94,6 +97,9 @@
     Option(_LIMITS_SECTION, 'window_s', positive_float, DEFAULT_LIMIT_SETTINGS.window_s),
     Option(_LIMITS_SECTION, 'over', non_negative_float, DEFAULT_LIMIT_SETTINGS.overshoot_ratio),
     Option(_LIMITS_SECTION, 'slack', non_negative_float, DEFAULT_LIMIT_SETTINGS.overshoot_requests),
+    Option(_RETRIES_SECTION, 'ratio', non_negative_float, DEFAULT_RETRY_LIMITS.ratio),
+    Option(_RETRIES_SECTION, 'fixed', non_negative_float, DEFAULT_RETRY_LIMITS.fixed_retries),
+    Option(_RETRIES_SECTION, 'window_s', positive_float, DEFAULT_RETRY_LIMITS.window_s),
 )
 
 DEFAULT_SETTINGS_INI = """
@@ -142,6 +148,11 @@
         limit_window_s=values['limits.window_s'],
         limit_over=values['limits.over'],
         limit_slack=values['limits.slack'],
+        retry_limits=RetryLimits(
+            ratio=values['retries.ratio'],
+            fixed_retries=values['retries.fixed'],
+            window_s=values['retries.window_s'],
+        ),
     )
 
 
--- a/packages/node/src/plantainloft_node/entry/settings.py
+++ b/packages/node/src/plantainloft_node/entry/settings.py
@@ -12,15 +12,13 @@
     read_ini,
 )
 from plantainloft_node.limits.limiter import DEFAULT_LIMIT_SETTINGS
+from plantainloft_node.retry_budget.registry import DEFAULT_RETRY_LIMITS
 
 __all__ = ['EntrySettings', 'parse_entry_settings']
 
 MS_PER_S = 1000.0
 # Defaults that match current deployments.
 DEFAULT_GRACE_S = 6.0
-DEFAULT_RETRY_RATIO = 0.2
-DEFAULT_RETRY_EXTRA = 64.0
-DEFAULT_RETRY_WINDOW_S = 10.0
 DEFAULT_COLD_OVER = 1.5
 DEFAULT_COLD_SLACK = 5.0
 DEFAULT_MAX_SHIFT = 0.15
@@ -100,9 +98,9 @@
     Option('store', 'address', str),
     Option('lookup', 'ttl', duration, 1.0),
     Option(_BOUNDS, 'grace', duration, DEFAULT_GRACE_S),
-    Option(_BOUNDS, 'retry_ratio', positive_float, DEFAULT_RETRY_RATIO),
-    Option(_BOUNDS, 'retry_extra', positive_float, DEFAULT_RETRY_EXTRA),
-    Option(_BOUNDS, 'retry_window', duration, DEFAULT_RETRY_WINDOW_S),
+    Option(_BOUNDS, 'retry_ratio', positive_float, DEFAULT_RETRY_LIMITS.ratio),
+    Option(_BOUNDS, 'retry_extra', positive_float, DEFAULT_RETRY_LIMITS.fixed_retries),
+    Option(_BOUNDS, 'retry_window', duration, DEFAULT_RETRY_LIMITS.window_s),
     Option(_BOUNDS, 'cold_over', positive_float, DEFAULT_COLD_OVER),
     Option(_BOUNDS, 'cold_slack', positive_float, DEFAULT_COLD_SLACK),
     Option(_BOUNDS, 'max_shift', positive_float, DEFAULT_MAX_SHIFT),
--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -33,6 +33,7 @@
 )
 from plantainloft_node.quarantine.fingerprints import RequestFingerprint, compute_fingerprint
 from plantainloft_node.quarantine.quarantine import Blocked, Quarantine
+from plantainloft_node.retry_budget.registry import RetryBudgets, RetryLimits
 
 __all__ = ['Forwarder', 'Request']
 
@@ -77,6 +78,12 @@
         )
 
 
+class _NotArrived(NamedTuple):
+    """The request did not run, since it did not reach the endpoint."""
+
+    reason: str
+
+
 class Forwarder:
     """Sends each request to the endpoint that the selector chooses."""
 
@@ -87,8 +94,10 @@
         loads: EndpointLoadTracker,
         quarantine: Quarantine,
         endpoint_limits: NodeEndpointLimits,
+        retry_limits: RetryLimits,
     ) -> None:
         self.endpoint_limits = endpoint_limits
+        self.retry_budgets = RetryBudgets(limits=retry_limits)
         self.endpoint_signals = NodeEndpointSignals()
         self._client = HttpClient()
         self._endpoint_selector = endpoint_selector
@@ -110,6 +119,8 @@
     async def forward(self, config: Configuration, request: Request) -> Served | Refused | Unknown:
         """Send ``request`` to an endpoint, trying another if it did not run."""
         refusal: Refused | None = None
+        arrived = False
+        self.retry_budgets.record_request(request.service, anyio.current_time())
         tried_endpoints: list[Endpoint] = []
         allowed_regions = request.organisation.regions if request.organisation else frozenset()
         for _ in range(MAX_ATTEMPTS):
@@ -129,22 +140,28 @@
                 retry_after_s = self.endpoint_signals.retry_after_s(config, request.service, now)
                 explained = _explain_refusal(choice, at_limit, unwilling, retry_after_s)
                 return refusal or explained
+            is_retry = arrived
+            if is_retry and not self.retry_budgets.try_acquire(request.service, now):
+                break
             tried_endpoints.append(choice.endpoint)
             outcome = await self._send_to_endpoint(choice.endpoint, request)
-            if not isinstance(outcome, Refused):
+            if not isinstance(outcome, Refused | _NotArrived):
                 return outcome
             self._endpoint_selector.record_rejection(choice.endpoint)
-            refusal = outcome
+            arrived = arrived or isinstance(outcome, Refused)
+            if is_retry and isinstance(outcome, _NotArrived):
+                self.retry_budgets.release(request.service, anyio.current_time())
+            refusal = Refused(reason=outcome.reason, retry_after_s=1)
         return refusal or Refused(reason='not tried', retry_after_s=1)
 
     async def _send_to_endpoint(
         self, endpoint: Endpoint, request: Request
-    ) -> Served | Refused | Unknown:
+    ) -> Served | Refused | Unknown | _NotArrived:
         name = endpoint.name
         address = endpoint.address
         remaining_s = request.deadline - time.time()
         if remaining_s <= 0:
-            return Refused(reason='deadline passed', retry_after_s=1)
+            return _NotArrived(reason='deadline passed')
         headers = {
             key: value for key, value in request.headers.items() if key in _FORWARDED_HEADERS
         }
@@ -167,7 +184,7 @@
             self._loads.record_finished(name)
         if isinstance(answer, NotSent):
             problem = answer.reason if answer.withdrawn else 'unreachable'
-            return Refused(reason=f'{name} {problem}', retry_after_s=1)
+            return _NotArrived(reason=f'{name} {problem}')
         if isinstance(answer, Failed):
             if answer.connection_lost:
                 self.crash_detector.check_after_disconnect(
--- a/packages/node/src/plantainloft_node/membership.py
+++ b/packages/node/src/plantainloft_node/membership.py
@@ -13,13 +13,13 @@
 import anyio
 
 from plantainloft_core.lookup import Member
-from plantainloft_core.membership_list import MembershipStatus, MemberUpdate
+from plantainloft_core.membership_list import MembershipList, MembershipStatus, MemberUpdate
 from plantainloft_core.outcomes import Unreachable
 from plantainloft_core.table_client import TableClient
 from plantainloft_node.peering import GossipService, PeerConnections
 from plantainloft_node.peering.messages import unpack_updates
 
-__all__ = ['Membership']
+__all__ = ['Membership', 'max_running_members']
 
 log = logging.getLogger(__name__)
 
@@ -47,12 +47,15 @@
         self._peer_connections = peer_connections
         self._seeds = seeds
         self._lease_s = lease_s
+        # Whether the members were read since this node started.
+        self.has_joined = False
         self._leave_s = leave_s
 
     async def run(self) -> None:
         """Join, then renew this node's row several times per lease."""
         while not (await self._read_rows() or await self._fetch_members_from_seeds()):
             await anyio.sleep(JOIN_RETRY_S)
+        self.has_joined = True
         while True:
             await self._write_row()
             self._gossip.wake()
@@ -109,3 +112,15 @@
                 )
                 return True
         return False
+
+
+def max_running_members(members: MembershipList) -> int:
+    """Return how many members may be running, this node included.
+
+    A member that is dead here may be running behind a network partition, unless it has
+    announced that it leaves.
+    """
+    return sum(
+        update.status != MembershipStatus.DEAD or not update.member.leaving
+        for update in members.all_updates()
+    )
--- a/packages/node/src/plantainloft_node/node.py
+++ b/packages/node/src/plantainloft_node/node.py
@@ -28,7 +28,7 @@
     TrafficSplitSelector,
 )
 from plantainloft_node.forwarding import Forwarder, Request
-from plantainloft_node.membership import Membership
+from plantainloft_node.membership import Membership, max_running_members
 from plantainloft_node.node_endpoint_limits import NodeEndpointLimits
 from plantainloft_node.peering import (
     FrameHandler,
@@ -139,6 +139,7 @@
             loads=self.loads,
             quarantine=self._quarantine,
             endpoint_limits=self._endpoint_limits,
+            retry_limits=settings.retry_limits,
         )
         self.handler = build_request_handler(
             settings=settings,
@@ -204,6 +205,7 @@
             now = anyio.current_time()
             self._endpoint_limits.update(self.follower.config, members, now)
             self.forwarder.endpoint_signals.remove_expired(self.follower.config, now)
+            self._update_retry_budgets(now)
             await anyio.sleep(UPDATE_INTERVAL_S)
 
     async def handle_splits(self, content: object) -> dict[str, dict[str, float]]:
@@ -234,6 +236,10 @@
         config = self.follower.config
         return await self.handler.handle(config, request, idempotency_key=idempotency_key)
 
+    def _update_retry_budgets(self, now: float) -> None:
+        known = max_running_members(self.membership_list) if self.membership.has_joined else 0
+        self.forwarder.retry_budgets.update(instance_count=known, now=now)
+
     def _on_config_change(self) -> None:
         self.gossip.wake()
         self.loads.wake()
--- a/packages/node/src/plantainloft_node/retry_budget/budget.py
+++ b/packages/node/src/plantainloft_node/retry_budget/budget.py
@@ -85,6 +85,14 @@
         """Return the number of retries in the window that ends now."""
         return self._retries.count(now)
 
+    def max_retries(self, now: float, allowance: RetryAllowance, *, uptime_s: float) -> float:
+        """Return the most retries that the window that ends now allows this instance."""
+        earned = RATIO_FRACTION * allowance.ratio * self._requests.count(now)
+        if allowance.part < MIN_STORED:
+            return max(0.0, earned - MIN_STORED + allowance.part)
+        in_advance = allowance.max_advance if uptime_s >= self._window_s else 0
+        return earned + in_advance
+
     def remaining(self, now: float, allowance: RetryAllowance, *, uptime_s: float) -> int:
         """Return the number of retries that may be sent now.
 
@@ -127,8 +135,6 @@
         With more instances than fixed retries, the parts don't cover what all may have
         stored; the requests of the last window have to.
         """
-        uncovered = MIN_STORED - allowance.part
-        if uncovered <= 0:
+        if allowance.part >= MIN_STORED:
             return True
-        earned = RATIO_FRACTION * allowance.ratio * self._requests.count(now)
-        return self._retries.count(now) + 1 <= earned - uncovered
+        return self._retries.count(now) + 1 <= self.max_retries(now, allowance, uptime_s=0.0)
--- a/packages/node/src/plantainloft_node/retry_budget/registry.py
+++ b/packages/node/src/plantainloft_node/retry_budget/registry.py
@@ -6,12 +6,15 @@
 
 from plantainloft_node.retry_budget.budget import RetryAllowance, RetryBudget
 
-__all__ = ['RetryBudgetUsage', 'RetryBudgets', 'RetryLimits']
+__all__ = ['DEFAULT_RETRY_LIMITS', 'RetryBudgetUsage', 'RetryBudgets', 'RetryLimits']
 
 log = logging.getLogger(__name__)
 
 # A budget in use is logged at most this often, for each service.
 LOG_INTERVAL_S = 1.0
+DEFAULT_RATIO = 0.2
+DEFAULT_FIXED_RETRIES = 64.0
+DEFAULT_WINDOW_S = 10.0
 
 
 class RetryLimits(NamedTuple):
@@ -22,20 +25,30 @@
     window_s: float
 
 
+DEFAULT_RETRY_LIMITS = RetryLimits(
+    ratio=DEFAULT_RATIO, fixed_retries=DEFAULT_FIXED_RETRIES, window_s=DEFAULT_WINDOW_S
+)
+
+
 class RetryBudgetUsage(NamedTuple):
     """Use of one service's budget at this instance.
 
-    ``requests`` and ``retries`` count the window that ends now, ``remaining`` is the number
-    of retries that may be sent now. ``sent`` and ``withheld`` count since the process
-    started; a retry is withheld if the budget doesn't allow it.
+    ``requests`` and ``retries`` count the window that ends now, ``allowed`` is the most
+    retries that those requests and this instance's part allow, and ``remaining`` the
+    retries that may be sent now. ``sent`` and ``withheld`` count since the process started;
+    a retry is withheld if the budget doesn't allow it. ``instances`` is the number among
+    which fixed retries are divided, 0 while it is unknown.
     """
 
     service: str
     requests: int
     retries: int
+    allowed: float
     remaining: int
     sent: int
     withheld: int
+    instances: int
+    uptime_s: float
 
 
 class RetryBudgets:
@@ -91,13 +104,18 @@
 
     def _usage(self, service: str, now: float) -> RetryBudgetUsage:
         budget = self._budget_by_service[service]
+        allowance = self._allowance()
+        uptime_s = self._uptime_s(now)
         return RetryBudgetUsage(
             service=service,
             requests=budget.request_count(now),
             retries=budget.retry_count(now),
-            remaining=budget.remaining(now, self._allowance(), uptime_s=self._uptime_s(now)),
+            allowed=round(budget.max_retries(now, allowance, uptime_s=uptime_s), 1),
+            remaining=budget.remaining(now, allowance, uptime_s=uptime_s),
             sent=self._sent_by_service[service],
             withheld=self._withheld_by_service[service],
+            instances=self._instance_count,
+            uptime_s=round(uptime_s, 1),
         )
 
     def _uptime_s(self, now: float) -> float:
@@ -127,12 +145,5 @@
             usage.retries,
             service,
             usage.remaining,
-            extra={
-                'kind': 'retry_budget',
-                'fields': {
-                    **usage._asdict(),
-                    'instances': self._instance_count,
-                    'uptime_s': round(self._uptime_s(now), 1),
-                },
-            },
+            extra={'kind': 'retry_budget', 'fields': usage._asdict()},
         )
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -17,6 +17,7 @@
 from plantainloft_node.node_endpoint_limits import NodeEndpointLimits
 from plantainloft_node.quarantine.crash_registry import CrashRegistry
 from plantainloft_node.quarantine.quarantine import Quarantine
+from plantainloft_node.retry_budget.registry import DEFAULT_RETRY_LIMITS
 from plantainloft_standins.faults import Faults
 from plantainloft_standins.quarantine_store import MemoryQuarantineStore
 from plantainloft_standins.table import TableService
@@ -167,6 +168,7 @@
             loads=loads,
             quarantine=quarantine,
             endpoint_limits=NodeEndpointLimits(instance='e1', zone='z'),
+            retry_limits=DEFAULT_RETRY_LIMITS,
         )
         request = Request('booking', 'POST', 'x', {}, b'', deadline=4e9)
         outcome = await forwarder._send_to_endpoint(
