Operators see the retry budget: plantainctl retry-budgets, metrics, explain

GET /retry-budgets on the metrics address (and /v1/retry-budgets on the product's own interface) lists requests, retries, what is allowed and left, sent and withheld, by service; plantainctl sums it over instances. explain shows the lines of retry budgets near a request. A test follows one refused request from its id to the used-up budget.

--- a/packages/ctl/src/plantainloft_ctl/main.py
+++ b/packages/ctl/src/plantainloft_ctl/main.py
@@ -13,6 +13,7 @@
 from plantainloft_ctl.commands.losses import Losses
 from plantainloft_ctl.commands.organisations import KeyDigest, Organisations
 from plantainloft_ctl.commands.quarantine import Quarantine
+from plantainloft_ctl.commands.retry_budgets import RetryBudgets
 from plantainloft_ctl.commands.show import Show
 from plantainloft_ctl.commands.status import Status
 from plantainloft_ctl.commands.submit import Submit
@@ -38,6 +39,7 @@
         | EndpointLimits
         | EndpointSignals
         | EndpointLinks
+        | RetryBudgets
     ]
 
 
--- a/packages/ctl/src/plantainloft_ctl/request_timeline.py
+++ b/packages/ctl/src/plantainloft_ctl/request_timeline.py
@@ -21,6 +21,7 @@
         'store_history',
         'reload',
         'quarantine',
+        'retry_budget',
     )
 )
 # Lines of the instance through which a request passed.
--- a/packages/node/src/plantainloft_node/app.py
+++ b/packages/node/src/plantainloft_node/app.py
@@ -213,6 +213,10 @@
         announcements = node.forwarder.endpoint_signals.announcements
         return JSONResponse(list_announcements(announcements, anyio.current_time()))
 
+    async def retry_budgets(request: HttpRequest) -> Response:
+        usages = node.forwarder.retry_budgets.usage(anyio.current_time())
+        return JSONResponse([usage._asdict() for usage in usages])
+
     return Starlette(
         routes=[
             Route('/v1/lookup', lookup),
@@ -226,6 +230,7 @@
             Route('/v1/organisations', organisations),
             Route('/v1/endpoint-limits', endpoint_limits),
             Route('/v1/endpoint-signals', endpoint_signals),
+            Route('/v1/retry-budgets', retry_budgets),
             Route('/v1/quarantine/lift', lift_quarantine, methods=['POST']),
         ]
     )
--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -104,6 +104,8 @@
         for usage in dispatcher.retry_budgets.usage(now):
             service = usage.service
             self._metrics.set_gauge('retry_budget_left', usage.remaining, service=service)
+            self._metrics.set_gauge('retry_budget_used', usage.retries, service=service)
+            self._metrics.set_gauge('retry_budget_allowed', usage.allowed, service=service)
             self._metrics.set_gauge('retries', usage.sent, service=service, outcome='sent')
             self._metrics.set_gauge('retries', usage.withheld, service=service, outcome='withheld')
 
--- a/packages/node/src/plantainloft_node/entry/operator_api.py
+++ b/packages/node/src/plantainloft_node/entry/operator_api.py
@@ -18,6 +18,7 @@
 from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.quarantine.fingerprints import parse_fingerprint
 from plantainloft_node.quarantine.quarantine import Quarantine
+from plantainloft_node.retry_budget.registry import RetryBudgets
 
 __all__ = ['OperatorHandler']
 
@@ -32,6 +33,7 @@
     - ``GET /endpoint-limits``: lists the endpoints that name a request limit.
     - ``GET /endpoint-signals``: lists the endpoints that leave or ask for rest.
     - ``GET /endpoint-links``: lists the links to the endpoints of each zone.
+    - ``GET /retry-budgets``: lists the use of the retry budget of each service.
     - any other path: returns all metrics as text.
     """
 
@@ -44,6 +46,7 @@
         endpoint_limits: Callable[[], list[LimitUsage]],
         announcements: EndpointAnnouncements,
         links: LinkMonitor,
+        retry_budgets: RetryBudgets,
     ) -> None:
         self._metrics_text = metrics_text
         self._organisations = organisations
@@ -51,6 +54,7 @@
         self._announcements = announcements
         self._quarantine = quarantine
         self._links = links
+        self._retry_budgets = retry_budgets
 
     def reply(self, exchange: Exchange) -> tuple[int, bytes]:
         """Return the status and body of the response."""
@@ -69,6 +73,9 @@
         if exchange.path == '/endpoint-links':
             listed_links = list_links(self._links, anyio.current_time())
             return HTTPStatus.OK, json.dumps(listed_links).encode()
+        if exchange.path == '/retry-budgets':
+            usages = self._retry_budgets.usage(anyio.current_time())
+            return HTTPStatus.OK, json.dumps([usage._asdict() for usage in usages]).encode()
         return HTTPStatus.OK, self._metrics_text().encode()
 
     def _lift(self, raw: str) -> tuple[int, bytes]:
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -141,6 +141,7 @@
                 endpoint_limits=self.report.endpoint_limits,
                 announcements=self.replicated_state.endpoint_registry.announcements,
                 links=self.pipeline.endpoint_links.monitor,
+                retry_budgets=self.pipeline.dispatcher.retry_budgets,
             )
             tasks.start_soon(listen, settings.metrics_address, operators)
 
--- a/tests/test_from_id_to_cause.py
+++ b/tests/test_from_id_to_cause.py
@@ -1,4 +1,4 @@
-"""For six kinds of failure, the logs lead from the request id to the cause."""
+"""For eight kinds of failure, the logs lead from the request id to the cause."""
 
 import anyio
 import pytest
@@ -19,6 +19,7 @@
 from plantainloft_core.organisations import digest_key
 from plantainloft_ctl.commands.endpoint_limits import EndpointLimits
 from plantainloft_ctl.commands.endpoint_signals import EndpointSignals
+from plantainloft_ctl.commands.retry_budgets import RetryBudgets
 from plantainloft_ctl.request_timeline import explain_request, parse_log_lines
 
 pytestmark = pytest.mark.anyio
@@ -237,3 +238,30 @@
     listed = capsys.readouterr().out.splitlines()
     assert listed[1].split()[:2] == ['i-desk', 'for']
     assert listed[1].endswith('1 of 2')
+
+
+async def test_refused_because_the_retry_budget_is_used_up(
+    entry_deployment: EntryDeployment, capsys: pytest.CaptureFixture[str]
+) -> None:
+    async def turn_away(connection: ScriptedConnection) -> None:
+        while True:
+            await connection.read_request()
+            await connection.send(
+                b'HTTP/1.1 503 Busy\r\nX-Plantainloft-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+            )
+
+    entry_deployment.endpoints[0].script = turn_away
+    entry = entry_deployment.entry_processes[0]
+    answer = await http_get(
+        entry.caller_address, '/files/1', extra_headers=request_id_header('no-retry-1')
+    )
+    assert answer.startswith(b'HTTP/1.1 503')
+    text = '\n'.join(timeline(entry_deployment, 'no-retry-1'))
+    assert 'retry_withheld=budget' in text
+    assert 'Retries: 0 to desk in the last window, 0 left.' in text
+    nodes = [f'http://{one.metrics_address}' for one in entry_deployment.entry_processes]
+    await anyio.to_thread.run_sync(RetryBudgets(nodes=nodes))
+    listed = capsys.readouterr().out.splitlines()
+    service, requests, retries, _, left, sent, withheld = listed[1].split()[:7]
+    assert (service, requests, withheld) == ('desk', '1', '1')
+    assert (retries, left, sent) == ('0', '0', '0')
