Cold endpoints: a process that starts has no share of their limit for a window

A process now counts as having no share for the length of the window.

Cost: endpoints that are cold get nothing from a process in its first 1.15 s.

--- a/packages/node/src/plantainloft_node/entry/periodic_updates.py
+++ b/packages/node/src/plantainloft_node/entry/periodic_updates.py
@@ -14,6 +14,7 @@
     zone_demands,
 )
 from plantainloft_node.fleet.membership import FleetMembership
+from plantainloft_node.placement.cold_rate_limit import cold_limit_sharers
 from plantainloft_node.placement.demand import DemandReport, demand_by_region
 
 __all__ = ['PeriodicUpdates']
@@ -37,6 +38,8 @@
         self._crash_registry = pipeline.dispatcher.crash_registry
         self._retry_budgets = pipeline.dispatcher.retry_budgets
         self._limiter = pipeline.limiter
+        # The time (monotonic) of the first update; ``None`` before.
+        self._started_at: float | None = None
 
     async def run(self) -> None:
         """Update until cancelled."""
@@ -51,7 +54,11 @@
         """Update everything that depends on the current time."""
         self._replicated_state.routing_state.expire_grace_periods(now)
         region_by_instance = self._members.region_by_limit_sharer(now)
-        self._placement.update_instances(region_by_instance)
+        if self._started_at is None:
+            self._started_at = now
+        self._placement.update_instances(
+            cold_limit_sharers(region_by_instance, uptime_s=now - self._started_at)
+        )
         self._retry_budgets.update(
             instance_count=max_running_instances(self._members, now), now=now
         )
--- a/packages/node/src/plantainloft_node/placement/cold_rate_limit.py
+++ b/packages/node/src/plantainloft_node/placement/cold_rate_limit.py
@@ -10,17 +10,26 @@
 from plantainloft_node.placement.dealt_shares import dealt_share
 from plantainloft_node.placement.sliding_window import SlidingWindowCounter
 
-__all__ = ['ColdRateLimiter', 'cold_share']
+__all__ = ['ColdRateLimiter', 'cold_limit_sharers', 'cold_share']
 
-# Fraction of the limit that is divided among instances. The rest covers instances
-# that restart and forget what they sent, and instances whose lists of instances
-# differ for a moment.
+# Fraction of the limit that is divided among instances. The rest covers instances whose
+# lists of instances differ for a moment.
 DISTRIBUTED_FRACTION = 0.8
 # The limit applies to any second at the endpoint. The window is longer because
 # requests sent a second apart may arrive closer together.
 WINDOW_S = 1.15
 
 
+def cold_limit_sharers(
+    region_by_instance: Mapping[str, str], *, uptime_s: float
+) -> Mapping[str, str]:
+    """Return the instances among which a process that started ``uptime_s`` ago divides limits.
+
+    For a window there are none: the process before it may have used its share.
+    """
+    return region_by_instance if uptime_s >= WINDOW_S else {}
+
+
 def cold_share(
     *,
     max_rate: float,
