--- a/tests/link_soak.py
+++ b/tests/link_soak.py
@@ -1,4 +1,4 @@
-"""A randomized soak: links, signals and restarts while callers keep their connections.
+"""A randomized soak: links, signals, restarts and failing endpoints under open connections.
 
 Run by hand with more seeds: ``python tests/link_soak.py FIRST_SEED COUNT``.
 """
@@ -18,9 +18,13 @@
 from anyio.abc import SocketStream, TaskGroup
 from cuttable_entry import HANG_NEW, REFUSE_NEW, RESET, SILENT
 from entry_fixtures import ScriptedConnection
+from failing_fleet import TURNED_AWAY
 from partitioned_fleet import PartitionedFleet, partitioned_fleet
 from platform_standin import EntryProcessHandle
 
+from plantainloft_node.retry_budget.registry import DEFAULT_RETRY_LIMITS
+from plantainloft_standins.retry_ledger import RetryLedger, RetryWindow
+
 __all__ = ['SoakResult', 'run_soak']
 
 INSTANCES = 6
@@ -47,6 +51,7 @@
     spoiled: list[str]
     defects: list[str]
     served_at_end: float
+    worst_retries: RetryWindow
     statuses: Counter[int]
 
 
@@ -65,6 +70,7 @@
             if is_write:
                 self._soak.write_ids.add(request_id)
             started_at = time.monotonic()
+            self._soak.retries.record_request(started_at)
             status, body = await self._send(request_id, is_write=is_write)
             self._soak.record(request_id, started_at, status, body)
             await anyio.sleep(0.05)
@@ -112,13 +118,19 @@
 class _Soak:
     """The fleet, its callers, and what endpoints and callers have seen."""
 
-    def __init__(self, *, fleet: PartitionedFleet, rng: random.Random) -> None:
+    def __init__(
+        self, *, fleet: PartitionedFleet, rng: random.Random, endpoints_fail: bool
+    ) -> None:
         self.fleet = fleet
+        self._endpoints_fail = endpoints_fail
         self.rng = rng
         self.runs_by_id: Counter[str] = Counter()
         # Requests that may run only once.
         self.write_ids: set[str] = set()
         self.answers: list[tuple[str, float, int, bytes]] = []
+        self.retries = RetryLedger(limits=DEFAULT_RETRY_LIMITS)
+        # The share (0..1) of the requests that endpoints turn away.
+        self._turned_away = 0.0
 
     def record(self, request_id: str, started_at: float, status: int, body: bytes) -> None:
         self.answers.append((request_id, started_at, status, body))
@@ -128,6 +140,10 @@
         while True:
             request = await connection.read_request()
             request_id = _header(request, b'x-plantainloft-request-id')
+            self.retries.record_arrival(request_id, time.monotonic())
+            if self._turned_away and self.rng.random() < self._turned_away:
+                await connection.send(TURNED_AWAY)
+                continue
             self.runs_by_id[request_id] += 1
             await anyio.sleep(self.rng.uniform(0.01, 0.3))
             body = request_id.encode()
@@ -148,6 +164,8 @@
             self._kill,
             self._reload,
         ]
+        if self._endpoints_fail:
+            events += [self._turn_away, self._turn_away, self._kill_all]
         ends_at = time.monotonic() + duration_s
         async with anyio.create_task_group() as tasks:
             while time.monotonic() < ends_at:
@@ -161,6 +179,16 @@
         await anyio.sleep(self.rng.uniform(0.5, 5.0))
         self.fleet.cut(cut_off, '')
 
+    async def _turn_away(self) -> None:
+        self._turned_away = self.rng.choice((0.3, 0.9, 0.9))
+        await anyio.sleep(self.rng.uniform(1.0, 8.0))
+        self._turned_away = 0.0
+
+    async def _kill_all(self) -> None:
+        async with anyio.create_task_group() as tasks:
+            for handle in self.fleet.entries:
+                tasks.start_soon(self._restart, handle, signal.SIGKILL)
+
     async def _terminate(self) -> None:
         handle = self.rng.choice(self.fleet.entries)
         await self._restart(handle, signal.SIGTERM)
@@ -189,12 +217,20 @@
 
 
 async def run_soak(
-    seed: int, work_dir: Path, entry_processes: list[EntryProcessHandle], *, duration_s: float
+    seed: int,
+    work_dir: Path,
+    entry_processes: list[EntryProcessHandle],
+    *,
+    duration_s: float,
+    endpoints_fail: bool = False,
 ) -> SoakResult:
-    """Run one soak; ``entry_processes`` gets the processes that it starts."""
+    """Run one soak; ``entry_processes`` gets the processes that it starts.
+
+    ``endpoints_fail``: endpoints also turn requests away, and all processes are killed.
+    """
     rng = random.Random(seed)
     async with partitioned_fleet(entry_processes, work_dir, instances=INSTANCES) as (fleet, tasks):
-        soak = _Soak(fleet=fleet, rng=rng)
+        soak = _Soak(fleet=fleet, rng=rng, endpoints_fail=endpoints_fail)
         for endpoint in fleet.endpoints:
             endpoint.script = soak.answer
         callers = [_Caller(soak=soak, number=number) for number in range(CALLERS)]
@@ -240,6 +276,7 @@
             for record in handle.log_records()
             if record['kind'] == 'defect'
         ],
+        worst_retries=soak.retries.worst_window(),
         served_at_end=at_end.count(200) / len(at_end),
         statuses=Counter(status for _, _, status, _ in soak.answers),
     )
@@ -257,6 +294,7 @@
                         Path(work_dir),
                         processes,  # noqa: B023
                         duration_s=20.0,
+                        endpoints_fail=True,
                     )
                 )
         finally:
