--- a/packages/standins/src/plantainloft_standins/retry_ledger.py
+++ b/packages/standins/src/plantainloft_standins/retry_ledger.py
@@ -56,7 +56,7 @@
     def worst_window(self) -> RetryWindow:
         """Return the window with the largest excess."""
         window_s = self._limits.window_s
-        starts = {0.0, *self._retry_times, *(at - window_s for at in self._retry_times)}
+        starts = {*self._retry_times, *(at - window_s for at in self._retry_times)} or {0.0}
         return max((self._window(at) for at in starts), key=lambda window: window.excess)
 
     def used_fraction(self, since: float, until: float) -> float:
