--- a/packages/node/src/plantainloft_node/retry_budget/budget.py
+++ b/packages/node/src/plantainloft_node/retry_budget/budget.py
@@ -19,8 +19,8 @@
 
 __all__ = ['RetryAllowance', 'RetryBudget']
 
-# The fraction of the ratio that requests earn. The rest covers retries that arrive later
-# than they are sent: within a second and a half, more than a window's arrive in a window.
+# The fraction of the ratio that requests earn. The rest covers retries that are held up on
+# the way and arrive together with those of a later moment.
 RATIO_FRACTION = 0.9
 # The fraction of the fixed retries that is divided among instances.
 FIXED_FRACTION = 0.95
