--- a/bench/hunting.py
+++ b/bench/hunting.py
@@ -65,15 +65,19 @@
 
 
 def bring_back(clone: Path) -> int:
-    """Copy the journal entries that are new in ``clone``; return how many there are."""
-    new = [
+    """Copy the journal entries that are new or changed in ``clone``; return how many."""
+    changed = [
         path
         for path in (clone / 'journal').rglob('*')
-        if path.is_file() and not (ROOT / path.relative_to(clone)).exists()
+        if path.is_file() and not _is_same(path, ROOT / path.relative_to(clone))
     ]
-    for path in new:
+    for path in changed:
         shutil.copyfile(path, ROOT / path.relative_to(clone))
-    return len(new)
+    return len(changed)
+
+
+def _is_same(path: Path, other: Path) -> bool:
+    return other.exists() and other.read_bytes() == path.read_bytes()
 
 
 def report(targets: dict[Path, int], *, commit: str) -> int:
