Own interface: what a leaving endpoint turned away needs no retry budget

A node learns from the first such answer, so that each endpoint turns away a request or two of each node; these are sent elsewhere without it.

--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -84,6 +84,12 @@
     reason: str
 
 
+class _Leaving(NamedTuple):
+    """The endpoint did not run the request, since it is leaving."""
+
+    reason: str
+
+
 class Forwarder:
     """Sends each request to the endpoint that the selector chooses."""
 
@@ -123,6 +129,9 @@
         """Send ``request`` to an endpoint, trying another if it did not run."""
         refusal: Refused | None = None
         arrived = False
+        # An endpoint that leaves turns away a request or two of each node: to send those
+        # elsewhere takes no budget.
+        is_retry = False
         self.retry_budgets.record_request(request.service, anyio.current_time())
         tried_endpoints: list[Endpoint] = []
         for _ in range(MAX_ATTEMPTS):
@@ -131,25 +140,30 @@
             if isinstance(endpoint, Refused):
                 refusal = refusal or endpoint
                 break
-            is_retry = arrived
             if is_retry and not self.retry_budgets.try_acquire(request.service, now):
                 break
             tried_endpoints.append(endpoint)
             outcome = await self._send_to_endpoint(
                 endpoint, request, through_peer=self.relay.is_lost(endpoint)
             )
-            if not isinstance(outcome, Refused | _NotArrived):
+            if not isinstance(outcome, Refused | _NotArrived | _Leaving):
                 return outcome
             self._endpoint_selector.record_rejection(endpoint)
-            arrived = arrived or isinstance(outcome, Refused)
-            if is_retry and isinstance(outcome, _NotArrived):
-                self.retry_budgets.release(request.service, anyio.current_time())
             refusal = Refused(reason=outcome.reason, retry_after_s=1)
+            if isinstance(outcome, _NotArrived):
+                self._give_back(request.service, is_retry=is_retry)
+                continue
+            arrived = True
+            is_retry = is_retry or isinstance(outcome, Refused)
         refusal = refusal or Refused(reason='not tried', retry_after_s=1)
         if arrived or not tried_endpoints:
             return refusal
         return await self._send_through_peer(tried_endpoints[0], request, refusal)
 
+    def _give_back(self, service: str, *, is_retry: bool) -> None:
+        if is_retry:
+            self.retry_budgets.release(service, anyio.current_time())
+
     def _select(
         self,
         config: Configuration,
@@ -179,11 +193,11 @@
     ) -> Served | Refused | Unknown:
         """Send ``request`` through a peer; return ``refusal`` if no peer can."""
         outcome = await self._send_to_endpoint(endpoint, request, through_peer=True)
-        return refusal if isinstance(outcome, _NotArrived) else outcome
+        return refusal if isinstance(outcome, _NotArrived | _Leaving) else outcome
 
     async def _send_to_endpoint(
         self, endpoint: Endpoint, request: Request, *, through_peer: bool = False
-    ) -> Served | Refused | Unknown | _NotArrived:
+    ) -> Served | Refused | Unknown | _NotArrived | _Leaving:
         name = endpoint.name
         address = endpoint.address
         remaining_s = request.deadline - time.time()
@@ -258,7 +272,7 @@
             return False
         return await self.relay.is_gone(attempt.incarnation.partition('@')[0])
 
-    def _interpret_unavailable(self, name: str, body: bytes) -> Refused | Unknown:
+    def _interpret_unavailable(self, name: str, body: bytes) -> Refused | Unknown | _Leaving:
         # A 503 proves that nothing ran only if its body is the endpoint's own
         # refusal. A 503 from a faulty endpoint or an intermediary may follow an
         # execution; a retry could then execute one idempotency key twice.
@@ -267,6 +281,7 @@
             return Unknown(reason=f'{name}: 503 without a refusal')
         if refusal == _DRAINING:
             self._loads.note_draining(name)
+            return _Leaving(reason=f'{name} {refusal}')
         return Refused(reason=f'{name} {refusal}', retry_after_s=1)
 
 
--- a/tests/test_own_retry_budget.py
+++ b/tests/test_own_retry_budget.py
@@ -8,7 +8,7 @@
 
 from plantainloft_core.lookup import Member
 from plantainloft_core.membership_list import MembershipList, MembershipStatus, MemberUpdate
-from plantainloft_core.outcomes import Refused
+from plantainloft_core.outcomes import Refused, Served
 from plantainloft_node.membership import max_running_members
 from plantainloft_node.retry_budget.registry import RetryLimits
 
@@ -48,6 +48,30 @@
     assert usage.withheld == REQUESTS - usage.sent
 
 
+async def leave(connection: ScriptedConnection) -> None:
+    body = REFUSAL.replace(b'full', b'draining')
+    while True:
+        await connection.read_request()
+        await connection.send(b'HTTP/1.1 503 No\r\nContent-Length: %d\r\n\r\n' % len(body) + body)
+
+
+async def serve(connection: ScriptedConnection) -> None:
+    while True:
+        await connection.read_request()
+        await connection.send(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
+
+
+async def test_a_request_that_a_leaving_endpoint_turned_away_needs_no_budget() -> None:
+    """Failure: nodes that had just started refused what a leaving endpoint had turned away."""
+    async with httpx.AsyncClient() as http, anyio.create_task_group() as tasks:
+        _, endpoints = await start_endpoints(tasks, [leave, serve])
+        node = OwnNode(name='n1', network=PeerNetwork(), endpoints=endpoints, http=http)
+        assert isinstance(await node.forward(), Served)
+        tasks.cancel_scope.cancel()
+    (usage,) = node.forwarder.retry_budgets.usage(anyio.current_time())
+    assert (usage.sent, usage.withheld) == (0, 0)
+
+
 def make_member(name: str, *, leaving: bool = False) -> Member:
     return Member(name, 'z', f'http://{name}', leaving)
 
