--- a/packages/ctl/src/plantainloft_ctl/commands/retry_budgets.py
+++ b/packages/ctl/src/plantainloft_ctl/commands/retry_budgets.py
@@ -16,7 +16,7 @@
     """Show how many retries each service got, may still get, and how many were withheld.
 
     ``nodes`` are metrics URLs of entry instances, or URLs of the product's own interface
-    followed by ``/v1``. Each instance tells its own part.
+    followed by ``/v1``. Each instance lists its own part.
     """
 
     nodes: Annotated[list[str], cappa.Arg(long=True)]
--- a/packages/node/src/plantainloft_node/endpoint_relay.py
+++ b/packages/node/src/plantainloft_node/endpoint_relay.py
@@ -36,7 +36,8 @@
 Relayed = BufferedResponse | NotSent | Failed
 
 MAX_PEERS_ASKED = 3
-# Other endpoints to which a peer connects, to tell a lost endpoint from its own lost links.
+# Other endpoints to which a peer connects, to distinguish a lost endpoint from its own lost
+# links.
 MAX_WITNESSES = 1
 # A peer answers within its connections and a round trip between regions.
 ROUND_TRIP_S = 0.2
@@ -133,7 +134,7 @@
     async def is_gone(self, name: str) -> bool:
         """Return whether an endpoint that this node doesn't reach is unreachable for all.
 
-        Without peers that is what this node sees; if no peer can tell, it is not known.
+        Without peers that is what this node sees; if no peer knows, it is not gone.
         """
         endpoint = self._endpoint(name)
         if endpoint is None or not self._ranked_peers(endpoint, ()):
