Own interface: what a resting endpoint turned away needs no retry budget

What callers got: with all endpoints resting, refusals named too short a Retry-After for longer after the rests began: each request of a node that had just started asked one endpoint in place of two, so that the node learned of the rests half as fast. As with endpoints that leave, a node learns from the first answer, so that it needs none. The new case of the unit test failed before.

--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -129,8 +129,8 @@
         """Send ``request`` to an endpoint, trying another if it did not run."""
         refusal: Refused | None = None
         arrived = False
-        # An endpoint that leaves turns away a request or two of each node: to send those
-        # elsewhere takes no budget.
+        # An endpoint that leaves or rests turns away a request or two of each node: to send
+        # those elsewhere takes no budget.
         is_retry = False
         self.retry_budgets.record_request(request.service, anyio.current_time())
         tried_endpoints: list[Endpoint] = []
@@ -154,12 +154,18 @@
                 self._give_back(request.service, is_retry=is_retry)
                 continue
             arrived = True
-            is_retry = is_retry or isinstance(outcome, Refused)
+            is_retry = is_retry or self._may_turn_away_more(endpoint, outcome)
         refusal = refusal or Refused(reason='not tried', retry_after_s=1)
         if arrived or not tried_endpoints:
             return refusal
         return await self._send_through_peer(tried_endpoints[0], request, refusal)
 
+    def _may_turn_away_more(self, endpoint: Endpoint, outcome: Refused | _Leaving) -> bool:
+        now = anyio.current_time()
+        return isinstance(outcome, Refused) and self.endpoint_signals.accepts_requests(
+            endpoint.name, now
+        )
+
     def _give_back(self, service: str, *, is_retry: bool) -> None:
         if is_retry:
             self.retry_budgets.release(service, anyio.current_time())
--- a/tests/test_own_retry_budget.py
+++ b/tests/test_own_retry_budget.py
@@ -3,7 +3,7 @@
 import anyio
 import httpx
 import pytest
-from entry_fixtures import ScriptedConnection
+from entry_fixtures import ConnectionScript, ScriptedConnection
 from own_forwarders import OwnNode, PeerNetwork, start_endpoints
 
 from plantainloft_core.lookup import Member
@@ -55,16 +55,28 @@
         await connection.send(b'HTTP/1.1 503 No\r\nContent-Length: %d\r\n\r\n' % len(body) + body)
 
 
+async def rest(connection: ScriptedConnection) -> None:
+    while True:
+        await connection.read_request()
+        await connection.send(
+            b'HTTP/1.1 503 No\r\nRetry-After: 9\r\nContent-Length: %d\r\n\r\n' % len(REFUSAL)
+            + REFUSAL
+        )
+
+
 async def serve(connection: ScriptedConnection) -> None:
     while True:
         await connection.read_request()
         await connection.send(b'HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok')
 
 
-async def test_a_request_that_a_leaving_endpoint_turned_away_needs_no_budget() -> None:
-    """Failure: nodes that had just started refused what a leaving endpoint had turned away."""
+@pytest.mark.parametrize('turn_away', [leave, rest])
+async def test_a_request_turned_away_by_an_endpoint_that_leaves_or_rests_needs_no_budget(
+    turn_away: ConnectionScript,
+) -> None:
+    """Failure: nodes that had just started refused what such an endpoint had turned away."""
     async with httpx.AsyncClient() as http, anyio.create_task_group() as tasks:
-        _, endpoints = await start_endpoints(tasks, [leave, serve])
+        _, endpoints = await start_endpoints(tasks, [turn_away, serve])
         node = OwnNode(name='n1', network=PeerNetwork(), endpoints=endpoints, http=http)
         assert isinstance(await node.forward(), Served)
         tasks.cancel_scope.cancel()
