Own interface: the only endpoint of a zone can crash

Found by reading the change again: a peer that is asked about an endpoint proved its own links by another endpoint of the zone; with one endpoint in each zone it never could, so that no crash was counted and no request quarantined. It now asks an endpoint elsewhere if the zone has no other. The new test failed before.

--- a/packages/node/src/plantainloft_node/endpoint_relay.py
+++ b/packages/node/src/plantainloft_node/endpoint_relay.py
@@ -146,18 +146,18 @@
     async def handle_reach(self, content: Any) -> bool | None:
         """Return to a peer whether this node can connect to the endpoint named.
 
-        ``None`` if it reaches no other endpoint of the zone either: its own links may be lost.
+        ``None`` if it reaches no other endpoint either, of the same zone if there are any: its
+        own links may be lost.
         """
         endpoint = self._endpoint(content)
         if endpoint is None:
             return None
         if await _accepts_connections(endpoint):
             return True
-        others = [
-            other
-            for other in self._config().endpoints_by_name.values()
-            if other.zone == endpoint.zone and other.name != endpoint.name
-        ]
+        endpoints = self._config().endpoints_by_name.values()
+        elsewhere = [other for other in endpoints if other.name != endpoint.name]
+        in_zone = [other for other in elsewhere if other.zone == endpoint.zone]
+        others = in_zone or elsewhere
         for witness in self._rng.sample(others, min(MAX_WITNESSES, len(others))):
             if await _accepts_connections(witness):
                 return False
--- a/tests/test_own_relay.py
+++ b/tests/test_own_relay.py
@@ -119,6 +119,21 @@
     assert await cut.forwarder.relay.is_gone('e0')
 
 
+async def test_the_only_endpoint_of_a_zone_can_crash(
+    tasks: TaskGroup, http: httpx.AsyncClient
+) -> None:
+    """Failure: with one endpoint in each zone no crash was ever counted."""
+    _, endpoints = await start_endpoints(tasks, [answer, answer])
+    endpoints[1] = endpoints[1]._replace(zone='z2')
+    network = PeerNetwork()
+    nodes = [
+        OwnNode(name=name, network=network, endpoints=endpoints, http=http, lost=('e0',))
+        for name in ('n1', 'n2')
+    ]
+    nodes[0].know(nodes[1])
+    assert await nodes[0].forwarder.relay.is_gone('e0')
+
+
 async def test_a_connection_that_hangs_was_not_sent(monkeypatch: pytest.MonkeyPatch) -> None:
     """Failure: a request whose connection never opened ended as unknown at its deadline."""
 
