--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -129,7 +129,7 @@
         """Send ``request`` to an endpoint, trying another if it did not run."""
         refusal: Refused | None = None
         arrived = False
-        # An endpoint that leaves or rests turns away a request or two of each node: to send
+        # An endpoint that leaves or asks for rest turns away a request or two of each node: to send
         # those elsewhere takes no budget.
         is_retry = False
         self.retry_budgets.record_request(request.service, anyio.current_time())
