--- a/packages/standins/src/plantainloft_standins/retry_simulation.py
+++ b/packages/standins/src/plantainloft_standins/retry_simulation.py
@@ -130,7 +130,7 @@
         self.incarnation = incarnation
 
 
-class _Links:
+class _Outages:
     """Which instances are cut off from endpoints, or frozen, at a time."""
 
     def __init__(self, *, scenario: RetryScenario, rng: random.Random) -> None:
@@ -169,7 +169,7 @@
         super().__init__()
         self._scenario = scenario
         self._rng = random.Random(scenario.seed)
-        self._links = _Links(scenario=scenario, rng=self._rng)
+        self._outages = _Outages(scenario=scenario, rng=self._rng)
         self._process_by_instance: dict[int, _Process] = {}
         self._ledger = RetryLedger(limits=scenario.limits)
         self._requests = 0
@@ -206,7 +206,7 @@
 
     def _update_all(self) -> None:
         for instance in self._process_by_instance:
-            if not self._links.thawed_at(instance, self.now):
+            if not self._outages.thawed_at(instance, self.now):
                 self._update(instance)
         self.after(UPDATE_INTERVAL_S, self._update_all)
 
@@ -245,7 +245,7 @@
 
     def _send(self, request: _Request) -> None:
         request.attempts += 1
-        healed_at = self._links.healed_at(request.instance, self.now)
+        healed_at = self._outages.healed_at(request.instance, self.now)
         held_s = max(0.0, healed_at - self.now)
         if held_s < MAX_UNACKNOWLEDGED_S:
             self.after(held_s + ONE_WAY_DELAY_S, partial(self._run, request))
@@ -276,7 +276,7 @@
             self._send(request)
 
     def _when_awake(self, request: _Request, action: Callable[[], None]) -> None:
-        thawed_at = self._links.thawed_at(request.instance, self.now)
+        thawed_at = self._outages.thawed_at(request.instance, self.now)
         if thawed_at:
             self.after(thawed_at - self.now, action)
         else:
