--- a/packages/node/src/plantainloft_node/engine/http_client.py
+++ b/packages/node/src/plantainloft_node/engine/http_client.py
@@ -8,6 +8,7 @@
 from plantainloft_node.engine.attempts import Failed, NotSent
 from plantainloft_node.engine.connection_pool import ConnectionPool
 from plantainloft_node.engine.upstream_connection import (
+    CONNECT_TIMEOUT_S,
     CONNECTION_ERRORS,
     BrokenAnswerError,
     ResponseHead,
@@ -56,8 +57,9 @@
         connection = await self._pool.acquire(address, anyio.current_time())
         if connection is None:
             try:
-                connection = await connect(address)
-            except OSError as exc:
+                with anyio.fail_after(CONNECT_TIMEOUT_S):
+                    connection = await connect(address)
+            except (OSError, TimeoutError) as exc:
                 return NotSent(reason=type(exc).__name__)
         if not may_send():
             await connection.close()
--- a/packages/node/src/plantainloft_node/node.py
+++ b/packages/node/src/plantainloft_node/node.py
@@ -27,7 +27,7 @@
     NearestZoneSelector,
     TrafficSplitSelector,
 )
-from plantainloft_node.forwarding import Forwarder, Request
+from plantainloft_node.forwarding import Request
 from plantainloft_node.membership import Membership, max_running_members
 from plantainloft_node.node_endpoint_limits import NodeEndpointLimits
 from plantainloft_node.peering import (
@@ -38,7 +38,12 @@
     serve_peers,
 )
 from plantainloft_node.quarantine_table_store import build_node_quarantine
-from plantainloft_node.request_pipeline import Outcome, build_request_handler
+from plantainloft_node.request_pipeline import (
+    Outcome,
+    Peers,
+    build_forwarder,
+    build_request_handler,
+)
 from plantainloft_node.service_stats import ServiceStatsRegistry
 
 __all__ = ['Node']
@@ -134,7 +139,9 @@
         self._index_versions = (-1, -1)
         self._index = LookupIndex(config=self.follower.config, members=[])
         self.endpoint_selector = _make_endpoint_selector(settings, loads=self.loads, claims=claims)
-        self.forwarder = Forwarder(
+        self.forwarder = build_forwarder(
+            peers=Peers(self.membership_list, peer_connections),
+            config=lambda: self.follower.config,
             endpoint_selector=self.endpoint_selector,
             loads=self.loads,
             quarantine=self._quarantine,
@@ -157,6 +164,8 @@
             'splits': self.handle_splits,
             'changes': self.follower.handle_changes,
             'snapshot': self.follower.handle_snapshot,
+            'reach': self.forwarder.relay.handle_reach,
+            'relay': self.forwarder.relay.handle_relay,
         }
         await serve_peers(
             self.settings.peer_listen,
