Failing test: a change is not in force after the store returned from a copy

The stand-in of the platform's store can return from an older copy, names its era in all answers, and answers 410 to polls for versions that it does not have. Two entry processes, 30 writes lost in an absence of a second, a configuration confirmed 4.5 s after the return: not in force 2.5 s later, whether the store's counter is still below the lost version (410, list, 410) or has passed it (200 without the row).

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -31,6 +31,13 @@
 )
 
 
+class StoreCopy(NamedTuple):
+    """All rows of a store at ``version``."""
+
+    rows: dict[tuple[str, str], dict[str, Any]]
+    version: int
+
+
 class StoreStandin(ExchangeHandler):
     """Keeps rows in memory and serves them as the platform's documentation describes.
 
@@ -38,12 +45,14 @@
     every request is answered with 503; while ``is_unresponsive`` is set, no
     request is answered; ``oldest_history_version`` is the version before which no
     history is kept, so that asking for the changes after an earlier version is
-    answered with 410.
+    answered with 410. ``take_copy`` and ``return_from_copy`` lose what was written in
+    between, and start another ``era``.
     """
 
     def __init__(self) -> None:
         self.rows: dict[tuple[str, str], dict[str, Any]] = {}
         self.version = 0
+        self.era = 1
         self.is_unavailable = False
         self.is_unresponsive = False
         self.oldest_history_version = 0
@@ -72,6 +81,17 @@
         }
         self._notify_waiters()
 
+    def take_copy(self) -> StoreCopy:
+        """Return a copy of all rows, from which the store may return later."""
+        return StoreCopy(dict(self.rows), self.version)
+
+    def return_from_copy(self, copy: StoreCopy) -> None:
+        """Lose what was written since ``copy``; its versions are given out again."""
+        self.rows = dict(copy.rows)
+        self.version = copy.version
+        self.era += 1
+        self._notify_waiters()
+
     async def serve(self, *, task_status: anyio.abc.TaskStatus[None]) -> None:
         await _listen_and_serve(self, task_status)
 
@@ -81,7 +101,7 @@
         if self.is_unresponsive:
             await anyio.sleep_forever()
         if self.is_unavailable:
-            await exchange.respond(503, [])
+            await exchange.respond(503, self._headers())
             return
         parameters = {name: values[0] for name, values in parse_qs(exchange.query).items()}
         if operation == 'rows-get':
@@ -96,7 +116,7 @@
         for row in transaction['expect_rev']:
             current = self.rows.get((row['table'], row['key']), {'ver': 0})
             if row['ver'] != (0 if current.get('removed') else current['ver']):
-                await exchange.respond(412, JSON_TYPE, b'{"rows":[]}')
+                await exchange.respond(412, [*JSON_TYPE, *self._headers()], b'{"rows":[]}')
                 return
         for row in transaction['writes']:
             self._write(row['table'], row['key'], row['value'])
@@ -117,8 +137,8 @@
 
     async def _feed(self, exchange: Exchange, parameters: dict[str, str]) -> None:
         after = int(parameters['after'])
-        if after < self.oldest_history_version:
-            await exchange.respond(410, [])
+        if after < self.oldest_history_version or after > self.version:
+            await exchange.respond(410, self._headers())
             return
         with anyio.move_on_after(int(parameters['wait_ms']) / 1000):
             while not self._rows_after(parameters['table'], after):
@@ -127,7 +147,10 @@
 
     async def _reply(self, exchange: Exchange, document: dict[str, Any]) -> None:
         payload = {**document, 'ver': self.version, 'now': '1ms'}
-        await exchange.respond(200, JSON_TYPE, json.dumps(payload).encode())
+        await exchange.respond(200, [*JSON_TYPE, *self._headers()], json.dumps(payload).encode())
+
+    def _headers(self) -> list[tuple[bytes, bytes]]:
+        return [(b'store-era', b'%d' % self.era)]
 
     def _rows_after(self, table: str, after: int) -> list[dict[str, Any]]:
         rows = [row for (name, _), row in self.rows.items() if name == table]
