--- a/packages/core/src/plantainloft_core/discovery.py
+++ b/packages/core/src/plantainloft_core/discovery.py
@@ -11,7 +11,8 @@
     ``address`` is ``host:port``. ``cold_s`` is how long the endpoint stays
     cold after its row was written. ``born_ms`` is its start time in Unix
     milliseconds, or 0 if the row does not contain it. An endpoint may restart
-    with the same ID; the start time distinguishes its incarnations.
+    with the same ID; the start time distinguishes its incarnations. ``seq`` rises
+    with each row that the incarnation writes, or is 0 if rows do not contain it.
     """
 
     id: str
@@ -22,6 +23,7 @@
     draining: bool
     cold_s: float
     born_ms: int = 0
+    seq: int = 0
 
     @property
     def incarnation(self) -> str:
--- a/packages/node/src/plantainloft_node/entry/fleet_tasks.py
+++ b/packages/node/src/plantainloft_node/entry/fleet_tasks.py
@@ -1,6 +1,6 @@
 """Background tasks by which an entry instance works together with its peers."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -9,6 +9,7 @@
 from plantainloft_node.entry.instance_registry import InstanceRegistry
 from plantainloft_node.entry.peer_calls import PeerCalls
 from plantainloft_node.entry.replicated_state import ReplicatedState
+from plantainloft_node.entry.row_answers import RowAnswers
 from plantainloft_node.entry.row_replication import (
     MEMBERS_CALL,
     ROWS_CALL,
@@ -19,11 +20,11 @@
 from plantainloft_node.entry.store_probes import PROBE_CALL, StoreProbes
 from plantainloft_node.fleet.heartbeats import HeartbeatExchange
 from plantainloft_node.fleet.membership import FleetMembership, Heartbeat
-from plantainloft_node.quarantine.crash_registry import CrashRegistry
+from plantainloft_node.quarantine.quarantine import Quarantine
 from plantainloft_node.replica.row_replica import RowReplica
 from plantainloft_node.tunnels.announcements import ANNOUNCEMENT_CALL, AnnouncementForwarder
 
-__all__ = ['start_fleet_tasks']
+__all__ = ['follow_store_returns', 'start_fleet_tasks']
 
 # Row changes within this pause are announced to peers together.
 ROW_CHANGE_DEBOUNCE_S = 0.1
@@ -35,7 +36,7 @@
     members: FleetMembership,
     replicated_state: ReplicatedState,
     own_heartbeat: Callable[[], Heartbeat],
-    crash_registry: CrashRegistry,
+    quarantine: Quarantine,
     announcements: AnnouncementForwarder,
     tasks: TaskGroup,
 ) -> HeartbeatExchange:
@@ -54,25 +55,47 @@
         own_heartbeat=own_heartbeat,
         on_update_hint=row_replication.on_update_hint,
         seeds=seed_addresses(settings),
-        crash_registry=crash_registry,
+        crash_registry=quarantine.crash_registry,
         endpoint_limits=replicated_state.endpoint_registry.request_limits,
     )
     instances = InstanceRegistry(members=members, store=replicated_state.store)
+    answers = RowAnswers(members=members, replicated_state=replicated_state)
     handler_by_kind = {
-        ROWS_CALL: row_replication.answer_rows_call,
-        SMALL_ROWS_CALL: row_replication.answer_small_rows_call,
-        MEMBERS_CALL: row_replication.answer_members_call,
+        ROWS_CALL: answers.answer_rows_call,
+        SMALL_ROWS_CALL: answers.answer_small_rows_call,
+        MEMBERS_CALL: answers.answer_members_call,
         PROBE_CALL: probes.answer_probe_call,
         ANNOUNCEMENT_CALL: announcements.answer_call,
     }
     tasks.start_soon(calls.serve, handler_by_kind)
     tasks.start_soon(announcements.run, calls)
     tasks.start_soon(_announce_row_changes, replicated_state.rows, heartbeats)
+
+    tasks.start_soon(
+        follow_store_returns,
+        replicated_state,
+        (
+            heartbeats.request_round,
+            instances.read_again_soon,
+            quarantine.write_again_after_return,
+        ),
+    )
     for component in (heartbeats, probes, instances):
         tasks.start_soon(component.run)
     return heartbeats
 
 
+async def follow_store_returns(
+    replicated_state: ReplicatedState, callbacks: Iterable[Callable[[], None]]
+) -> None:
+    """Restart the polls and call ``callbacks`` whenever the store has returned from a copy."""
+    while True:
+        await replicated_state.store.eras.wait_for_return()
+        replicated_state.restart_polls()
+        for on_return in callbacks:
+            on_return()
+
+
 async def _announce_row_changes(rows: RowReplica, heartbeats: HeartbeatExchange) -> None:
     """Send a report at once when rows change, to peers that do not poll the store."""
     while True:
--- a/packages/node/src/plantainloft_node/entry/instance_registry.py
+++ b/packages/node/src/plantainloft_node/entry/instance_registry.py
@@ -1,6 +1,7 @@
 """Registration of entry instances in the store, and removal of those long gone."""
 
 import logging
+import random
 
 import anyio
 import msgpack
@@ -8,8 +9,16 @@
 from plantainloft_core.outcomes import Unreachable
 from plantainloft_node.entry.store_polling import PollingPolicy
 from plantainloft_node.fleet.membership import FleetMember, FleetMembership
+from plantainloft_node.fleet.relay_selection import zone_relays
 from plantainloft_node.placement.rendezvous import rendezvous_score
-from plantainloft_node.replica.store_rows import INSTANCES, RowBatch, StoreRow, TableStore
+from plantainloft_node.replica.fenced_writer import FencedWriter
+from plantainloft_node.replica.store_rows import (
+    INSTANCES,
+    RowBatch,
+    RowWrite,
+    StoreRow,
+    TableStore,
+)
 
 __all__ = ['InstanceRegistry']
 
@@ -21,6 +30,10 @@
 LIST_INTERVAL_S = 30.0
 DELEGATED_LIST_INTERVAL_S = 600.0
 LIST_RETRY_DELAY_S = 1.0
+# After the store has returned from a copy, instances that poll it read the list within this
+# time, and write again what it lacks for their availability zone.
+LIST_SPREAD_S = 3.0
+MAX_ROWS_PER_WRITE = 100
 
 
 class InstanceRegistry:
@@ -30,6 +43,13 @@
         self._members = members
         self._store = store
         self._polling = PollingPolicy(members=members)
+        self._fenced_writer = FencedWriter(store=store, owner=members.local_member.name)
+        self._read_again = anyio.Event()
+
+    def read_again_soon(self) -> None:
+        """Read the list again, which has gone back with the store."""
+        if not self._polling.delegates_polling(anyio.current_time()):
+            self._read_again.set()
 
     async def run(self) -> None:
         """Register, then read the list at intervals until cancelled."""
@@ -41,7 +61,10 @@
                 continue
             await self._apply_listing(listed)
             delegates = self._polling.delegates_polling(anyio.current_time())
-            await anyio.sleep(DELEGATED_LIST_INTERVAL_S if delegates else LIST_INTERVAL_S)
+            with anyio.move_on_after(DELEGATED_LIST_INTERVAL_S if delegates else LIST_INTERVAL_S):
+                await self._read_again.wait()
+                self._read_again = anyio.Event()
+                await anyio.sleep(LIST_SPREAD_S * random.random())
 
     async def _apply_listing(self, listed: RowBatch) -> None:
         now = anyio.current_time()
@@ -55,6 +78,7 @@
         if self._members.local_member.name not in row_by_name:
             # After a long network partition its peers may have deregistered it.
             await self._register()
+        await self._register_zone(row_by_name, now)
         replaced = [name for name in row_by_name if self._members.is_replaced(name, now)]
         for name in replaced:
             await self._deregister(row_by_name[name], name)
@@ -74,19 +98,35 @@
             max(candidates, key=lambda candidate: rendezvous_score(name, candidate))
             == self._members.local_member.name
         ):
-            await self._store.remove_row(row)
+            await self._fenced_writer.remove_row(row)
+
+    async def _register_zone(self, row_by_name: dict[str, StoreRow], now: float) -> None:
+        """As a relay, register the running instances of the zone that the list lacks."""
+        local_member = self._members.local_member
+        zone = self._members.registry.by_zone()[local_member.zone]
+        if local_member not in zone_relays(zone, self._members, now):
+            return
+        missing = [
+            member
+            for member in zone
+            if member.name not in row_by_name and self._members.is_up(member.name, now)
+        ]
+        if missing:
+            writes = [_row_write(member) for member in missing[:MAX_ROWS_PER_WRITE]]
+            await self._store.write(writes)
 
     async def _register(self) -> None:
-        content: bytes = msgpack.packb(list(self._members.local_member))
         while True:
-            outcome = await self._store.put_row(
-                INSTANCES, self._members.local_member.caller_address, content
-            )
+            outcome = await self._store.write([_row_write(self._members.local_member)])
             if outcome is None:
                 return
             await anyio.sleep(LIST_RETRY_DELAY_S)
 
 
+def _row_write(member: FleetMember) -> RowWrite:
+    return RowWrite(INSTANCES, member.caller_address, msgpack.packb(list(member)))
+
+
 def _parse_member(row: StoreRow) -> FleetMember | None:
     if row.content is None:
         return None
--- a/packages/node/src/plantainloft_node/entry/periodic_updates.py
+++ b/packages/node/src/plantainloft_node/entry/periodic_updates.py
@@ -52,7 +52,7 @@
 
     def update(self, now: float) -> None:
         """Update everything that depends on the current time."""
-        self._replicated_state.routing_state.expire_grace_periods(now)
+        self._replicated_state.update(now)
         region_by_instance = self._members.region_by_limit_sharer(now)
         if self._started_at is None:
             self._started_at = now
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -60,6 +60,7 @@
             region_by_zone=settings.region_by_zone,
             long_poll_wait_s=lambda: self._polling.long_poll_wait_s(anyio.current_time()),
             delegates_polling=lambda: self._polling.delegates_polling(anyio.current_time()),
+            relisting_delay_s=lambda: self._polling.relisting_delay_s(anyio.current_time()),
         )
         self.report = MetricsReport(replicated_state=self.replicated_state, members=self.members)
         self._heartbeats: HeartbeatExchange | None = None
@@ -105,7 +106,7 @@
             members=self.members,
             replicated_state=self.replicated_state,
             own_heartbeat=self._own_heartbeat,
-            crash_registry=self.quarantine.crash_registry,
+            quarantine=self.quarantine,
             announcements=self.pipeline.endpoint_links.announcements,
             tasks=tasks,
         )
@@ -160,7 +161,9 @@
             member=self.members.local_member,
             ready=self.ready(),
             draining=self._draining,
-            newest_version_by_table=self.replicated_state.rows.newest_version_by_table,
+            position_by_table=self.replicated_state.current_positions(),
+            era=self.replicated_state.store.eras.current,
+            holds_rows=bool(self.replicated_state.updates.held_rows),
             rate_by_service=self.pipeline.dispatcher.demand.rate_by_service,
             polls_store=self.replicated_state.polls_successfully(),
             store_available_for_s=self.replicated_state.store_available_for_s(anyio.current_time()),
--- a/packages/node/src/plantainloft_node/entry/replicated_state.py
+++ b/packages/node/src/plantainloft_node/entry/replicated_state.py
@@ -3,9 +3,11 @@
 from collections.abc import Callable
 from types import MappingProxyType
 
+from plantainloft_core.store_position import StorePosition
 from plantainloft_node.placement.endpoints import EndpointRegistry
 from plantainloft_node.replica.routing_state import RoutingState
 from plantainloft_node.replica.row_replica import RowReplica
+from plantainloft_node.replica.row_updates import RowUpdates
 from plantainloft_node.replica.store_rows import DECLARATIONS, ENDPOINTS, TableStore
 from plantainloft_node.replica.table_poller import TablePoller
 
@@ -25,6 +27,10 @@
     return False
 
 
+def _no_delay_s() -> float:
+    return 0.0
+
+
 class ReplicatedState:
     """The local copy of the store's rows, its pollers, and the state derived from it."""
 
@@ -35,11 +41,14 @@
         region_by_zone: dict[str, str],
         long_poll_wait_s: Callable[[], float],
         delegates_polling: Callable[[], bool] = _never,
+        relisting_delay_s: Callable[[], float] = _no_delay_s,
     ) -> None:
         """Create an empty copy.
 
         ``long_poll_wait_s`` returns how long a poll of the store waits for a change.
         ``delegates_polling`` returns whether relays poll the store for this instance.
+        ``relisting_delay_s`` returns how long this instance waits for peers to send a
+        table after the store has returned from a copy.
         """
         self._delegates_polling = delegates_polling
         self.store = store
@@ -48,15 +57,21 @@
         self.routing_state = RoutingState(
             endpoint_registry=self.endpoint_registry, decode=store.decode
         )
+        self.updates = RowUpdates(
+            rows=self.rows,
+            routing_state=self.routing_state,
+            eras=store.eras,
+            decode=store.decode,
+        )
         self.pollers = {
             table: TablePoller(
                 table=table,
                 store=store,
-                rows=self.rows,
-                routing_state=self.routing_state,
+                updates=self.updates,
                 batch_pause_s=batch_pause_s,
                 long_poll_wait_s=long_poll_wait_s,
                 delegates_polling=self.delegates_polling if table == ENDPOINTS else _never,
+                relisting_delay_s=relisting_delay_s,
             )
             for table, batch_pause_s in POLL_PAUSE_S_BY_TABLE.items()
         }
@@ -77,6 +92,25 @@
             one.is_connected and one.has_initial_listing for one in pollers
         )
 
+    def current_positions(self) -> dict[str, StorePosition]:
+        """Return the position of each table that was read in the current era."""
+        era = self.store.eras.current
+        return {
+            table: position
+            for table, position in self.rows.position_by_table.items()
+            if position.era == era
+        }
+
+    def update(self, now: float) -> None:
+        """Apply what has expired: grace periods of endpoints, and held rows."""
+        self.updates.expire(now)
+        self.routing_state.expire_grace_periods(now)
+
+    def restart_polls(self) -> None:
+        """Restart all polls, whose answers the store may hold back."""
+        for poller in self.pollers.values():
+            poller.restart_poll()
+
     def store_available_for_s(self, now: float) -> float | None:
         """Return for how long the store has been available, at most an hour.
 
--- /dev/null
+++ b/packages/node/src/plantainloft_node/entry/row_answers.py
@@ -0,0 +1,92 @@
+"""Answers the calls of peers for rows and members that they lack."""
+
+from collections.abc import Sequence
+from typing import Any
+
+import anyio
+
+from plantainloft_node.entry.replicated_state import ReplicatedState
+from plantainloft_node.entry.row_exchange import (
+    RowsAnswer,
+    RowsRequest,
+    pack_answer,
+    unpack_request,
+)
+from plantainloft_node.fleet.membership import FleetMembership
+from plantainloft_node.replica.store_rows import ENDPOINTS
+
+__all__ = ['RowAnswers']
+
+# Larger tables would delay all answers queued behind them: a relay has no more
+# bandwidth than any other instance, and many instances call it at once. Instances
+# that delegate their polling read such tables from the store.
+MAX_SMALL_TABLE_BYTES = 16_000
+
+
+class RowAnswers:
+    """Answers calls from what this instance has read in the current era of the store."""
+
+    def __init__(self, *, members: FleetMembership, replicated_state: ReplicatedState) -> None:
+        self._members = members
+        self._replicated_state = replicated_state
+        self._rows = replicated_state.rows
+        self._updates = replicated_state.updates
+        self._eras = replicated_state.store.eras
+
+    async def answer_rows_call(self, raw_request: Any) -> Any:
+        """Answer a call for the rows that a peer lacks."""
+        request = unpack_request(raw_request, current_era=self._eras.current)
+        return self._rows_answer(request, left_out=())
+
+    async def answer_small_rows_call(self, raw_request: Any) -> Any:
+        """Answer like ``answer_rows_call``, but only name large tables, without their rows.
+
+        A table of endpoints that the peer has not read in this era is never left out.
+        """
+        request = unpack_request(raw_request, current_era=self._eras.current)
+        position_by_table = request.position_by_table
+        size_by_table: dict[str, int] = {}
+        for row in self._rows.rows_newer_than(position_by_table):
+            size = len(row.content or b'')
+            size_by_table[row.table] = size_by_table.get(row.table, 0) + size
+        large = [
+            table
+            for table, size in size_by_table.items()
+            if size > MAX_SMALL_TABLE_BYTES and (table != ENDPOINTS or table in position_by_table)
+        ]
+        return self._rows_answer(request, left_out=large)
+
+    async def answer_members_call(self, _: Any) -> Any:
+        """Answer a call for the instances that count for shared limits, including this one."""
+        peers = self._members.peers_sharing_limits(anyio.current_time())
+        return [list(member) for member in (*peers, self._members.local_member)]
+
+    def _rows_answer(self, request: RowsRequest, *, left_out: Sequence[str]) -> Any:
+        position_by_table = request.position_by_table
+        # This instance has nothing for a peer in a later era.
+        current = {
+            table: position
+            for table, position in self._replicated_state.current_positions().items()
+            if table not in left_out and request.era <= position.era
+        }
+        full_tables = [
+            table
+            for table in current
+            if not self._rows.is_complete_for(table, position_by_table.get(table))
+        ]
+        rows = [
+            row
+            for row in self._rows.rows_newer_than(position_by_table)
+            if row.table in current and row.table not in full_tables
+        ]
+        now = anyio.current_time()
+        answer = RowsAnswer(
+            era=self._eras.current,
+            changed=rows,
+            listing_by_table={table: self._rows.listing_of(table) for table in full_tables},
+            left_out=tuple(left_out),
+            store_available_for_s=self._replicated_state.store_available_for_s(now),
+            held=self._updates.held_rows.rows(),
+            last_return=self._eras.last_return,
+        )
+        return pack_answer(answer, now)
--- a/packages/node/src/plantainloft_node/entry/row_replication.py
+++ b/packages/node/src/plantainloft_node/entry/row_replication.py
@@ -1,26 +1,31 @@
-"""Replication of rows between entry instances.
+"""Replication of rows between entry instances: requests for missing rows.
 
 Heartbeats carry the newest row versions that an instance has. An instance that
 lags behind requests the missing rows from the sender. It thus stays up to date
 while the store rejects its calls, has lost its change history or is down when
-the instance starts.
+the instance starts. After the store has returned from a copy, answers also have the
+rows that the sender holds in place of the store's.
 """
 
 import logging
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable
 from typing import Any
 
 import anyio
 from anyio.abc import TaskGroup
 
 from plantainloft_core.outcomes import Unreachable
+from plantainloft_core.store_position import UNKNOWN_ERA
 from plantainloft_node.entry.peer_calls import PeerCalls
 from plantainloft_node.entry.replicated_state import ReplicatedState
+from plantainloft_node.entry.row_exchange import (
+    pack_request,
+    unpack_answer,
+)
 from plantainloft_node.fleet.membership import FleetMember, FleetMembership, Heartbeat
 from plantainloft_node.fleet.relay_selection import zone_relays
 from plantainloft_node.fleet.report_receiver import UpdateHint
-from plantainloft_node.replica.row_replica import RowReplica
-from plantainloft_node.replica.store_rows import DECLARATIONS, ENDPOINTS, RowBatch, StoreRow
+from plantainloft_node.replica.store_rows import DECLARATIONS, ENDPOINTS
 
 __all__ = ['MEMBERS_CALL', 'ROWS_CALL', 'SMALL_ROWS_CALL', 'RowReplication']
 
@@ -36,16 +41,14 @@
 FETCH_RETRY_AFTER_S = 0.8
 ROWS_CALL = 'news'
 SMALL_ROWS_CALL = 'small_news'
-# Larger tables would delay all answers queued behind them: a relay has no more
-# bandwidth than any other instance, and many instances call it at once. Instances
-# that delegate their polling read such tables from the store.
-MAX_SMALL_TABLE_BYTES = 16_000
 MEMBERS_CALL = 'members'
+# Peers asked in each era for the rows that they hold. One may have missed a change.
+HELD_ROWS_SOURCES = 2
 _MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 
 
 class RowReplication:
-    """Requests missing rows from peers and answers their requests."""
+    """Requests missing rows from peers; ``RowAnswers`` answers such requests."""
 
     def __init__(
         self,
@@ -59,7 +62,12 @@
         self._members = members
         self._replicated_state = replicated_state
         self._rows = replicated_state.rows
+        self._updates = replicated_state.updates
+        self._eras = replicated_state.store.eras
         self._routing_state = replicated_state.routing_state
+        # The era of the last request for held rows, and the peers that answered one.
+        self._held_era = UNKNOWN_ERA
+        self._held_sources: set[str] = set()
         self._pollers = replicated_state.pollers
         self._tasks = tasks
         self._fetches_in_progress = 0
@@ -68,7 +76,10 @@
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Request the rows that are missing here from the sender of a heartbeat."""
-        self.on_update_hint(UpdateHint(heartbeat.member, heartbeat.newest_version_by_table, ()))
+        hint = UpdateHint(
+            heartbeat.member, heartbeat.position_by_table, (), holds_rows=heartbeat.holds_rows
+        )
+        self.on_update_hint(hint)
 
     def on_update_hint(self, hint: UpdateHint) -> None:
         """Request rows and instances that are missing here from a peer that has them."""
@@ -77,57 +88,18 @@
             self._record_peer_uptime(hint.member, hint.relay_heartbeat.store_available_for_s, now)
         is_waiting = self._fetches_in_progress and now - self._last_fetch_at < FETCH_RETRY_AFTER_S
         if not is_waiting and (
-            _lacks_rows(self._rows, hint) or _lacks_members(self._members, hint)
+            self._lacks_rows(hint)
+            or self._lacks_held_rows(hint)
+            or _lacks_members(self._members, hint)
         ):
             self._fetches_in_progress += 1
             self._last_fetch_at = now
             self._tasks.start_soon(self._fetch_missing, hint)
 
-    async def answer_rows_call(self, newest_version_by_table: Any) -> Any:
-        """Answer a call for the rows newer than those that a peer has."""
-        return self._rows_answer(newest_version_by_table, left_out=())
-
-    async def answer_small_rows_call(self, newest_version_by_table: Any) -> Any:
-        """Answer like ``answer_rows_call``, but only name large tables, without their rows."""
-        size_by_table: dict[str, int] = {}
-        for row in self._rows.rows_newer_than(newest_version_by_table):
-            size = len(row.content or b'')
-            size_by_table[row.table] = size_by_table.get(row.table, 0) + size
-        large = [table for table, size in size_by_table.items() if size > MAX_SMALL_TABLE_BYTES]
-        return self._rows_answer(newest_version_by_table, left_out=large)
-
-    async def answer_members_call(self, _: Any) -> Any:
-        """Answer a call for the instances that count for shared limits, including this one."""
-        peers = self._members.peers_sharing_limits(anyio.current_time())
-        return [list(member) for member in (*peers, self._members.local_member)]
-
-    def _rows_answer(
-        self, newest_version_by_table: dict[str, int], *, left_out: Sequence[str]
-    ) -> dict[str, Any]:
-        full_tables = [
-            table
-            for table in self._rows.tables_needing_full_sync(newest_version_by_table)
-            if table not in left_out
-        ]
-        known = {
-            table: version
-            for table, version in newest_version_by_table.items()
-            if table not in full_tables
-        }
-        rows = [row for row in self._rows.rows_newer_than(known) if row.table not in left_out]
-        return {
-            'rows': [list(row) for row in rows],
-            'whole': {table: self._rows.newest_version_by_table[table] for table in full_tables},
-            'left_out': left_out,
-            'store_served_s': self._replicated_state.store_available_for_s(anyio.current_time()),
-        }
-
     async def _fetch_missing(self, hint: UpdateHint) -> None:
-        if not (
-            self._replicated_state.delegates_polling() and _lacks_table(self._rows, hint, ENDPOINTS)
-        ):
+        if not (self._replicated_state.delegates_polling() and self._lacks_table(hint, ENDPOINTS)):
             await anyio.sleep(PEER_FETCH_DELAY_S)
-        if _lacks_rows(self._rows, hint):
+        if self._lacks_rows(hint) or self._lacks_held_rows(hint):
             await self._fetch_rows(hint.member)
         if _lacks_members(self._members, hint):
             await self._fetch_members(hint.member)
@@ -146,7 +118,7 @@
         if not self._replicated_state.delegates_polling():
             await self._fetch_all_rows(member)
             return
-        answer = await self._calls.call(member, SMALL_ROWS_CALL, self._rows.newest_version_by_table)
+        answer = await self._calls.call(member, SMALL_ROWS_CALL, self._request())
         if isinstance(answer, Unreachable):
             self._poll_store((ENDPOINTS,))
             return
@@ -162,31 +134,84 @@
         Usually the poll is about to return it, but an unresponsive store may never
         answer the poll.
         """
-        version = self._rows.newest_version_by_table.get(DECLARATIONS)
+        position = self._rows.position_by_table.get(DECLARATIONS)
         await anyio.sleep(LARGE_FETCH_DELAY_S)
-        if self._rows.newest_version_by_table.get(DECLARATIONS) == version:
+        if self._rows.position_by_table.get(DECLARATIONS) == position:
             await self._fetch_all_rows(member)
         self._large_fetch_scheduled = False
 
     async def _fetch_all_rows(self, member: FleetMember) -> None:
-        answer = await self._calls.call(member, ROWS_CALL, self._rows.newest_version_by_table)
+        answer = await self._calls.call(member, ROWS_CALL, self._request())
         if not isinstance(answer, Unreachable):
             self._apply_answer(member, answer)
 
-    def _apply_answer(self, member: FleetMember, answer: Any) -> tuple[str, ...]:
+    def _request(self) -> dict[str, int]:
+        return pack_request(self._rows.position_by_table, era=self._eras.current)
+
+    def _apply_answer(self, member: FleetMember, raw_answer: Any) -> tuple[str, ...]:
         """Apply the rows of an answer; return the tables that it leaves out."""
+        now = anyio.current_time()
         try:
-            fresh, left_out = self._parse_answer(answer)
+            answer = unpack_answer(raw_answer, now, default_era=self._era_of_other_builds())
         except _MALFORMED as exc:
             _log_malformed(member, exc)
             return ()
-        now = anyio.current_time()
-        self._record_peer_uptime(member, answer.get('store_served_s'), now)
-        self._routing_state.apply_rows(fresh, now, source=member.name)
-        changed = {row.table for row in fresh}
-        for table in changed:
-            self._pollers[table].restart_poll()
-        return left_out
+        self._record_peer_uptime(member, answer.store_available_for_s, now)
+        if answer.era < self._eras.current:
+            return ()
+        if answer.last_return is None:
+            self._eras.record_answer(answer.era, None, now)
+        else:
+            self._eras.record_peer_report(answer.last_return)
+        changed = {
+            row.table
+            for row in self._updates.apply_changes(answer.changed, now, source=member.name)
+        }
+        for table, listing in answer.listing_by_table.items():
+            if self._updates.apply_listing(
+                table, listing, now, source=member.name, held_by_peer=answer.held
+            ):
+                changed.add(table)
+        self._updates.apply_held(answer.held, answer.last_return, now, source=member.name)
+        self._record_held_source(member.name)
+        for table, poller in self._pollers.items():
+            if table in changed:
+                poller.restart_poll()
+        return answer.left_out
+
+    def _era_of_other_builds(self) -> int:
+        """Return the era of rows from builds that name none.
+
+        They are not believed once the store has returned from a copy.
+        """
+        return UNKNOWN_ERA if self._eras.return_count else self._eras.current
+
+    def _record_held_source(self, name: str) -> None:
+        if self._held_era != self._eras.current:
+            self._held_era = self._eras.current
+            self._held_sources.clear()
+        self._held_sources.add(name)
+
+    def _lacks_held_rows(self, hint: UpdateHint) -> bool:
+        if not hint.holds_rows or any(
+            position.era != self._eras.current for position in hint.position_by_table.values()
+        ):
+            return False
+        if self._held_era != self._eras.current:
+            return True
+        is_known = hint.member.name in self._held_sources
+        return not is_known and len(self._held_sources) < HELD_ROWS_SOURCES
+
+    def _lacks_rows(self, hint: UpdateHint) -> bool:
+        return any(self._lacks_table(hint, table) for table in hint.position_by_table)
+
+    def _lacks_table(self, hint: UpdateHint, table: str) -> bool:
+        position = hint.position_by_table.get(table)
+        if position is None:
+            return False
+        if position.era == UNKNOWN_ERA:
+            position = position._replace(era=self._era_of_other_builds())
+        return position.supersedes(self._rows.position_by_table.get(table))
 
     def _poll_store(self, tables: Iterable[str]) -> None:
         """Poll the store once for tables that peers do not send."""
@@ -209,26 +234,6 @@
             self._members.add_member(one, now)
         self._members.has_member_list = True
 
-    def _parse_answer(self, answer: Any) -> tuple[list[StoreRow], tuple[str, ...]]:
-        left_out = tuple(str(table) for table in answer.get('left_out', ()))
-        rows = [StoreRow(*row) for row in answer['rows']]
-        return self._merge(rows, answer.get('whole', {})), left_out
-
-    def _merge(self, rows: list[StoreRow], version_by_full_table: dict[str, int]) -> list[StoreRow]:
-        fresh = self._rows.merge(row for row in rows if row.table not in version_by_full_table)
-        for table, version in version_by_full_table.items():
-            listing = RowBatch(tuple(row for row in rows if row.table == table), version)
-            fresh += self._rows.merge_listing(table, listing)
-        return fresh
-
-
-def _lacks_rows(rows: RowReplica, hint: UpdateHint) -> bool:
-    return any(_lacks_table(rows, hint, table) for table in hint.newest_version_by_table)
-
-
-def _lacks_table(rows: RowReplica, hint: UpdateHint, table: str) -> bool:
-    return hint.newest_version_by_table.get(table, 0) > rows.newest_version_by_table.get(table, 0)
-
 
 def _lacks_members(members: FleetMembership, hint: UpdateHint) -> bool:
     return any(members.registry.name_of(key) is None for key in hint.member_keys)
--- a/packages/node/src/plantainloft_node/entry/store_polling.py
+++ b/packages/node/src/plantainloft_node/entry/store_polling.py
@@ -14,6 +14,8 @@
 are lost alike, so no peer has newer rows.
 """
 
+import random
+
 from plantainloft_node.fleet.membership import FleetMember, FleetMembership
 from plantainloft_node.fleet.relay_selection import RELAYS_PER_ZONE, is_responsive, ranked_members
 from plantainloft_node.placement.rendezvous import rendezvous_score
@@ -34,6 +36,9 @@
 # poll at this interval, so that each learns of the first success before it starts.
 STAGGER_S = 0.2
 MAX_STAGGERED_RANK = 10
+# After the store has returned from a copy, relays list its tables at once. The others get
+# them from the relays, or list them after a random part of this time.
+RELISTING_SPREAD_S = 1.2
 # After its start an instance has not yet received the reports that say which
 # peers poll the store.
 STARTUP_GRACE_S = 1.5
@@ -68,9 +73,17 @@
 
     def long_poll_wait_s(self, now: float) -> float:
         """Return how long a poll of the store waits for a change, in seconds."""
-        if self._ranked_in_zone(now).index(self._members.local_member) < RELAYS_PER_ZONE:
-            return SHORT_WAIT_S
-        return poll_wait_s(self._members, now)
+        return SHORT_WAIT_S if self._is_relay(now) else poll_wait_s(self._members, now)
+
+    def relisting_delay_s(self, now: float) -> float:
+        """Return how long to wait before listing a table of a store that has returned."""
+        if self._is_relay(now):
+            return 0.0
+        return RELISTING_SPREAD_S * random.uniform(0.5, 1.0)
+
+    def _is_relay(self, now: float) -> bool:
+        ranked = self._ranked_in_zone(now)
+        return ranked.index(self._members.local_member) < RELAYS_PER_ZONE
 
     def _ranked_in_zone(self, now: float) -> list[FleetMember]:
         zone = self._members.registry.by_zone()[self._members.local_member.zone]
--- a/packages/node/src/plantainloft_node/fleet/report_codec.py
+++ b/packages/node/src/plantainloft_node/fleet/report_codec.py
@@ -2,10 +2,11 @@
 
 import struct
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, NamedTuple
 
 import msgpack
 
+from plantainloft_core.store_position import UNKNOWN_ERA, StorePosition
 from plantainloft_node.fleet.reports import FleetMember, Heartbeat, MemberStatus, ZoneReport
 from plantainloft_node.limits.organisation_usage import decode_usage, encode_usage
 from plantainloft_node.quarantine.crash_codec import pack_crashes, unpack_crashes
@@ -24,13 +25,22 @@
 _TENTHS_PER_SECOND = 10
 # The age is sent as one byte.
 _MAX_AGE_TENTHS = 255
+# The field of the sequence also has the era of the store and a flag in its low bits, and
+# the highest bit to tell it from those without. Builds that know no eras read the whole
+# field as the sequence, whose order it keeps.
+_ERA_BITS = 20
+_HOLDS_ROWS_FLAG = 1 << _ERA_BITS
+_SEQUENCE_SHIFT = _ERA_BITS + 1
+_HAS_ERA_BIT = 62
+_HAS_ERA_FLAG = 1 << _HAS_ERA_BIT
+_ERA_MASK = (1 << _ERA_BITS) - 1
 
 
 def pack_report(report: ZoneReport) -> bytes:
     """Encode ``report``."""
     packed: bytes = msgpack.packb(
         [
-            report.sequence,
+            _pack_sequence(report),
             _heartbeat_fields(report.heartbeat),
             _rounded(report.zone_rate_by_service),
             [
@@ -52,9 +62,10 @@
         raise ValueError(
             f'at most {MAX_INTRODUCED_READ} introduced instances expected, got {len(introduced)}'
         )
+    numbers = _unpack_sequence(require_type(sequence, int))
     return ZoneReport(
-        sequence=require_type(sequence, int),
-        heartbeat=_parse_heartbeat(*raw_heartbeat),
+        sequence=numbers.sequence,
+        heartbeat=_parse_heartbeat(numbers, *raw_heartbeat),
         zone_rate_by_service=_parse_rates(zone_rates),
         statuses=tuple(_parse_statuses(require_type(statuses, bytes))),
         introduced=tuple(_parse_member(member) for member in introduced),
@@ -63,10 +74,38 @@
     )
 
 
+class _ReportNumbers(NamedTuple):
+    """What the field of the sequence contains."""
+
+    sequence: int
+    era: int = UNKNOWN_ERA
+    holds_rows: bool = False
+
+
+def _pack_sequence(report: ZoneReport) -> int:
+    heartbeat = report.heartbeat
+    if heartbeat.era == UNKNOWN_ERA:
+        return report.sequence
+    flag = _HOLDS_ROWS_FLAG if heartbeat.holds_rows else 0
+    low_bits = (heartbeat.era - UNKNOWN_ERA) & _ERA_MASK | flag
+    return _HAS_ERA_FLAG | report.sequence << _SEQUENCE_SHIFT | low_bits
+
+
+def _unpack_sequence(packed: int) -> _ReportNumbers:
+    if not packed & _HAS_ERA_FLAG:
+        return _ReportNumbers(packed)
+    return _ReportNumbers(
+        sequence=(packed & ~_HAS_ERA_FLAG) >> _SEQUENCE_SHIFT,
+        era=(packed & _ERA_MASK) + UNKNOWN_ERA,
+        holds_rows=bool(packed & _HOLDS_ROWS_FLAG),
+    )
+
+
 def _parse_heartbeat(
+    numbers: _ReportNumbers,
     member: Any,
     flags: Any,
-    newest_version_by_table: Any,
+    version_by_table: Any,
     rates: Any,
     available_for_s: Any,
     packed_usage: Any,
@@ -76,9 +115,11 @@
         member=_parse_member(member),
         ready=ready,
         draining=draining,
-        newest_version_by_table={
-            require_type(key, str): require_type(newest_version_by_table[key], int)
-            for key in newest_version_by_table
+        position_by_table={
+            require_type(table, str): StorePosition(
+                numbers.era, require_type(version_by_table[table], int)
+            )
+            for table in version_by_table
         },
         rate_by_service=_parse_rates(rates),
         polls_store=polls_store,
@@ -86,6 +127,8 @@
         if available_for_s is None
         else require_non_negative(available_for_s),
         usage_by_organisation=decode_usage(require_type(packed_usage, bytes)),
+        era=numbers.era,
+        holds_rows=numbers.holds_rows,
     )
 
 
@@ -125,7 +168,7 @@
     return [
         list(heartbeat.member),
         flags,
-        heartbeat.newest_version_by_table,
+        {table: position.version for table, position in heartbeat.position_by_table.items()},
         rates,
         heartbeat.store_available_for_s,
         packed_usage,
--- a/packages/node/src/plantainloft_node/fleet/report_receiver.py
+++ b/packages/node/src/plantainloft_node/fleet/report_receiver.py
@@ -1,7 +1,9 @@
 """Processes the datagrams that this instance receives from its peers."""
 
+from collections.abc import Mapping
 from typing import NamedTuple
 
+from plantainloft_core.store_position import StorePosition
 from plantainloft_node.endpoint_limits.registry import EndpointLimitRegistry
 from plantainloft_node.fleet.datagrams import Datagram, PackedReport, unpack_datagram
 from plantainloft_node.fleet.heartbeat_table import ReportedUsage
@@ -25,12 +27,14 @@
     """What ``member`` can be asked for: newer rows, and instances by key.
 
     ``relay_heartbeat`` is the heartbeat of ``member`` if it is a relay of this instance.
+    ``holds_rows`` says whether it holds rows that the store has lost.
     """
 
     member: FleetMember
-    newest_version_by_table: dict[str, int]
+    position_by_table: Mapping[str, StorePosition]
     member_keys: tuple[int, ...]
     relay_heartbeat: Heartbeat | None = None
+    holds_rows: bool = False
 
 
 class ReceiveResult(NamedTuple):
@@ -164,9 +168,10 @@
         relay_heartbeat = heartbeat if is_own_relay else None
         return UpdateHint(
             heartbeat.member,
-            heartbeat.newest_version_by_table,
+            heartbeat.position_by_table,
             _status_keys(report),
             relay_heartbeat,
+            heartbeat.holds_rows,
         )
 
     def _accept_if_newer(self, report: ZoneReport, now: float) -> bool:
--- a/packages/node/src/plantainloft_node/fleet/reports.py
+++ b/packages/node/src/plantainloft_node/fleet/reports.py
@@ -4,6 +4,7 @@
 from types import MappingProxyType
 from typing import NamedTuple
 
+from plantainloft_core.store_position import UNKNOWN_ERA, StorePosition
 from plantainloft_node.limits.organisation_usage import OrganisationUsage
 from plantainloft_node.placement.rendezvous import rendezvous_score
 from plantainloft_node.quarantine.crash_records import CrashReport
@@ -32,8 +33,10 @@
 class Heartbeat(NamedTuple):
     """The heartbeat of an instance, sent twice a second.
 
-    ``newest_version_by_table`` has the newest row version that the instance knows of each
-    table, ``rate_by_service`` its callers' requests per second. ``polls_store`` says
+    ``position_by_table`` has the newest row that the instance knows of each table that it
+    has read in ``era``, the current era of the store as far as it knows. ``holds_rows`` says
+    whether it holds rows that the store has lost by returning from a copy.
+    ``rate_by_service`` has its callers' requests per second. ``polls_store`` says
     whether it polls the store and reaches it. ``store_available_for_s`` is how long the
     store has been available as far as the instance knows, in seconds, or ``None``
     while it is unavailable. ``usage_by_organisation`` is what the organisations of
@@ -43,11 +46,13 @@
     member: FleetMember
     ready: bool
     draining: bool
-    newest_version_by_table: dict[str, int]
+    position_by_table: Mapping[str, StorePosition]
     rate_by_service: dict[str, float]
     polls_store: bool = False
     store_available_for_s: float | None = None
     usage_by_organisation: Mapping[int, OrganisationUsage] = NO_USAGE
+    era: int = UNKNOWN_ERA
+    holds_rows: bool = False
 
 
 class MemberStatus(NamedTuple):
--- a/packages/node/src/plantainloft_node/quarantine/quarantine.py
+++ b/packages/node/src/plantainloft_node/quarantine/quarantine.py
@@ -71,6 +71,10 @@
 AdmissionDecision = Admitted | Trial | Blocked
 
 
+def _always(key: str) -> bool:
+    return True
+
+
 class Quarantine:
     """Decides which requests may be sent and shares crash records with other instances."""
 
@@ -81,12 +85,15 @@
         store: QuarantineStore,
         has_no_live_peers: Callable[[], bool],
         broadcast: Callable[[], None],
+        is_writer_of: Callable[[str], bool] = _always,
     ) -> None:
         """Set up the quarantine.
 
         ``broadcast`` sends changes to the other instances, ``has_no_live_peers``
-        returns whether there are no live ones.
+        returns whether there are no live ones. ``is_writer_of`` returns whether this
+        instance writes the row of a key that the store has lost.
         """
+        self._is_writer_of = is_writer_of
         self.crash_registry = crash_registry
         self._store = store
         self._has_no_live_peers = has_no_live_peers
@@ -166,6 +173,13 @@
         crashes = self.crash_registry.reports_for_content(content_digest, anyio.current_time())
         return QuarantineRecord(time.time(), last_trial_at, tuple(crashes))
 
+    def write_again_after_return(self) -> None:
+        """Write the records again that the store may have lost by returning from a copy."""
+        quarantined = self.crash_registry.quarantined(anyio.current_time())
+        for fingerprint in quarantined:
+            if self._is_writer_of(fingerprint.content_digest.hex()):
+                self._schedule_write(fingerprint)
+
     async def run(self) -> None:
         """Load stored records, then write changes and refresh on demand until cancelled."""
         while isinstance(await self._load_rows(), Unreachable):
--- a/packages/node/src/plantainloft_node/quarantine/store_records.py
+++ b/packages/node/src/plantainloft_node/quarantine/store_records.py
@@ -11,6 +11,7 @@
 import msgpack
 
 from plantainloft_core.outcomes import Invalid, Unreachable
+from plantainloft_core.store_position import StorePosition
 from plantainloft_node.quarantine.crash_codec import pack_crashes, unpack_crashes
 from plantainloft_node.quarantine.crash_records import CrashReport
 from plantainloft_node.quarantine.crash_registry import MAX_CRASHES_PER_REQUEST
@@ -39,10 +40,10 @@
 
 
 class StoredRecord(NamedTuple):
-    """An encoded record with the key and version of its row."""
+    """An encoded record with the key and position of its row."""
 
     key: str
-    version: int
+    position: StorePosition
     encoded: bytes
 
     def unpack(self) -> QuarantineRecord | Invalid:
--- a/packages/node/src/plantainloft_node/quarantine_table_store.py
+++ b/packages/node/src/plantainloft_node/quarantine_table_store.py
@@ -5,6 +5,7 @@
 
 from plantainloft_core.membership_list import MembershipList
 from plantainloft_core.outcomes import Unreachable
+from plantainloft_core.store_position import UNKNOWN_ERA, StorePosition
 from plantainloft_core.table_client import TableClient, TableRow, TxnConflict
 from plantainloft_node.quarantine.crash_registry import CrashRegistry
 from plantainloft_node.quarantine.quarantine import Quarantine
@@ -57,7 +58,7 @@
     ) -> VersionConflict | Unreachable | None:
         key = KEY_PREFIX + row.key
         outcome = await self._client.commit_transaction(
-            conditions={key: row.version}, writes={key: value}
+            conditions={key: row.position.version}, writes={key: value}
         )
         if isinstance(outcome, TxnConflict):
             return VersionConflict()
@@ -77,7 +78,11 @@
 
 
 def _to_record(row: TableRow) -> StoredRecord:
-    return StoredRecord(row.key.removeprefix(KEY_PREFIX), row.version, _decode_hex(row.value))
+    return StoredRecord(
+        row.key.removeprefix(KEY_PREFIX),
+        StorePosition(UNKNOWN_ERA, row.version),
+        _decode_hex(row.value),
+    )
 
 
 def _decode_hex(value: Any) -> bytes:
--- a/packages/node/src/plantainloft_node/replica/routing_state.py
+++ b/packages/node/src/plantainloft_node/replica/routing_state.py
@@ -44,8 +44,14 @@
         self.route_table: RouteTable = EMPTY_ROUTE_TABLE
         self.route_table_since = 0.0
 
-    def apply_rows(self, rows: Iterable[StoreRow], now: float, *, source: str) -> None:
-        """Apply new rows; ``source`` is where they came from, for the log."""
+    def apply_rows(
+        self, rows: Iterable[StoreRow], now: float, *, source: str, is_certain: bool = False
+    ) -> None:
+        """Apply new rows; ``source`` is where they came from, for the log.
+
+        An older configuration is ignored and a row that may have expired has a grace
+        period, unless ``is_certain`` is set.
+        """
         for row in rows:
             change = self._decode(row)
             if isinstance(change, Invalid):
@@ -55,7 +61,11 @@
                     extra={'kind': 'bad_row', 'fields': {'problems': change.problems}},
                 )
             elif change is not None:
-                self._apply(change, row, now, source)
+                self._apply(change, row, now, source, is_certain)
+
+    def is_in_grace(self, endpoint_id: str) -> bool:
+        """Return whether an endpoint is in use although its row was removed."""
+        return endpoint_id in self._grace_until_by_id
 
     def expire_grace_periods(self, now: float) -> None:
         """Drop endpoints whose grace period is over or whose rows cannot have expired."""
@@ -70,10 +80,17 @@
                     extra={'kind': 'dropped', 'fields': {'row': endpoint_id}},
                 )
 
-    def _apply(self, change: Change, row: StoreRow, now: float, source: str) -> None:
-        fields: dict[str, object] = {'row': row.key, 'row_version': row.version, 'source': source}
+    def _apply(
+        self, change: Change, row: StoreRow, now: float, source: str, is_certain: bool
+    ) -> None:
+        fields: dict[str, object] = {
+            'row': row.key,
+            'row_era': row.position.era,
+            'row_version': row.position.version,
+            'source': source,
+        }
         if isinstance(change, RoutesDeclared):
-            if change.table.version < self.route_table.version:
+            if change.table.version < self.route_table.version and not is_certain:
                 return
             self._apply_routes(change.table, now)
             fields['version'] = change.table.version
@@ -93,7 +110,8 @@
             self._endpoint_registry.remove(change.endpoint_id)
             fields['problem'] = change.problem
         else:
-            fields['used_on_s'] = self._handle_removal(change.endpoint_id, now)
+            used_on_s = self._handle_removal(change.endpoint_id, now, is_certain=is_certain)
+            fields['used_on_s'] = used_on_s
             fields['store_served_s'] = _rounded(self.store_availability.available_for_s(now))
         log.info(
             'Replica: %s.',
@@ -115,13 +133,13 @@
         warmup_s = max(warmups, default=DEFAULT_WARMUP_S)
         self._endpoint_registry.update_evacuated_zones(zones, warmup_s=warmup_s, now=now)
 
-    def _handle_removal(self, endpoint_id: str, now: float) -> float:
+    def _handle_removal(self, endpoint_id: str, now: float, *, is_certain: bool) -> float:
         """Handle a removed row; return the endpoint's grace period in seconds.
 
         The grace period is 0 if the endpoint is dropped at once.
         """
         state = self._endpoint_registry.by_id.get(endpoint_id)
-        may_be_alive = state is not None and not state.is_leaving
+        may_be_alive = state is not None and not state.is_leaving and not is_certain
         if may_be_alive and self.store_availability.may_have_expired(now):
             self._grace_until_by_id[endpoint_id] = now + ROW_EXPIRY_GRACE_S
             if self.store_availability.available_for_s(now) is None:
--- a/packages/node/src/plantainloft_node/replica/store_availability.py
+++ b/packages/node/src/plantainloft_node/replica/store_availability.py
@@ -21,6 +21,8 @@
 # A failed poll is noticed 5.2 s after it was sent. In that time two pollers
 # and a few probes get answers.
 MAX_ANSWER_TIMES = 32
+# A return from a copy is noticed by an answer; the absence before it ended earlier.
+RETURN_MARGIN_S = 0.001
 # Instances that poll the store for others report twice a second.
 PEER_REPORT_TIMEOUT_S = 1.8
 
@@ -79,6 +81,16 @@
         self._outage_at = due_at
         self._recovered_at = min((at for at in self._answered_at if at > due_at), default=None)
 
+    def record_return(self, at: float) -> None:
+        """Record that the store, back at ``at``, has returned from a copy.
+
+        It was away before, even if no call failed.
+        """
+        away_at = at - RETURN_MARGIN_S
+        if self._outage_at is None or self._outage_at < away_at:
+            self._outage_at = away_at
+            self._recovered_at = at
+
     def record_peer_access(self, *, since: float, asked_at: float) -> None:
         """Record a peer's report that the store has been available to it since ``since``.
 
--- a/packages/node/src/plantainloft_node/replica/store_rows.py
+++ b/packages/node/src/plantainloft_node/replica/store_rows.py
@@ -1,29 +1,36 @@
 """Rows of the platform's tables, the changes they decode to, and the store interface.
 
 Instances poll two tables of the store, the operator's declarations and the
-endpoints, and maintain two more, the instances themselves and the quarantine.
+endpoints, and maintain three more: the instances themselves, the quarantine, and the
+fences of conditional writes.
 """
 
 from abc import ABC, abstractmethod
+from collections.abc import Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
 from plantainloft_core.discovery import EndpointRecord
 from plantainloft_core.outcomes import Invalid, Unreachable
 from plantainloft_core.routes import RouteTable
+from plantainloft_core.store_position import StorePosition
+from plantainloft_node.replica.store_eras import StoreEras
 
 __all__ = [
     'DECLARATIONS',
     'ENDPOINTS',
+    'FENCES',
     'INSTANCES',
     'QUARANTINE',
     'Change',
+    'ConditionFailed',
     'EndpointGone',
     'EndpointListed',
     'EndpointUnreadable',
     'HistoryLost',
     'RoutesDeclared',
     'RowBatch',
+    'RowWrite',
     'StoreRow',
     'TableStore',
     'ZoneEvacuation',
@@ -33,22 +40,36 @@
 ENDPOINTS = 'endpoints'
 INSTANCES = 'instances'
 QUARANTINE = 'quarantine'
+FENCES = 'fences'
 
 
 class StoreRow(NamedTuple):
-    """One row as of ``version``; ``content`` is ``None`` if the row was removed."""
+    """One row as of ``position``; ``content`` is ``None`` if the row was removed."""
 
     table: str
     key: str
-    version: int
+    position: StorePosition
     content: bytes | None
 
 
 class RowBatch(NamedTuple):
-    """A set of rows, complete up to ``version`` of the store."""
+    """A set of rows, complete up to ``position`` of the store."""
 
     rows: tuple[StoreRow, ...]
-    version: int
+    position: StorePosition
+
+
+class RowWrite(NamedTuple):
+    """A row to write; ``content`` is ``None`` to remove it."""
+
+    table: str
+    key: str
+    content: bytes | None
+
+
+@dataclass(frozen=True, slots=True, kw_only=True)
+class ConditionFailed:
+    """A row has changed, so nothing was written."""
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -101,34 +122,40 @@
 
 
 class TableStore(ABC):
-    """The operations of the platform's table service that instances use."""
+    """The operations of the platform's table service that instances use.
+
+    ``eras`` is updated by each answer of the store.
+    """
+
+    def __init__(self) -> None:
+        self.eras = StoreEras()
 
     @abstractmethod
     async def list_rows(self, table: str) -> RowBatch | Unreachable:
         """Return a consistent snapshot of all rows of ``table``."""
 
+    @abstractmethod
+    async def read_row(self, table: str, key: str) -> StoreRow | Unreachable:
+        """Return one row; its content is ``None`` if there is no such row."""
+
     @abstractmethod
     async def changes_after(
-        self, table: str, *, after: int, poll_wait_s: float
+        self, table: str, *, after: StorePosition, poll_wait_s: float
     ) -> RowBatch | HistoryLost | Unreachable:
-        """Return the rows changed after version ``after``.
+        """Return the rows changed after the version of ``after``.
 
-        Waits up to ``poll_wait_s`` seconds for the first change.
+        Waits up to ``poll_wait_s`` seconds for the first change. The answer may be of
+        another era than ``after``; then it is no continuation of it.
         """
 
     @abstractmethod
-    async def put_row(self, table: str, key: str, content: bytes) -> Unreachable | None:
-        """Write one row unconditionally."""
-
-    @abstractmethod
-    async def remove_row(self, row: StoreRow) -> Unreachable | None:
-        """Remove ``row`` if its version is unchanged; otherwise do nothing."""
-
-    @abstractmethod
-    async def replace_row(self, row: StoreRow, content: bytes) -> bool | Unreachable:
-        """Replace the content of ``row`` if its version is unchanged.
+    async def write(
+        self, writes: Sequence[RowWrite], *, unchanged: Sequence[StoreRow] = ()
+    ) -> ConditionFailed | Unreachable | None:
+        """Write or remove rows, all or none, if all ``unchanged`` rows have their versions.
 
-        Returns whether it was replaced.
+        The store compares versions only, so a condition of an earlier era may hold for
+        another content; use ``FencedWriter`` for conditional writes.
         """
 
     @abstractmethod
--- a/packages/standins/src/plantainloft_standins/quarantine_store.py
+++ b/packages/standins/src/plantainloft_standins/quarantine_store.py
@@ -1,6 +1,7 @@
 """In-memory store of quarantined requests that can simulate an outage."""
 
 from plantainloft_core.outcomes import Unreachable
+from plantainloft_core.store_position import UNKNOWN_ERA, StorePosition
 from plantainloft_node.quarantine.store_records import (
     QuarantineStore,
     StoredRecord,
@@ -31,7 +32,7 @@
         if self.is_unreachable:
             return Unreachable(reason='simulated outage')
         self._version += 1
-        self.row_by_key[key] = StoredRecord(key, self._version, encoded)
+        self.row_by_key[key] = StoredRecord(key, StorePosition(UNKNOWN_ERA, self._version), encoded)
         return None
 
     async def replace(
--- a/packages/standins/src/plantainloft_standins/simulated_store.py
+++ b/packages/standins/src/plantainloft_standins/simulated_store.py
@@ -1,36 +1,37 @@
-"""Simulated platform store: rows, long polls and failure modes.
+"""Simulated platform store: rows, long polls, failure modes and returns from copies.
 
 The failure modes reproduce what the platform's store does. A silent store keeps
 the long polls that are open and answers them when it recovers, except those that
 expire during the outage. A store that is busy or resets connections fails every
-call at once.
+call at once. After an outage the store may return from an older copy of its rows, in
+another era: its versions go back and are given out again.
 """
 
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from enum import Enum
 from typing import NamedTuple
 
 import anyio
 
-from plantainloft_core.discovery import EndpointRecord
 from plantainloft_core.outcomes import Invalid, Unreachable
+from plantainloft_core.store_position import StorePosition
 from plantainloft_node.replica.store_rows import (
-    DECLARATIONS,
     INSTANCES,
     Change,
-    EndpointGone,
-    EndpointListed,
+    ConditionFailed,
     HistoryLost,
     RowBatch,
+    RowWrite,
     StoreRow,
     TableStore,
 )
+from plantainloft_standins.simulated_rows import decode_simulated_row
 
 __all__ = ['FailureMode', 'ModelStore', 'Outage', 'StoreClient']
 
 # Same timeout as in the deployed process, on top of the requested wait.
 CALL_TIMEOUT_S = 1.2
-SERVICE = 'desk'
+FIRST_ERA = 1
 
 
 class FailureMode(Enum):
@@ -41,12 +42,17 @@
 
 
 class Outage(NamedTuple):
-    """A time span in which the store fails for ``instances``, or for all if empty."""
+    """A time span in which the store fails for ``instances``, or for all if empty.
+
+    At its end the store returns from a copy that was taken ``copy_age_s`` before its start,
+    if that is given.
+    """
 
     start_s: float
     end_s: float
     failure_mode: FailureMode
     instances: frozenset[str] = frozenset()
+    copy_age_s: float | None = None
 
     def affects(self, instance: str, now: float) -> bool:
         """Return whether the outage affects ``instance`` at ``now``."""
@@ -54,23 +60,52 @@
         return is_affected and self.start_s <= now < self.end_s
 
 
+class _Write(NamedTuple):
+    at: float
+    row: StoreRow
+
+
 class ModelStore:
     """Versioned rows and a notification of their changes."""
 
     def __init__(self, *, outages: tuple[Outage, ...]) -> None:
         self.outages = outages
+        self.era = FIRST_ERA
         self.version = 0
+        # Polls for changes after an earlier version are answered as lost history.
+        self.oldest_history_version = 0
+        self.on_return: Callable[[], None] = _ignore_return
         self._row_by_key: dict[tuple[str, str], StoreRow] = {}
+        self._writes: list[_Write] = []
         self._changed = anyio.Event()
 
-    def put(self, table: str, key: str, *, size: int = 1) -> None:
-        """Write a row of ``size`` bytes."""
-        self._write(table, key, bytes(size))
+    def put(self, table: str, key: str, *, size: int = 1, content: bytes = b'') -> None:
+        """Write a row with ``content``, or one of ``size`` bytes."""
+        self._write(table, key, content or bytes(size))
 
     def remove(self, table: str, key: str) -> None:
         """Remove a row."""
         self._write(table, key, None)
 
+    def content_of(self, table: str, key: str) -> bytes | None:
+        """Return the content of a row; ``None`` if there is no such row."""
+        row = self._row_by_key.get((table, key))
+        return None if row is None else row.content
+
+    def return_from_copy(self, taken_at: float) -> None:
+        """Lose what was written after ``taken_at``; versions are given out again."""
+        self._writes = [write for write in self._writes if write.at <= taken_at]
+        self.era += 1
+        self.version = max((write.row.position.version for write in self._writes), default=0)
+        self.oldest_history_version = min(self.oldest_history_version, self.version)
+        self._row_by_key = {}
+        for write in self._writes:
+            position = write.row.position._replace(era=self.era)
+            key = (write.row.table, write.row.key)
+            self._row_by_key[key] = write.row._replace(position=position)
+        self.on_return()
+        self.notify()
+
     def notify(self) -> None:
         """Make open long polls check the rows and outages again."""
         self._changed.set()
@@ -84,9 +119,19 @@
         found = [
             row
             for row in self._row_by_key.values()
-            if row.table == table and row.version > after and (after or row.content is not None)
+            if row.table == table
+            and row.position.version > after
+            and (after or row.content is not None)
         ]
-        return tuple(sorted(found, key=lambda row: row.version))
+        return tuple(sorted(found, key=lambda row: row.position.version))
+
+    def position(self) -> StorePosition:
+        """Return the current position."""
+        return StorePosition(self.era, self.version)
+
+    def has_history(self, after: int) -> bool:
+        """Return whether the store has all changes after a version."""
+        return self.oldest_history_version <= after <= self.version
 
     def outage_for(self, instance: str, now: float) -> Outage | None:
         """Return the outage that affects ``instance`` at ``now``, if any."""
@@ -103,14 +148,34 @@
         )
         for boundary in boundaries:
             await anyio.sleep_until(boundary)
+            for taken_at in self._copies_due(boundary):
+                self.return_from_copy(taken_at)
             self.notify()
 
+    def _copies_due(self, now: float) -> list[float]:
+        """Return when the copies were taken from which the store returns now."""
+        return [
+            outage.start_s - outage.copy_age_s
+            for outage in self.outages
+            if outage.end_s == now and outage.copy_age_s is not None
+        ]
+
     def _write(self, table: str, key: str, content: bytes | None) -> None:
         self.version += 1
-        self._row_by_key[(table, key)] = StoreRow(table, key, self.version, content)
+        row = StoreRow(table, key, self.position(), content)
+        self._row_by_key[(table, key)] = row
+        self._writes.append(_Write(anyio.current_time(), row))
         self.notify()
 
 
+def _ignore_return() -> None:
+    """Ignore a return of the store; the default callback."""
+
+
+def _is_never_cut() -> bool:
+    return False
+
+
 class StoreClient(TableStore):
     """One instance's connection to the store, with its latency."""
 
@@ -122,8 +187,14 @@
         round_trip_s: float,
         clock: Callable[[], float],
         byte_s: float = 0.0,
+        is_cut: Callable[[], bool] = _is_never_cut,
     ) -> None:
-        """``byte_s``: transmission time per byte to the instance, in seconds."""
+        """``byte_s``: transmission time per byte to the instance, in seconds.
+
+        ``is_cut`` returns whether nothing passes between the instance and the store.
+        """
+        self._is_cut = is_cut
+        super().__init__()
         self._store = store
         self._instance = instance
         self._one_way_s = round_trip_s / 2
@@ -133,26 +204,25 @@
 
     async def list_rows(self, table: str) -> RowBatch | Unreachable:
         """Return all rows."""
-        return await self._ask(table, after=0, poll_wait_s=0.0)
+        outcome = await self._ask(table, after=0, poll_wait_s=0.0)
+        return Unreachable(reason='history lost') if isinstance(outcome, HistoryLost) else outcome
+
+    async def read_row(self, table: str, key: str) -> StoreRow | Unreachable:
+        """Return a row that does not exist: instances write no rows in this model."""
+        return StoreRow(table, key, self._store.position()._replace(version=0), None)
 
     async def changes_after(
-        self, table: str, *, after: int, poll_wait_s: float
+        self, table: str, *, after: StorePosition, poll_wait_s: float
     ) -> RowBatch | HistoryLost | Unreachable:
         """Long-poll for the rows changed after a version."""
-        return await self._ask(table, after=after, poll_wait_s=poll_wait_s)
+        return await self._ask(table, after=after.version, poll_wait_s=poll_wait_s)
 
-    async def put_row(self, table: str, key: str, content: bytes) -> Unreachable | None:
+    async def write(
+        self, writes: Sequence[RowWrite], *, unchanged: Sequence[StoreRow] = ()
+    ) -> ConditionFailed | Unreachable | None:
         """Write nothing: instances are not registered in this model."""
         return await self.probe()
 
-    async def remove_row(self, row: StoreRow) -> Unreachable | None:
-        """Remove nothing: instances are not registered in this model."""
-        return await self.probe()
-
-    async def replace_row(self, row: StoreRow, content: bytes) -> bool | Unreachable:
-        """Replace nothing: endpoints do not crash in this model."""
-        return False
-
     async def probe(self) -> Unreachable | None:
         """Check that the store answers, with one small call."""
         outcome = await self._ask(INSTANCES, after=0, poll_wait_s=0.0)
@@ -160,25 +230,32 @@
 
     def decode(self, row: StoreRow) -> Change | Invalid | None:
         """Decode ``row`` into the change of an endpoint that it stands for."""
-        change: Change | None = None
-        if row.table != DECLARATIONS:
-            change = _listed(row.key) if row.content else EndpointGone(endpoint_id=row.key)
-        return change
+        return decode_simulated_row(row)
 
-    async def _ask(self, table: str, *, after: int, poll_wait_s: float) -> RowBatch | Unreachable:
+    async def _ask(
+        self, table: str, *, after: int, poll_wait_s: float
+    ) -> RowBatch | HistoryLost | Unreachable:
         self.calls += 1
-        outcome: RowBatch | Unreachable = Unreachable(reason='no answer in time')
+        outcome: RowBatch | HistoryLost | Unreachable = Unreachable(reason='no answer in time')
         with anyio.move_on_after(CALL_TIMEOUT_S + poll_wait_s):
             await anyio.sleep(self._one_way_s)
+            if self._is_cut():
+                await anyio.sleep_forever()
             outcome = await self._long_poll(
                 table, after=after, expires_at=self._clock() + poll_wait_s
             )
+            era = self._store.era
             await anyio.sleep(self._one_way_s + self._byte_s * _size(outcome))
+            if self._is_cut():
+                outcome = Unreachable(reason='no answer in time')
+                await anyio.sleep_forever()
+            version = outcome.position.version if isinstance(outcome, RowBatch) else None
+            self.eras.record_answer(era, version, self._clock())
         return outcome
 
     async def _long_poll(
         self, table: str, *, after: int, expires_at: float
-    ) -> RowBatch | Unreachable:
+    ) -> RowBatch | HistoryLost | Unreachable:
         is_new_call = True
         while True:
             now = self._clock()
@@ -187,27 +264,16 @@
                 return Unreachable(reason='503')
             if outage is not None and (is_new_call or now >= expires_at):
                 await anyio.sleep_forever()
+            if outage is None and after and not self._store.has_history(after):
+                return HistoryLost()
             rows = self._store.rows(table, after=after)
             if outage is None and (rows or now >= expires_at):
-                return RowBatch(rows, self._store.version)
+                return RowBatch(rows, self._store.position())
             is_new_call = False
             with anyio.move_on_after(expires_at - now):
                 await self._store.changed()
 
 
-def _size(outcome: RowBatch | Unreachable) -> int:
+def _size(outcome: RowBatch | HistoryLost | Unreachable) -> int:
     rows = outcome.rows if isinstance(outcome, RowBatch) else ()
     return sum(len(row.content or b'') for row in rows)
-
-
-def _listed(endpoint_id: str) -> EndpointListed:
-    record = EndpointRecord(
-        id=endpoint_id,
-        service=SERVICE,
-        address=f'{endpoint_id}:80',
-        zone='a',
-        slots=4,
-        draining=False,
-        cold_s=0.0,
-    )
-    return EndpointListed(record=record)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -9,6 +9,7 @@
 from platform_standin import endpoint_document
 
 from plantainloft_core.outcomes import Invalid
+from plantainloft_core.store_position import StorePosition
 from plantainloft_node.replica.store_rows import (
     DECLARATIONS,
     ENDPOINTS,
@@ -40,7 +41,7 @@
 
 
 def row(content: bytes | None) -> StoreRow:
-    return StoreRow(table=ENDPOINTS, key='i-1', version=1, content=content)
+    return StoreRow(table=ENDPOINTS, key='i-1', position=StorePosition(1, 1), content=content)
 
 
 def decode(document: object) -> object:
@@ -127,5 +128,7 @@
     """
     nested = b'[' * 100_000
     assert isinstance(decode_row(row(nested)), EndpointUnreadable)
-    operator_row = StoreRow(table=DECLARATIONS, key='config', version=1, content=nested)
+    operator_row = StoreRow(
+        table=DECLARATIONS, key='config', position=StorePosition(1, 1), content=nested
+    )
     assert isinstance(decode_row(operator_row), Invalid)
--- a/tests/test_endpoint_signals.py
+++ b/tests/test_endpoint_signals.py
@@ -17,6 +17,7 @@
 )
 
 from plantainloft_core.discovery import EndpointRecord
+from plantainloft_core.store_position import StorePosition
 from plantainloft_node.endpoint_limits.limiter import FleetView
 from plantainloft_node.endpoint_signals.announcements import (
     MAX_UNLISTED,
@@ -124,7 +125,7 @@
     """Failure: a removed row during a store outage keeps the endpoint for a grace period."""
     changes = iter([EndpointListed(record=make_record()), EndpointGone(endpoint_id='i0')])
     routing_state = RoutingState(endpoint_registry=registry, decode=lambda row: next(changes))
-    row = StoreRow(table='endpoints', key='i0', version=1, content=None)
+    row = StoreRow(table='endpoints', key='i0', position=StorePosition(1, 1), content=None)
     routing_state.apply_rows([row], NOW, source='store')
     routing_state.store_availability.record_failure(due_at=NOW)
     receive(registry.by_id['i0'], EndpointSignals(leaves=True))
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -15,7 +15,7 @@
 
 import itertools
 import json
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import AsyncExitStack, asynccontextmanager
 from typing import NamedTuple
 
@@ -24,9 +24,11 @@
 from platform_standin import SETTINGS_TEMPLATE, endpoint_document
 
 from plantainloft_core.outcomes import Invalid, Unreachable
+from plantainloft_core.store_position import StorePosition
 from plantainloft_node.entry.component_parameters import local_member
 from plantainloft_node.entry.peer_calls import PeerCalls
 from plantainloft_node.entry.replicated_state import ReplicatedState
+from plantainloft_node.entry.row_answers import RowAnswers
 from plantainloft_node.entry.row_replication import ROWS_CALL, RowReplication
 from plantainloft_node.entry.settings import parse_entry_settings
 from plantainloft_node.entry.store_probes import PROBE_CALL, StoreProbes
@@ -36,8 +38,10 @@
     DECLARATIONS,
     ENDPOINTS,
     Change,
+    ConditionFailed,
     HistoryLost,
     RowBatch,
+    RowWrite,
     StoreRow,
     TableStore,
 )
@@ -50,14 +54,20 @@
 EXPIRY_GRACE_S = 2.3
 Outcome = RowBatch | HistoryLost | Unreachable
 NOW = 1000.0
+ERA = 1
 # Each instance gets its own host: listeners of an earlier test may still be bound.
 HOSTS = itertools.count(100)
 
 
+def at(version: int) -> StorePosition:
+    return StorePosition(ERA, version)
+
+
 class ScriptedStore(TableStore):
     """Answers the calls for each table with scripted outcomes, in their order."""
 
     def __init__(self) -> None:
+        super().__init__()
         self.calls_by_table = {DECLARATIONS: 0, ENDPOINTS: 0}
         # Whether probes fail; they are not scripted.
         self.is_probe_failing = False
@@ -71,23 +81,24 @@
 
     async def list_rows(self, table: str) -> RowBatch | Unreachable:
         if table not in self.calls_by_table:
-            return RowBatch((), 1)
+            return RowBatch((), at(1))
         found = await self._next(table)
         assert not isinstance(found, HistoryLost)
         return found
 
-    async def changes_after(self, table: str, *, after: int, poll_wait_s: float) -> Outcome:
-        return await self._next(table)
+    async def read_row(self, table: str, key: str) -> StoreRow | Unreachable:
+        return StoreRow(table, key, at(0), None)
 
-    async def put_row(self, table: str, key: str, content: bytes) -> Unreachable | None:
-        return None
+    async def changes_after(
+        self, table: str, *, after: StorePosition, poll_wait_s: float
+    ) -> Outcome:
+        return await self._next(table)
 
-    async def remove_row(self, row: StoreRow) -> Unreachable | None:
+    async def write(
+        self, writes: Sequence[RowWrite], *, unchanged: Sequence[StoreRow] = ()
+    ) -> ConditionFailed | Unreachable | None:
         return None
 
-    async def replace_row(self, row: StoreRow, content: bytes) -> bool | Unreachable:
-        return False
-
     async def probe(self) -> Unreachable | None:
         return FAILED if self.is_probe_failing else None
 
@@ -96,7 +107,10 @@
 
     async def _next(self, table: str) -> Outcome:
         self.calls_by_table[table] += 1
-        return await self._scripted_by_table[table][1].receive()
+        outcome = await self._scripted_by_table[table][1].receive()
+        if isinstance(outcome, RowBatch):
+            self.eras.record_answer(ERA, outcome.position.version, anyio.current_time())
+        return outcome
 
 
 class Instance(NamedTuple):
@@ -119,22 +133,22 @@
             self.members.local_member,
             True,
             False,
-            self.replicated_state.rows.newest_version_by_table,
+            self.replicated_state.current_positions(),
             {},
         )
 
 
 def listed_row(key: str, version: int) -> StoreRow:
     content = json.dumps(endpoint_document('127.0.0.1:1')).encode()
-    return StoreRow(ENDPOINTS, key, version, content)
+    return StoreRow(ENDPOINTS, key, at(version), content)
 
 
 def deleted_row(key: str, version: int) -> StoreRow:
-    return StoreRow(ENDPOINTS, key, version, None)
+    return StoreRow(ENDPOINTS, key, at(version), None)
 
 
-INITIAL_LISTING = RowBatch((listed_row('i-1', 1), listed_row('i-2', 2)), 2)
-REMOVAL = RowBatch((deleted_row('i-1', 3),), 3)
+INITIAL_LISTING = RowBatch((listed_row('i-1', 1), listed_row('i-2', 2)), at(2))
+REMOVAL = RowBatch((deleted_row('i-1', 3),), at(3))
 
 
 async def wait_until(probe: Callable[[], bool]) -> None:
@@ -161,10 +175,11 @@
         row_replication = RowReplication(
             calls=calls, members=members, replicated_state=replicated_state, tasks=tasks
         )
+        answers = RowAnswers(members=members, replicated_state=replicated_state)
         probes = StoreProbes(calls=calls, members=members, replicated_state=replicated_state)
         tasks.start_soon(
             calls.serve,
-            {ROWS_CALL: row_replication.answer_rows_call, PROBE_CALL: probes.answer_probe_call},
+            {ROWS_CALL: answers.answer_rows_call, PROBE_CALL: probes.answer_probe_call},
         )
         for part in (*replicated_state.pollers.values(), probes):
             tasks.start_soon(part.run)
--- a/tests/test_organisations.py
+++ b/tests/test_organisations.py
@@ -24,6 +24,7 @@
 )
 from plantainloft_core.outcomes import Invalid
 from plantainloft_core.routes import NO_REGIONS, RouteTable
+from plantainloft_core.store_position import StorePosition
 from plantainloft_node.replica.store_rows import DECLARATIONS, RoutesDeclared, StoreRow
 from plantainloft_platform.organisations import replace_keys_with_digests
 from plantainloft_platform.row_decoding import decode_row
@@ -197,7 +198,7 @@
 
 
 def config_row(content: bytes) -> StoreRow:
-    return StoreRow(table=DECLARATIONS, key='config', version=1, content=content)
+    return StoreRow(table=DECLARATIONS, key='config', position=StorePosition(1, 1), content=content)
 
 
 def test_stored_row_contains_only_key_digests() -> None:
--- a/tests/test_pace.py
+++ b/tests/test_pace.py
@@ -4,6 +4,7 @@
 from entry_fixtures import SERVICE, make_route, make_route_table
 
 from plantainloft_core.outcomes import Invalid
+from plantainloft_core.store_position import StorePosition
 from plantainloft_node.placement.endpoints import EndpointRegistry
 from plantainloft_node.placement.health import EndpointHealth
 from plantainloft_node.placement.latency import ServiceLatency, longest_timeout_by_service
@@ -72,6 +73,6 @@
         return RoutesDeclared(table=table)
 
     RoutingState(endpoint_registry=endpoint_registry, decode=decode).apply_rows(
-        [StoreRow('t', 'k', 1, b'')], NOW, source='store'
+        [StoreRow('t', 'k', StorePosition(1, 1), b'')], NOW, source='store'
     )
     assert endpoint_registry.latency_of(SERVICE).max_silence_s == pytest.approx(3.0)
--- a/tests/test_platform.py
+++ b/tests/test_platform.py
@@ -22,6 +22,7 @@
 )
 
 from plantainloft_core.outcomes import Invalid, Unreachable
+from plantainloft_core.store_position import StorePosition
 from plantainloft_node.replica.store_rows import (
     DECLARATIONS,
     ENDPOINTS,
@@ -42,7 +43,7 @@
 
 def row(key: str, document: object, *, table: str = DECLARATIONS) -> StoreRow:
     content = None if document is None else json.dumps(document).encode()
-    return StoreRow(table=table, key=key, version=1, content=content)
+    return StoreRow(table=table, key=key, position=StorePosition(1, 1), content=content)
 
 
 def test_rows_are_decoded_into_changes() -> None:
@@ -78,7 +79,7 @@
             standin.remove(ENDPOINT_TABLE, 'i-1')
 
         tasks.start_soon(remove_later)
-        batch = await store.changes_after(ENDPOINTS, after=listed.version, poll_wait_s=2.0)
+        batch = await store.changes_after(ENDPOINTS, after=listed.position, poll_wait_s=2.0)
         assert isinstance(batch, RowBatch)
         assert [(changed.key, changed.content) for changed in batch.rows] == [('i-1', None)]
 
@@ -88,7 +89,8 @@
         store = PlatformStore(address=standin.address)
         standin.oldest_history_version = 5
         assert isinstance(
-            await store.changes_after(ENDPOINTS, after=1, poll_wait_s=0.1), HistoryLost
+            await store.changes_after(ENDPOINTS, after=StorePosition(1, 1), poll_wait_s=0.1),
+            HistoryLost,
         )
         standin.is_unavailable = True
         rejected = await store.list_rows(ENDPOINTS)
@@ -96,7 +98,8 @@
         standin.is_unavailable = False
         standin.is_unresponsive = True
         assert isinstance(
-            await store.changes_after(ENDPOINTS, after=9, poll_wait_s=0.1), Unreachable
+            await store.changes_after(ENDPOINTS, after=StorePosition(1, 9), poll_wait_s=0.1),
+            Unreachable,
         )
     assert isinstance(await store.list_rows(ENDPOINTS), Unreachable)
 
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -5,6 +5,7 @@
 
 from plantainloft_core.discovery import EndpointRecord
 from plantainloft_core.routes import CallerLimits, build_route_table
+from plantainloft_core.store_position import StorePosition
 from plantainloft_node.placement.endpoints import EndpointRegistry
 from plantainloft_node.replica.routing_state import RoutingState
 from plantainloft_node.replica.row_replica import RowReplica
@@ -22,10 +23,15 @@
 )
 
 NOW = 1000.0
+ERA = 1
+
+
+def at(version: int) -> StorePosition:
+    return StorePosition(ERA, version)
 
 
 def row(key: str, version: int, content: bytes | None = b'') -> StoreRow:
-    return StoreRow(table=ENDPOINTS, key=key, version=version, content=content)
+    return StoreRow(table=ENDPOINTS, key=key, position=at(version), content=content)
 
 
 def decode(store_row: StoreRow) -> Change:
@@ -73,7 +79,7 @@
 def test_rows_missing_from_a_listing_are_removed() -> None:
     rows = RowReplica()
     rows.merge([row('i1', 1), row('i2', 2)])
-    fresh = rows.merge_listing(ENDPOINTS, RowBatch(rows=(row('i2', 2),), version=9))
+    fresh = rows.merge_listing(ENDPOINTS, RowBatch(rows=(row('i2', 2),), position=at(9)))
     assert [(one.key, one.content) for one in fresh] == [('i1', None)]
 
 
@@ -85,13 +91,13 @@
     """
     rows = RowReplica()
     rows.merge([row('i1', 1), row('i2', 8)])
-    assert not rows.merge_listing(ENDPOINTS, RowBatch(rows=(row('i1', 1),), version=5))
+    assert not rows.merge_listing(ENDPOINTS, RowBatch(rows=(row('i1', 1),), position=at(5)))
 
 
 def test_peers_are_sent_missing_rows_and_tombstones() -> None:
     rows = RowReplica()
     rows.merge([row('i1', 1), row('i2', 2), row('i1', 3, None)])
-    assert [one.key for one in rows.rows_newer_than({ENDPOINTS: 2})] == ['i1']
+    assert [one.key for one in rows.rows_newer_than({ENDPOINTS: at(2)})] == ['i1']
     assert len(rows.rows_newer_than({})) == 2
 
 
@@ -162,7 +168,7 @@
 
 
 def test_a_configuration_is_never_replaced_by_an_older_one(routing_state: RoutingState) -> None:
-    rows = [StoreRow(DECLARATIONS, 'config', number, b'%d' % number) for number in (2, 1)]
+    rows = [StoreRow(DECLARATIONS, 'config', at(number), b'%d' % number) for number in (2, 1)]
     routing_state.apply_rows(rows, NOW, source='store')
     assert routing_state.route_table.version == 2
 
@@ -190,10 +196,10 @@
     for copy in (behind, ahead):
         copy.merge([row('gone', 1), row('stays', 2)])
     ahead.merge([row(key, 3 + number, None) for number, key in enumerate(('gone', 'x', 'y'))])
-    assert ahead.tables_needing_full_sync(behind.newest_version_by_table) == [ENDPOINTS]
-    listing = RowBatch(tuple(ahead.rows_newer_than({})), ahead.newest_version_by_table[ENDPOINTS])
+    assert not ahead.is_complete_for(ENDPOINTS, behind.position_by_table[ENDPOINTS])
+    listing = RowBatch(tuple(ahead.rows_newer_than({})), ahead.position_by_table[ENDPOINTS])
     fresh = behind.merge_listing(ENDPOINTS, listing)
     assert behind.row_by_key[(ENDPOINTS, 'gone')].content is None
     assert behind.row_by_key[(ENDPOINTS, 'stays')].content is not None
     assert 'gone' in {one.key for one in fresh}
-    assert ahead.tables_needing_full_sync(behind.newest_version_by_table) == []
+    assert ahead.is_complete_for(ENDPOINTS, behind.position_by_table[ENDPOINTS])
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -6,6 +6,7 @@
 from platform_standin import SETTINGS_TEMPLATE, running_store
 
 from plantainloft_core.outcomes import Invalid
+from plantainloft_core.store_position import UNKNOWN_ERA, StorePosition
 from plantainloft_node.entry.component_parameters import local_member
 from plantainloft_node.entry.instance_registry import InstanceRegistry
 from plantainloft_node.entry.peer_calls import PeerCalls
@@ -19,7 +20,8 @@
     Heartbeat,
 )
 from plantainloft_node.placement.rendezvous import rendezvous_score
-from plantainloft_node.replica.store_rows import INSTANCES, RowBatch
+from plantainloft_node.replica.fenced_writer import FencedWriter
+from plantainloft_node.replica.store_rows import INSTANCES, ConditionFailed, RowBatch, RowWrite
 from plantainloft_node.streams.connections import PeerConnections
 from plantainloft_platform.store import PlatformStore
 
@@ -47,7 +49,8 @@
 
 
 async def register(store: PlatformStore, registered: FleetMember) -> None:
-    await store.put_row(INSTANCES, registered.caller_address, msgpack.packb(list(registered)))
+    content = msgpack.packb(list(registered))
+    await store.write([RowWrite(INSTANCES, registered.caller_address, content)])
 
 
 @pytest.mark.parametrize('delegates', [False, True])
@@ -82,7 +85,9 @@
             replicated_state=replicated_state,
             tasks=tasks,
         )
-        row_replication.on_heartbeat(Heartbeat(member('e2'), True, False, {'endpoints': 9}, {}))
+        row_replication.on_heartbeat(
+            Heartbeat(member('e2'), True, False, {'endpoints': StorePosition(UNKNOWN_ERA, 9)}, {})
+        )
         with anyio.fail_after(5):
             while not any(getattr(record, 'kind', '') == 'bad_news' for record in caplog.records):
                 await anyio.sleep(0.05)
@@ -99,7 +104,8 @@
         listed = await store.list_rows(INSTANCES)
         assert isinstance(listed, RowBatch)
         await register(store, member('e2', incarnation=2))
-        assert await store.remove_row(listed.rows[0]) is None
+        writer = FencedWriter(store=store, owner='e1')
+        assert await writer.remove_row(listed.rows[0]) == ConditionFailed()
         assert await listed_names(store) == ['e2']
 
 
