Relays of each zone notice early that a silent store has lost their polls

Found by the model of returns, without any copy: a change ends all polls, the store falls silent for 0.7 or 1.5 s, and all next polls are lost together. A lost poll ends after its wait of 4 s and 1.2 s more, so a change confirmed right after the absence was in force 5.3 s later; it binds 4 s after it.

--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -59,6 +59,7 @@
             store=store,
             region_by_zone=settings.region_by_zone,
             long_poll_wait_s=lambda: self._polling.long_poll_wait_s(anyio.current_time()),
+            declarations_wait_s=lambda: self._polling.declarations_wait_s(anyio.current_time()),
             delegates_polling=lambda: self._polling.delegates_polling(anyio.current_time()),
             relisting_delay_s=lambda: self._polling.relisting_delay_s(anyio.current_time()),
         )
--- a/packages/node/src/plantainloft_node/entry/replicated_state.py
+++ b/packages/node/src/plantainloft_node/entry/replicated_state.py
@@ -40,12 +40,14 @@
         store: TableStore,
         region_by_zone: dict[str, str],
         long_poll_wait_s: Callable[[], float],
+        declarations_wait_s: Callable[[], float] | None = None,
         delegates_polling: Callable[[], bool] = _never,
         relisting_delay_s: Callable[[], float] = _no_delay_s,
     ) -> None:
         """Create an empty copy.
 
-        ``long_poll_wait_s`` returns how long a poll of the store waits for a change.
+        ``long_poll_wait_s`` returns how long a poll of the store waits for a change, and
+        ``declarations_wait_s`` the same for the declarations, if that differs.
         ``delegates_polling`` returns whether relays poll the store for this instance.
         ``relisting_delay_s`` returns how long this instance waits for peers to send a
         table after the store has returned from a copy.
@@ -63,13 +65,17 @@
             eras=store.eras,
             decode=store.decode,
         )
+        wait_s_by_table = {
+            DECLARATIONS: declarations_wait_s or long_poll_wait_s,
+            ENDPOINTS: long_poll_wait_s,
+        }
         self.pollers = {
             table: TablePoller(
                 table=table,
                 store=store,
                 updates=self.updates,
                 batch_pause_s=batch_pause_s,
-                long_poll_wait_s=long_poll_wait_s,
+                long_poll_wait_s=wait_s_by_table[table],
                 delegates_polling=self.delegates_polling if table == ENDPOINTS else _never,
                 relisting_delay_s=relisting_delay_s,
             )
--- a/packages/node/src/plantainloft_node/entry/store_polling.py
+++ b/packages/node/src/plantainloft_node/entry/store_polling.py
@@ -27,6 +27,11 @@
 # poll ends after this wait, plus 1.2 s for the call and 0.4 s of back-off: at
 # most 5.6 s after the outage.
 SHORT_WAIT_S = 4.0
+# A store that is silent for a moment can lose the polls of all instances at once, because a
+# change ended their polls just before. A change that follows must be in force 4 s after the
+# store is back. One relay of each availability zone polls the declarations with this wait: a
+# lost poll ends 3.1 s after the outage at most, and its peers have the change 0.9 s later.
+SENTINEL_WAIT_S = 1.4
 # Where all instances poll, this many with the short wait are enough to notice
 # changes in time; the others learn of them from heartbeats. More would only add
 # calls, which are charged for.
@@ -75,6 +80,11 @@
         """Return how long a poll of the store waits for a change, in seconds."""
         return SHORT_WAIT_S if self._is_relay(now) else poll_wait_s(self._members, now)
 
+    def declarations_wait_s(self, now: float) -> float:
+        """Return how long a poll of the declarations waits for a change, in seconds."""
+        is_sentinel = self._ranked_in_zone(now)[0] == self._members.local_member
+        return SENTINEL_WAIT_S if is_sentinel else self.long_poll_wait_s(now)
+
     def relisting_delay_s(self, now: float) -> float:
         """Return how long to wait before listing a table of a store that has returned."""
         if self._is_relay(now):
--- a/packages/standins/src/plantainloft_standins/replicating_instance.py
+++ b/packages/standins/src/plantainloft_standins/replicating_instance.py
@@ -173,6 +173,7 @@
             store=self.store_client,
             region_by_zone={'a': STORE_REGION},
             long_poll_wait_s=lambda: polling_policy.long_poll_wait_s(anyio.current_time()),
+            declarations_wait_s=lambda: polling_policy.declarations_wait_s(anyio.current_time()),
             delegates_polling=lambda: polling_policy.delegates_polling(anyio.current_time()),
             relisting_delay_s=lambda: polling_policy.relisting_delay_s(anyio.current_time()),
         )
--- a/packages/standins/src/plantainloft_standins/return_observer.py
+++ b/packages/standins/src/plantainloft_standins/return_observer.py
@@ -12,9 +12,6 @@
 
 __all__ = ['Breach', 'ReturnObserver', 'StoreReturnBounds']
 
-# Older configurations are replaced long before they bind.
-CHECKED_CONFIGURATIONS = 4
-
 
 class StoreReturnBounds(NamedTuple):
     """When changes bind, in seconds.
@@ -81,10 +78,15 @@
         if version < self._version_by_name.get(name, 0):
             self._record(name, 'configuration went back', str(version), now)
         self._version_by_name[name] = version
-        for confirmed in self._writers.configurations[-CHECKED_CONFIGURATIONS:]:
-            is_binding = self._binds(name, confirmed.at, now, self._bounds.in_force_s)
-            if is_binding and version < int(confirmed.content or 0):
-                self._record(name, 'configuration not in force', str(confirmed.content), now)
+        newest_first = reversed(self._writers.configurations)
+        binding = (
+            int(confirmed.content or 0)
+            for confirmed in newest_first
+            if self._binds(name, confirmed.at, now, self._bounds.in_force_s)
+        )
+        bound_version = next(binding, 0)
+        if version < bound_version:
+            self._record(name, 'configuration not in force', str(bound_version), now)
 
     def _observe_endpoints(self, name: str, instance: ReplicatingInstance, now: float) -> None:
         state_by_id = instance.replicated_state.endpoint_registry.by_id
