Instances that have just started don't hide earlier removals from peers

Found by the model of returns: an instance that has just started answers a peer that is behind with the changed rows that it knows, but it has no tombstones of what was removed before its own first listing. The peer's position moves past the removal, and it uses the endpoint until its row changes again. Not bound to returns of the store.

A first listing now counts as the end of unknown removals, as a pruned tombstone does: a peer before it is sent the whole table. Test in tests/test_replica.py, failing before.

--- a/packages/node/src/plantainloft_node/entry/row_answers.py
+++ b/packages/node/src/plantainloft_node/entry/row_answers.py
@@ -1,6 +1,6 @@
 """Answers the calls of peers for rows and members that they lack."""
 
-from collections.abc import Sequence
+from collections import Counter
 from typing import Any
 
 import anyio
@@ -36,7 +36,8 @@
     async def answer_rows_call(self, raw_request: Any) -> Any:
         """Answer a call for the rows that a peer lacks."""
         request = unpack_request(raw_request, current_era=self._eras.current)
-        return self._rows_answer(request, left_out=())
+        now = anyio.current_time()
+        return pack_answer(self._answer(request, now), now)
 
     async def answer_small_rows_call(self, raw_request: Any) -> Any:
         """Answer like ``answer_rows_call``, but only name large tables, without their rows.
@@ -44,49 +45,65 @@
         A table of endpoints that the peer has not read in this era is never left out.
         """
         request = unpack_request(raw_request, current_era=self._eras.current)
-        position_by_table = request.position_by_table
-        size_by_table: dict[str, int] = {}
-        for row in self._rows.rows_newer_than(position_by_table):
-            size = len(row.content or b'')
-            size_by_table[row.table] = size_by_table.get(row.table, 0) + size
-        large = [
+        now = anyio.current_time()
+        answer = self._answer(request, now)
+        large = tuple(
             table
-            for table, size in size_by_table.items()
-            if size > MAX_SMALL_TABLE_BYTES and (table != ENDPOINTS or table in position_by_table)
-        ]
-        return self._rows_answer(request, left_out=large)
+            for table, size in _bytes_by_table(answer).items()
+            if size > MAX_SMALL_TABLE_BYTES
+            and (table != ENDPOINTS or table in request.position_by_table)
+        )
+        return pack_answer(_without_tables(answer, large), now)
 
     async def answer_members_call(self, _: Any) -> Any:
         """Answer a call for the instances that count for shared limits, including this one."""
         peers = self._members.peers_sharing_limits(anyio.current_time())
         return [list(member) for member in (*peers, self._members.local_member)]
 
-    def _rows_answer(self, request: RowsRequest, *, left_out: Sequence[str]) -> Any:
-        position_by_table = request.position_by_table
+    def _answer(self, request: RowsRequest, now: float) -> RowsAnswer:
         # This instance has nothing for a peer in a later era.
         current = {
             table: position
             for table, position in self._replicated_state.current_positions().items()
-            if table not in left_out and request.era <= position.era
+            if request.era <= position.era
         }
         full_tables = [
             table
             for table in current
-            if not self._rows.is_complete_for(table, position_by_table.get(table))
+            if not self._rows.is_complete_for(table, request.position_by_table.get(table))
         ]
-        rows = [
+        changed = [
             row
-            for row in self._rows.rows_newer_than(position_by_table)
+            for row in self._rows.rows_newer_than(request.position_by_table)
             if row.table in current and row.table not in full_tables
         ]
-        now = anyio.current_time()
-        answer = RowsAnswer(
+        return RowsAnswer(
             era=self._eras.current,
-            changed=rows,
+            changed=changed,
             listing_by_table={table: self._rows.listing_of(table) for table in full_tables},
-            left_out=tuple(left_out),
+            left_out=(),
             store_available_for_s=self._replicated_state.store_available_for_s(now),
             held=self._updates.held_rows.rows(),
             last_return=self._eras.last_return,
         )
-        return pack_answer(answer, now)
+
+
+def _bytes_by_table(answer: RowsAnswer) -> Counter[str]:
+    sizes: Counter[str] = Counter()
+    for row in answer.changed:
+        sizes[row.table] += len(row.content or b'')
+    for table, listing in answer.listing_by_table.items():
+        sizes[table] += sum(len(row.content or b'') for row in listing.rows)
+    return sizes
+
+
+def _without_tables(answer: RowsAnswer, tables: tuple[str, ...]) -> RowsAnswer:
+    return answer._replace(
+        changed=[row for row in answer.changed if row.table not in tables],
+        listing_by_table={
+            table: listing
+            for table, listing in answer.listing_by_table.items()
+            if table not in tables
+        },
+        left_out=tables,
+    )
--- a/packages/node/src/plantainloft_node/replica/row_replica.py
+++ b/packages/node/src/plantainloft_node/replica/row_replica.py
@@ -82,6 +82,9 @@
         fresh = self.merge([*listing.rows, *missing])
         if is_from_peer:
             self._advance(table, listing.position)
+        elif known is None:
+            # Removals before the listing are unknown here.
+            self._pruned_position_by_table[table] = listing.position
         return fresh
 
     def rows_of(self, table: str) -> list[StoreRow]:
--- a/tests/test_replica.py
+++ b/tests/test_replica.py
@@ -173,6 +173,17 @@
     assert routing_state.route_table.version == 2
 
 
+def test_an_instance_that_has_just_started_does_not_hide_earlier_removals_from_peers() -> None:
+    """Failure: a peer that was behind skipped the removal and used the endpoint for good."""
+    behind, started = RowReplica(), RowReplica()
+    behind.merge_listing(ENDPOINTS, RowBatch((row('gone', 1), row('stays', 2)), at(2)))
+    started.merge_listing(ENDPOINTS, RowBatch((row('stays', 2), row('new', 4)), at(4)))
+    assert not started.is_complete_for(ENDPOINTS, behind.position_by_table[ENDPOINTS])
+    behind.merge_listing(ENDPOINTS, started.listing_of(ENDPOINTS), is_from_peer=True)
+    assert behind.row_by_key[(ENDPOINTS, 'gone')].content is None
+    assert started.is_complete_for(ENDPOINTS, behind.position_by_table[ENDPOINTS])
+
+
 def test_the_number_of_tombstones_is_bounded(monkeypatch: pytest.MonkeyPatch) -> None:
     """Guards against memory use that grows with every endpoint that ever left."""
     monkeypatch.setattr('plantainloft_node.replica.row_replica.MAX_TOMBSTONES', 10)
