Operators see a return of the store and the rows that it has lost

plantainctl store-returns, GET /store-returns, metrics (era, returns, rows held and released), columns of plantainctl status, and lines of explain: era, time and least age of the copy, rows held, written again and given up.

--- a/packages/ctl/src/plantainloft_ctl/instance_status.py
+++ b/packages/ctl/src/plantainloft_ctl/instance_status.py
@@ -12,7 +12,8 @@
 class InstanceStatus(NamedTuple):
     """The state that one instance reports in its metrics.
 
-    ``lost_tables`` are the store tables that it currently cannot follow.
+    ``lost_tables`` are the store tables that it currently cannot follow, ``rows_held`` counts
+    the rows in effect that the store has lost by returning from a copy.
     """
 
     address: str
@@ -22,6 +23,8 @@
     in_progress: int
     lost_tables: tuple[str, ...]
     endpoints_by_state: dict[str, int]
+    store_era: int = 0
+    rows_held: int = 0
 
 
 def parse_status(address: str, text: str) -> InstanceStatus:
@@ -45,6 +48,8 @@
         in_progress=int(gauges.get('requests_in_progress', 0)),
         lost_tables=tuple(lost),
         endpoints_by_state=endpoints,
+        store_era=int(gauges.get('store_era', 0)),
+        rows_held=int(gauges.get('store_rows_held', 0)),
     )
 
 
@@ -52,13 +57,14 @@
     """Format ``statuses`` as table lines: a heading, then one line per instance."""
     lines = ['instance              version  age s  members  open  listed cold drain out  store']
     newest = max((status.version for status in statuses), default=0)
+    newest_era = max((status.store_era for status in statuses), default=0)
     for status in statuses:
         counts = [
             status.endpoints_by_state.get(state, 0)
             for state in ('listed', 'cold', 'draining', 'left_out')
         ]
         mark = '' if status.version == newest else ' (old)'
-        store = f'lost: {", ".join(status.lost_tables)}' if status.lost_tables else 'followed'
+        store = _describe_store(status, newest_era)
         endpoint_columns = '  '.join(f'{count:>4}' for count in counts)
         lines.append(
             f'{status.address:<20} {status.version:>8} {status.version_age_s:>6.0f}'
@@ -67,6 +73,15 @@
     return lines
 
 
+def _describe_store(status: InstanceStatus, newest_era: int) -> str:
+    notes = [f'lost: {", ".join(status.lost_tables)}' if status.lost_tables else 'followed']
+    if status.store_era < newest_era:
+        notes.append(f'in era {status.store_era} of {newest_era}')
+    if status.rows_held:
+        notes.append(f'{status.rows_held} rows held')
+    return ', '.join(notes)
+
+
 class _Series(NamedTuple):
     name: str
     labels: dict[str, str]
--- a/packages/ctl/src/plantainloft_ctl/main.py
+++ b/packages/ctl/src/plantainloft_ctl/main.py
@@ -16,6 +16,7 @@
 from plantainloft_ctl.commands.retry_budgets import RetryBudgets
 from plantainloft_ctl.commands.show import Show
 from plantainloft_ctl.commands.status import Status
+from plantainloft_ctl.commands.store_returns import StoreReturns
 from plantainloft_ctl.commands.submit import Submit
 
 __all__ = ['main']
@@ -40,6 +41,7 @@
         | EndpointSignals
         | EndpointLinks
         | RetryBudgets
+        | StoreReturns
     ]
 
 
--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -13,6 +13,7 @@
 from plantainloft_node.limits.organisation_listing import ListedOrganisation, list_organisations
 from plantainloft_node.links.listing import list_links
 from plantainloft_node.placement.placement import Placement
+from plantainloft_node.replica.return_listing import StoreReturnEntry, list_store_return
 
 __all__ = ['MetricsReport']
 
@@ -59,6 +60,7 @@
         self._set_endpoint_limit_gauges()
         self._set_announcement_gauges(now)
         self._set_link_gauges(now)
+        self._set_store_return_gauges()
         return metrics.text()
 
     def organisations(self) -> list[ListedOrganisation]:
@@ -80,6 +82,25 @@
             for state, limit in self._replicated_state.endpoint_registry.limited_endpoints()
         ]
 
+    def store_return(self) -> StoreReturnEntry:
+        """Return the era of the store, its last return and the rows held since."""
+        state = self._replicated_state
+        return list_store_return(state.store.eras, state.updates, anyio.current_time())
+
+    def _set_store_return_gauges(self) -> None:
+        entry = self.store_return()
+        self._metrics.set_gauge('store_era', entry['era'])
+        self._metrics.set_gauge('store_returns', entry['returns'])
+        if entry['returned_s_ago'] is not None:
+            self._metrics.set_gauge('store_returned_seconds_ago', entry['returned_s_ago'])
+        self._metrics.set_gauge('store_rows_held', len(entry['rows_held']))
+        count_by_outcome = {
+            'written_again': entry['rows_written_again'],
+            'given_up': entry['rows_given_up'],
+        }
+        for outcome, count in count_by_outcome.items():
+            self._metrics.set_gauge('store_rows_released', count, outcome=outcome)
+
     def _set_organisation_gauges(self) -> None:
         """Set the gauges of the organisations with the highest demand."""
         by_demand = sorted(self.organisations(), key=lambda one: -one['fleet_wanted'])
--- a/packages/node/src/plantainloft_node/entry/operator_api.py
+++ b/packages/node/src/plantainloft_node/entry/operator_api.py
@@ -18,6 +18,7 @@
 from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.quarantine.fingerprints import parse_fingerprint
 from plantainloft_node.quarantine.quarantine import Quarantine
+from plantainloft_node.replica.return_listing import StoreReturnEntry
 from plantainloft_node.retry_budget.registry import RetryBudgets
 
 __all__ = ['OperatorHandler']
@@ -34,6 +35,7 @@
     - ``GET /endpoint-signals``: lists the endpoints that leave or ask for rest.
     - ``GET /endpoint-links``: lists the links to the endpoints of each zone.
     - ``GET /retry-budgets``: lists the use of the retry budget of each service.
+    - ``GET /store-returns``: lists the last return of the store from a copy, in a list of one.
     - any other path: returns all metrics as text.
     """
 
@@ -44,6 +46,7 @@
         quarantine: Quarantine,
         organisations: Callable[[], list[ListedOrganisation]],
         endpoint_limits: Callable[[], list[LimitUsage]],
+        store_return: Callable[[], StoreReturnEntry],
         announcements: EndpointAnnouncements,
         links: LinkMonitor,
         retry_budgets: RetryBudgets,
@@ -51,6 +54,7 @@
         self._metrics_text = metrics_text
         self._organisations = organisations
         self._endpoint_limits = endpoint_limits
+        self._store_return = store_return
         self._announcements = announcements
         self._quarantine = quarantine
         self._links = links
@@ -76,6 +80,8 @@
         if exchange.path == '/retry-budgets':
             usages = self._retry_budgets.usage(anyio.current_time())
             return HTTPStatus.OK, json.dumps([usage._asdict() for usage in usages]).encode()
+        if exchange.path == '/store-returns':
+            return HTTPStatus.OK, json.dumps([self._store_return()]).encode()
         return HTTPStatus.OK, self._metrics_text().encode()
 
     def _lift(self, raw: str) -> tuple[int, bytes]:
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -141,6 +141,7 @@
                 quarantine=self.quarantine,
                 organisations=self.report.organisations,
                 endpoint_limits=self.report.endpoint_limits,
+                store_return=self.report.store_return,
                 announcements=self.replicated_state.endpoint_registry.announcements,
                 links=self.pipeline.endpoint_links.monitor,
                 retry_budgets=self.pipeline.dispatcher.retry_budgets,
--- a/packages/node/src/plantainloft_node/replica/row_updates.py
+++ b/packages/node/src/plantainloft_node/replica/row_updates.py
@@ -5,7 +5,9 @@
 """
 
 import logging
+from collections import deque
 from collections.abc import Callable, Iterable, Mapping, Sequence
+from typing import NamedTuple
 
 from plantainloft_core.store_position import StorePosition
 from plantainloft_node.replica.held_rows import HeldRows
@@ -30,10 +32,19 @@
 
 log = logging.getLogger(__name__)
 
+# Changes whose time is kept, to tell the age of a copy that lacks them.
+MAX_RECEIVED_CHANGES = 256
 # The source of rows that a poll of the store has returned; others have a peer's name.
 STORE_SOURCE = 'store'
 
 
+class _ReceivedChange(NamedTuple):
+    """When this instance got a row, and its position."""
+
+    at: float
+    position: StorePosition
+
+
 class RowUpdates:
     """Merges rows and decides which of them take effect."""
 
@@ -50,6 +61,9 @@
         self._eras = eras
         self._decode = decode
         self.held_rows = HeldRows()
+        # The least age of the copy from which the store has returned last, if known.
+        self.copy_age_s: float | None = None
+        self._received: deque[_ReceivedChange] = deque(maxlen=MAX_RECEIVED_CHANGES)
 
     def apply_changes(self, rows: Iterable[StoreRow], now: float, *, source: str) -> list[StoreRow]:
         """Apply changed rows; return those that were new."""
@@ -104,6 +118,7 @@
             self.routing_state.apply_rows([stored], now, source=STORE_SOURCE, is_certain=True)
 
     def _apply(self, fresh: list[StoreRow], now: float, source: str) -> None:
+        self._received.extend(_ReceivedChange(now, row.position) for row in fresh)
         believed = []
         for row in fresh:
             held = self.held_rows.get(row.table, row.key)
@@ -121,7 +136,7 @@
     ) -> list[StoreRow]:
         before_by_key = {row.key: row for row in self.rows.rows_of(table)}
         known = self.rows.position_by_table[table]
-        self._record_return(now)
+        self._record_return(now, known)
         fresh = self.rows.merge_listing(table, listing)
         believed = []
         for row in fresh:
@@ -147,6 +162,7 @@
                     'era': listing.position.era,
                     'version': listing.position.version,
                     'version_before': known.version,
+                    'copy_age_s': self.copy_age_s,
                     'held': held_count,
                     'changed': len(believed),
                 },
@@ -244,8 +260,16 @@
         last_return = self._eras.last_return
         return now if last_return is None else last_return.noticed_at
 
-    def _record_return(self, now: float) -> None:
-        self.routing_state.store_availability.record_return(self._returned_at(now))
+    def _record_return(self, now: float, known: StorePosition) -> None:
+        returned_at = self._returned_at(now)
+        self.routing_state.store_availability.record_return(returned_at)
+        last_return = self._eras.last_return
+        if last_return is None or last_return.first_version is None:
+            return
+        first_lost = StorePosition(known.era, last_return.first_version)
+        lost_at = [change.at for change in self._received if change.position.supersedes(first_lost)]
+        if lost_at:
+            self.copy_age_s = returned_at - min(lost_at)
 
 
 def _is_delay(content: Content) -> bool:
