--- a/packages/standins/src/plantainloft_standins/store_return_simulation.py
+++ b/packages/standins/src/plantainloft_standins/store_return_simulation.py
@@ -68,13 +68,13 @@
 class StoreReturnResult(NamedTuple):
     """Result of a simulation.
 
-    ``calls_after_return`` counts the calls of all instances in the ``CALLS_COUNTED_S``
-    after each return. ``given_up`` counts the held rows that were not written again in
+    ``calls_after_outages`` counts the calls of all instances in the ``CALLS_COUNTED_S``
+    after each outage of the whole store. ``given_up`` counts the held rows that were not written again in
     time, ``held_at_end`` those still held.
     """
 
     breaches: list[Breach]
-    calls_after_return: list[int]
+    calls_after_outages: list[int]
     given_up: int
     held_at_end: int
 
@@ -92,7 +92,7 @@
         self._members = fleet_members(regions=scenario.regions, per_region=scenario.per_region)
         self._scope_by_name: dict[str, anyio.CancelScope] = {}
         self._started_at_by_name: dict[str, float] = {}
-        self._calls_after_return: list[int] = []
+        self._calls_after_outages: list[int] = []
         self._calls_of_ended = 0
         self._writers = SimulatedWriters(
             store=self._store, rng=self._random, config_bytes=scenario.config_bytes
@@ -116,7 +116,7 @@
         held = [one.replicated_state.updates.held_rows for one in instances]
         return StoreReturnResult(
             breaches=self._observer.breaches(),
-            calls_after_return=self._calls_after_return,
+            calls_after_outages=self._calls_after_outages,
             given_up=sum(rows.given_up_count for rows in held),
             held_at_end=sum(len(rows) for rows in held),
         )
@@ -132,6 +132,9 @@
         for start_s, end_s in scenario.evacuations:
             tasks.start_soon(writers.set_evacuated, start_s, True)
             tasks.start_soon(writers.set_evacuated, end_s, False)
+        for outage in scenario.outages:
+            if not outage.instances:
+                tasks.start_soon(self._count_calls, outage.end_s)
         for restart in scenario.restarts:
             tasks.start_soon(self._restart, restart, tasks)
 
@@ -182,12 +185,12 @@
 
     def _start_recovery(self, tasks: TaskGroup) -> None:
         self._writers.start_rewriting(tasks)
-        tasks.start_soon(self._count_calls)
 
-    async def _count_calls(self) -> None:
+    async def _count_calls(self, since: float) -> None:
+        await anyio.sleep_until(since)
         calls_before = self._call_count()
         await anyio.sleep(CALLS_COUNTED_S)
-        self._calls_after_return.append(self._call_count() - calls_before)
+        self._calls_after_outages.append(self._call_count() - calls_before)
 
     async def _compact(self) -> None:
         for at in self._scenario.compactions_at:
