--- a/packages/node/src/plantainloft_node/entry/row_exchange.py
+++ b/packages/node/src/plantainloft_node/entry/row_exchange.py
@@ -3,8 +3,8 @@
 from collections.abc import Mapping, Sequence
 from typing import Any, NamedTuple
 
+from plantainloft_core.store_eras import StoreReturn
 from plantainloft_core.store_position import UNKNOWN_ERA, StorePosition
-from plantainloft_node.replica.store_eras import StoreReturn
 from plantainloft_node.replica.store_rows import RowBatch, StoreRow
 
 __all__ = [
--- a/packages/node/src/plantainloft_node/replica/return_listing.py
+++ b/packages/node/src/plantainloft_node/replica/return_listing.py
@@ -3,8 +3,8 @@
 import math
 from typing import TypedDict
 
+from plantainloft_core.store_eras import StoreEras
 from plantainloft_node.replica.row_updates import RowUpdates
-from plantainloft_node.replica.store_eras import StoreEras
 
 __all__ = ['HeldRowEntry', 'StoreReturnEntry', 'list_store_return']
 
--- a/packages/node/src/plantainloft_node/replica/row_updates.py
+++ b/packages/node/src/plantainloft_node/replica/row_updates.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable, Iterable, Mapping, Sequence
 from typing import NamedTuple
 
+from plantainloft_core.store_eras import StoreEras, StoreReturn
 from plantainloft_core.store_position import StorePosition
 from plantainloft_node.replica.held_rows import HeldRows
 from plantainloft_node.replica.return_policy import (
@@ -19,7 +20,6 @@
 )
 from plantainloft_node.replica.routing_state import RoutingState
 from plantainloft_node.replica.row_replica import RowReplica
-from plantainloft_node.replica.store_eras import StoreEras, StoreReturn
 from plantainloft_node.replica.store_rows import (
     DECLARATIONS,
     RoutesDeclared,
--- a/packages/node/src/plantainloft_node/replica/store_rows.py
+++ b/packages/node/src/plantainloft_node/replica/store_rows.py
@@ -13,8 +13,8 @@
 from plantainloft_core.discovery import EndpointRecord
 from plantainloft_core.outcomes import Invalid, Unreachable
 from plantainloft_core.routes import RouteTable
+from plantainloft_core.store_eras import StoreEras
 from plantainloft_core.store_position import StorePosition
-from plantainloft_node.replica.store_eras import StoreEras
 
 __all__ = [
     'DECLARATIONS',
--- a/tests/test_return_policy.py
+++ b/tests/test_return_policy.py
@@ -9,6 +9,7 @@
 from plantainloft_core.discovery import EndpointRecord
 from plantainloft_core.outcomes import Invalid
 from plantainloft_core.routes import CallerLimits, build_route_table
+from plantainloft_core.store_eras import StoreEras, StoreReturn
 from plantainloft_core.store_position import UNKNOWN_ERA, StorePosition, latest_position
 from plantainloft_node.replica.return_policy import (
     CONFIG_REWRITE_S,
@@ -20,7 +21,6 @@
     Hold,
     decide_after_return,
 )
-from plantainloft_node.replica.store_eras import StoreEras, StoreReturn
 from plantainloft_node.replica.store_rows import (
     EndpointGone,
     EndpointListed,
