Own interface: configuration commits survive a table that returns from a copy

The table service names its era (Table-Era). A node whose table has returned compares the change at the highest common number. If the copy is a part of its own line, it keeps its version and commits the lost changes again, with authors and IDs, half a second later; if an operator has committed on the copy, that is in force and the lost changes are logged and listed. Commits depend on a fence, so that a base version of an earlier era is not taken for another one. Heartbeats carry the era; builds without it are still understood. A quarantine record is replaced in the era only in which it was read.

--- a/packages/core/src/plantainloft_core/commits.py
+++ b/packages/core/src/plantainloft_core/commits.py
@@ -8,6 +8,7 @@
 
 import logging
 import time
+import uuid
 from typing import Any
 
 import msgpack
@@ -16,7 +17,8 @@
 from plantainloft_core.outcomes import Committed, Conflict, Invalid, Unreachable
 from plantainloft_core.patching import apply_patch
 from plantainloft_core.shift_check import check_shift
-from plantainloft_core.table_client import LostResponse, TableClient, TxnConflict
+from plantainloft_core.store_position import StorePosition
+from plantainloft_core.table_client import LostResponse, TableClient, TableRow, TxnConflict
 from plantainloft_core.traffic_split import SHIFT_WINDOW_S
 from plantainloft_core.versions import (
     HEAD_KEY,
@@ -24,17 +26,19 @@
     Change,
     Snapshot,
     read_change,
-    read_head,
+    read_head_position,
     read_version,
     snapshot_key,
     version_key,
 )
 
-__all__ = ['commit_patch']
+__all__ = ['commit_patch', 'restore_change']
 
 log = logging.getLogger(__name__)
 
 MAX_CHANGES_READ_BACK = 20
+FENCE_PREFIX = 'fence/'
+RETURNED = 'the table has returned from an older copy; read the configuration again'
 
 
 async def commit_patch(
@@ -53,11 +57,11 @@
     new version is read back, and this ID in it shows that the commit was
     applied.
     """
-    head = await read_head(client)
+    head = await read_head_position(client)
     if isinstance(head, Unreachable):
         return head
-    if head != base_version:
-        return Conflict(current_version=head)
+    if head.version != base_version:
+        return Conflict(current_version=head.version)
     document: dict[str, Any] = {}
     current = EMPTY_CONFIGURATION
     if base_version:
@@ -78,12 +82,22 @@
         change_id=change_id,
         committed_at=time.time(),
     )
-    outcome = await _commit_change(client, change)
+    outcome = await _commit_change(client, change, base=head)
     if isinstance(outcome, Committed) and outcome.version % VERSIONS_PER_SNAPSHOT == 0:
         await _store_snapshot(client, Snapshot(number=outcome.version, document=patched[0]))
     return outcome
 
 
+async def restore_change(
+    client: TableClient, change: Change, *, base: StorePosition
+) -> Committed | Conflict | Unreachable:
+    """Commit a change again that the table has lost by returning from an older copy.
+
+    ``base`` is the head that was read after the return, the version before ``change``.
+    """
+    return await _commit_change(client, change, base=base)
+
+
 async def _check_shift_cap(
     client: TableClient, *, current: Configuration, new: Configuration
 ) -> Invalid | Unreachable | None:
@@ -125,15 +139,27 @@
     return stored if isinstance(stored, Unreachable | Invalid) else stored.config
 
 
-async def _commit_change(client: TableClient, change: Change) -> Committed | Conflict | Unreachable:
+async def _commit_change(
+    client: TableClient, change: Change, *, base: StorePosition
+) -> Committed | Conflict | Unreachable:
     base_version = change.number - 1
+    # The condition on the head holds in the era of ``base`` only: a copy that has the
+    # fence is younger than ``base``, and one that lacks it fails the transaction.
+    fence = await _write_fence(client, change.change_id)
+    if isinstance(fence, Unreachable):
+        return fence
+    if client.eras.current != base.era:
+        return Unreachable(reason=RETURNED)
     row_value = {name: value for name, value in change._asdict().items() if name != 'number'}
     outcome = await client.commit_transaction(
-        conditions={HEAD_KEY: base_version},
+        conditions={HEAD_KEY: base_version, fence.key: fence.version},
         writes={HEAD_KEY: {'change_id': change.change_id}, version_key(change.number): row_value},
+        deletes=(fence.key,),
     )
-    if isinstance(outcome, TxnConflict):
+    if isinstance(outcome, TxnConflict) and HEAD_KEY in outcome.versions_by_key:
         return Conflict(current_version=outcome.versions_by_key[HEAD_KEY])
+    if isinstance(outcome, TxnConflict):
+        return Unreachable(reason=RETURNED)
     if isinstance(outcome, LostResponse):
         return await _resolve_lost_response(
             client, base_version=base_version, change_id=change.change_id
@@ -143,6 +169,16 @@
     return Committed(version=change.number)
 
 
+async def _write_fence(client: TableClient, change_id: str) -> TableRow | Unreachable:
+    """Write a row that no earlier copy of the table has, and return it."""
+    key = f'{FENCE_PREFIX}{change_id}/{uuid.uuid4().hex}'
+    outcome = await client.commit_transaction(conditions={}, writes={key: ''})
+    if isinstance(outcome, Unreachable) and not isinstance(outcome, LostResponse):
+        return outcome
+    row = await client.get(key)
+    return Unreachable(reason='the fence of the commit is missing') if row is None else row
+
+
 async def _store_snapshot(client: TableClient, snapshot: Snapshot) -> None:
     packed = msgpack.packb(snapshot.document)
     outcome = await client.put_object(snapshot_key(snapshot.number), packed)
--- a/packages/core/src/plantainloft_core/table_client.py
+++ b/packages/core/src/plantainloft_core/table_client.py
@@ -7,16 +7,20 @@
 
 from typing import Any, NamedTuple
 
+import anyio
 import httpx
 
 from plantainloft_core.http_errors import NEVER_SENT
 from plantainloft_core.outcomes import Unreachable
+from plantainloft_core.store_eras import StoreEras
 
 __all__ = ['LostResponse', 'TableClient', 'TableRow', 'TxnCommitted', 'TxnConflict']
 
 _CONFLICT = 409
 _NOT_FOUND = 404
 _OK = 200
+# The era of the service, in all its responses.
+ERA_HEADER = 'table-era'
 
 
 class TableRow(NamedTuple):
@@ -44,7 +48,10 @@
 
 
 class TableClient:
-    """HTTP client of the table service at ``base_url``."""
+    """HTTP client of the table service at ``base_url``.
+
+    ``eras`` tells whether the service has returned from an older copy of its rows.
+    """
 
     def __init__(
         self,
@@ -53,6 +60,7 @@
         timeout_s: float,
         transport: httpx.AsyncBaseTransport | None = None,
     ) -> None:
+        self.eras = StoreEras()
         self._http = httpx.AsyncClient(
             base_url=base_url,
             timeout=timeout_s,
@@ -106,6 +114,7 @@
         *,
         conditions: dict[str, int],
         writes: dict[str, Any],
+        deletes: tuple[str, ...] = (),
     ) -> TxnCommitted | TxnConflict | Unreachable:
         """Apply ``writes`` if every row in ``conditions`` has the given version.
 
@@ -114,6 +123,7 @@
         body = {
             'conditions': [{'key': key, 'version': version} for key, version in conditions.items()],
             'writes': [{'key': key, 'value': value} for key, value in writes.items()],
+            'deletes': list(deletes),
         }
         try:
             response = await self._http.post('/txn', json=body)
@@ -121,6 +131,7 @@
             return Unreachable(reason=f'txn: {type(exc).__name__}')
         except httpx.HTTPError as exc:
             return LostResponse(reason=f'txn: {type(exc).__name__}')
+        self._record_era(response)
         if response.status_code == _CONFLICT:
             return TxnConflict(
                 versions_by_key={row['key']: row['version'] for row in response.json()['conflicts']}
@@ -140,8 +151,15 @@
             response = await self._http.request(method, path, **extra)
         except httpx.HTTPError as exc:
             return Unreachable(reason=f'{what}: {type(exc).__name__}')
+        self._record_era(response)
         if response.status_code == _NOT_FOUND:
             return None
         if response.status_code != _OK:
             return Unreachable(reason=f'{what}: status {response.status_code}')
         return response
+
+    def _record_era(self, response: httpx.Response) -> None:
+        """Record the era that a response names, if it does."""
+        value = response.headers.get(ERA_HEADER, '')
+        if value.isdigit():
+            self.eras.record_answer(int(value), None, anyio.current_time())
--- a/packages/core/src/plantainloft_core/versions.py
+++ b/packages/core/src/plantainloft_core/versions.py
@@ -18,6 +18,7 @@
 from plantainloft_core.model import Configuration, parse_configuration
 from plantainloft_core.outcomes import Invalid, Unreachable
 from plantainloft_core.patching import replay
+from plantainloft_core.store_position import StorePosition
 from plantainloft_core.table_client import TableClient
 
 __all__ = [
@@ -29,6 +30,7 @@
     'read_change',
     'read_changes',
     'read_head',
+    'read_head_position',
     'read_snapshot',
     'read_version',
     'snapshot_key',
@@ -77,12 +79,18 @@
     return f'config/snapshot/{number:010d}'
 
 
-async def read_head(client: TableClient) -> int | Unreachable:
-    """Return the number of the current version, 0 if there is none yet."""
+async def read_head_position(client: TableClient) -> StorePosition | Unreachable:
+    """Return the current version, 0 if there is none yet, and the era of the table."""
     row = await client.get(HEAD_KEY)
     if isinstance(row, Unreachable):
         return row
-    return 0 if row is None else row.version
+    return StorePosition(client.eras.current, 0 if row is None else row.version)
+
+
+async def read_head(client: TableClient) -> int | Unreachable:
+    """Return the number of the current version, 0 if there is none yet."""
+    position = await read_head_position(client)
+    return position if isinstance(position, Unreachable) else position.version
 
 
 async def read_change(client: TableClient, number: int) -> Change | Unreachable | Invalid:
--- a/packages/node/src/plantainloft_node/app.py
+++ b/packages/node/src/plantainloft_node/app.py
@@ -26,6 +26,7 @@
     Unauthorised,
 )
 from plantainloft_node.admission import API_KEY_HEADER
+from plantainloft_node.config_return_listing import list_node_return
 from plantainloft_node.endpoint_limits.listing import list_limits
 from plantainloft_node.endpoint_signals.listing import list_announcements
 from plantainloft_node.forwarding import Request
@@ -217,6 +218,9 @@
         usages = node.forwarder.retry_budgets.usage(anyio.current_time())
         return JSONResponse([usage._asdict() for usage in usages])
 
+    async def store_returns(request: HttpRequest) -> Response:
+        return JSONResponse([list_node_return(node.follower, anyio.current_time())])
+
     return Starlette(
         routes=[
             Route('/v1/lookup', lookup),
@@ -231,6 +235,7 @@
             Route('/v1/endpoint-limits', endpoint_limits),
             Route('/v1/endpoint-signals', endpoint_signals),
             Route('/v1/retry-budgets', retry_budgets),
+            Route('/v1/store-returns', store_returns),
             Route('/v1/quarantine/lift', lift_quarantine, methods=['POST']),
         ]
     )
--- a/packages/node/src/plantainloft_node/config_follower.py
+++ b/packages/node/src/plantainloft_node/config_follower.py
@@ -1,13 +1,13 @@
 """Follow the active configuration: read the head version, apply changes in order.
 
 A node keeps the last version it applied and never goes back: a read that returns
-an older head (a lagging replica, a restarted table) is ignored. Changes are
+an older head (a lagging replica, a restarted table) is ignored. If the table has returned
+from an older copy, ``ConfigReconciler`` decides. Changes are
 fetched from the peer that announced them, with the table service as the fallback.
 While the table service is down, a restarted node gets its configuration from its
 peers, and running nodes keep the version they have.
 """
 
-import collections
 import logging
 import random
 from collections.abc import Callable
@@ -18,8 +18,16 @@
 from plantainloft_core.model import EMPTY_CONFIGURATION, Configuration, parse_configuration
 from plantainloft_core.outcomes import Invalid, Unreachable
 from plantainloft_core.patching import apply_committed_patch
+from plantainloft_core.store_eras import StoreEras
+from plantainloft_core.store_position import UNKNOWN_ERA, StorePosition
 from plantainloft_core.table_client import TableClient
-from plantainloft_core.versions import Change, Snapshot, read_head
+from plantainloft_core.versions import Change, Snapshot, read_head_position
+from plantainloft_node.config_reconciliation import (
+    MAX_RETAINED_CHANGES,
+    ConfigReconciler,
+    Diverged,
+    Held,
+)
 from plantainloft_node.config_sources import ConfigSource, TableConfigSource
 
 __all__ = ['ConfigFollower']
@@ -27,7 +35,8 @@
 log = logging.getLogger(__name__)
 
 RETRY_INTERVAL_S = 5.0
-MAX_RETAINED_CHANGES = 64
+# While changes are held that the table has lost.
+HELD_POLL_S = 0.5
 POLL_JITTER_RANGE = (0.5, 1.5)
 # An invalid document may have a problem in each of its entries.
 MAX_LOGGED_PROBLEMS = 3
@@ -36,7 +45,7 @@
 
 
 class _AnnouncedVersion(NamedTuple):
-    version: int
+    position: StorePosition
     source: ConfigSource
 
 
@@ -53,28 +62,38 @@
         self._table_source = TableConfigSource(client=client)
         self._poll_s = poll_s
         self._node_count = node_count
-        self._retained_changes: collections.deque[Change] = collections.deque(
-            maxlen=MAX_RETAINED_CHANGES
-        )
+        # The era in which the configuration in force was last compared with the table.
+        self._era = UNKNOWN_ERA
+        self.reconciler = ConfigReconciler(client=client, node_count=node_count)
         self._source_failing = False
         self._announced: _AnnouncedVersion | None = None
         self._announcement_event = anyio.Event()
 
-    def note_available_version(self, version: int, source: ConfigSource) -> None:
-        """Record that ``source`` has ``version``; ``run`` fetches it."""
-        if version > self.config.version and (
-            not self._announced or version > self._announced.version
-        ):
-            self._announced = _AnnouncedVersion(version=version, source=source)
+    @property
+    def eras(self) -> StoreEras:
+        """The eras of the table, as seen by this node."""
+        return self._client.eras
+
+    def position(self) -> StorePosition:
+        """Return the version in force, and the era of the table that has it."""
+        return StorePosition(self._era, self.config.version)
+
+    def note_available_version(self, position: StorePosition, source: ConfigSource) -> None:
+        """Record that ``source`` has ``position``; ``run`` fetches it."""
+        if position.era == UNKNOWN_ERA:
+            position = position._replace(era=self._era)
+        known = self.position() if self._announced is None else self._announced.position
+        if position.supersedes(known):
+            self._announced = _AnnouncedVersion(position=position, source=source)
             self._announcement_event.set()
 
     async def poll_once(self) -> bool:
         """Read the head once and apply newer changes; return whether this succeeded."""
-        head = await read_head(self._client)
+        head = await read_head_position(self._client)
         if isinstance(head, Unreachable):
             self._report_source_failure(head.reason)
             return False
-        if not await self._advance_to(head, self._table_source):
+        if not await self._follow_head(head):
             return False
         if self._source_failing:
             log.info('Config: the table service is available again.')
@@ -86,6 +105,8 @@
         while True:
             succeeded = await self.poll_once()
             delay = self._poll_period() if succeeded else RETRY_INTERVAL_S
+            if self.reconciler.is_holding:
+                delay = HELD_POLL_S
             # Jitter keeps nodes that started together from reading at the same time.
             with anyio.move_on_after(delay * random.uniform(*POLL_JITTER_RANGE)):
                 while True:
@@ -94,9 +115,7 @@
 
     async def handle_changes(self, after: int) -> list[tuple[Any, ...]]:
         """Return to a peer the changes after version ``after``, if still retained."""
-        if not self._retained_changes or self._retained_changes[0].number > after + 1:
-            return []
-        return [tuple(change) for change in self._retained_changes if change.number > after]
+        return [tuple(change) for change in self.reconciler.history.after(after)]
 
     async def handle_snapshot(self, content: object) -> tuple[int, dict[str, Any]]:
         """Return to a peer the active version and its whole document."""
@@ -108,14 +127,44 @@
         # share a fixed rate instead, and heartbeats announce versions to the others.
         return max(self._poll_s, self._node_count() / FLEET_HEAD_READS_PER_S)
 
+    async def _follow_head(self, head: StorePosition) -> bool:
+        """Advance to the table's head; return False if that is not possible yet."""
+        if self.config.version and head.era != self._era:
+            decision = await self.reconciler.decide(head, self.config.version)
+            if isinstance(decision, Unreachable):
+                self._report_source_failure(decision.reason)
+                return False
+            if isinstance(decision, Held):
+                return True
+            if isinstance(decision, Diverged):
+                return await self._replace(head)
+        self._era = head.era
+        return await self._advance_to(head.version, self._table_source)
+
+    async def _replace(self, head: StorePosition) -> bool:
+        """Adopt the configuration of the table although the one in force is no part of it."""
+        snapshot = await self._table_source.snapshot(head.version)
+        if isinstance(snapshot, Unreachable | Invalid):
+            return False
+        if not self._apply_snapshot(snapshot, replaces=True):
+            return False
+        self._era = head.era
+        return True
+
     async def _fetch_announced(self) -> None:
         announced = self._announced
         self._announced = None
         self._announcement_event = anyio.Event()
-        if announced is not None and not await self._advance_to(
-            announced.version, announced.source
-        ):
-            await self._advance_to(announced.version, self._table_source)
+        if announced is None:
+            return
+        position = announced.position
+        if self.config.version and position.era != self._era:
+            # Only the table tells whether the peer has the same changes.
+            await self.poll_once()
+            return
+        self._era = position.era
+        if not await self._advance_to(position.version, announced.source):
+            await self._advance_to(position.version, self._table_source)
 
     async def _advance_to(self, head: int, source: ConfigSource) -> bool:
         """Advance to version ``head``; return False if ``source`` cannot provide it."""
@@ -156,11 +205,11 @@
                     '; '.join(patched.problems[:MAX_LOGGED_PROBLEMS]),
                 )
                 return
-            self._retained_changes.append(change)
+            self.reconciler.history.append(change)
             self._activate(*patched)
 
-    def _apply_snapshot(self, snapshot: Snapshot) -> bool:
-        if snapshot.number <= self.config.version:
+    def _apply_snapshot(self, snapshot: Snapshot, *, replaces: bool = False) -> bool:
+        if snapshot.number <= self.config.version and not replaces:
             return False
         config = parse_configuration(snapshot.document, version=snapshot.number)
         if isinstance(config, Invalid):
@@ -172,7 +221,7 @@
             )
             return False
         # Retained changes from before the snapshot are not contiguous with later ones.
-        self._retained_changes.clear()
+        self.reconciler.history.clear()
         self._activate(snapshot.document, config)
         return True
 
--- a/packages/node/src/plantainloft_node/node.py
+++ b/packages/node/src/plantainloft_node/node.py
@@ -109,9 +109,9 @@
             membership_list=self.membership_list,
             claims=claims,
             peer_connections=peer_connections,
-            current_version=lambda: self.follower.config.version,
-            on_newer_version=lambda version, address: self.follower.note_available_version(
-                version, PeerConfigSource(peer_connections=peer_connections, address=address)
+            current_position=self.follower.position,
+            on_newer_position=lambda position, address: self.follower.note_available_version(
+                position, PeerConfigSource(peer_connections=peer_connections, address=address)
             ),
             crash_registry=self._quarantine.crash_registry,
             usage_report=lambda now: self.handler.admission.limiter.usage_report(now),
--- a/packages/node/src/plantainloft_node/peering/gossip.py
+++ b/packages/node/src/plantainloft_node/peering/gossip.py
@@ -18,6 +18,7 @@
 from plantainloft_core.lookup import Member
 from plantainloft_core.membership_list import MembershipList
 from plantainloft_core.outcomes import Unreachable
+from plantainloft_core.store_position import StorePosition
 from plantainloft_node.endpoint_limits.claims import GroupClaims
 from plantainloft_node.endpoint_limits.registry import EndpointLimitRegistry, LimitReport
 from plantainloft_node.endpoint_limits.report_codec import (
@@ -63,8 +64,8 @@
         membership_list: MembershipList,
         claims: CapacityClaims,
         peer_connections: PeerConnections,
-        current_version: Callable[[], int],
-        on_newer_version: Callable[[int, str], None],
+        current_position: Callable[[], StorePosition],
+        on_newer_position: Callable[[StorePosition, str], None],
         crash_registry: CrashRegistry,
         usage_report: Callable[[float], Mapping[int, OrganisationUsage]],
         endpoint_limits: EndpointLimitRegistry,
@@ -73,8 +74,8 @@
         self.membership_list = membership_list
         self._claims = claims
         self._peer_connections = peer_connections
-        self._current_version = current_version
-        self._on_newer_version = on_newer_version
+        self._current_position = current_position
+        self._on_newer_position = on_newer_position
         self._crash_registry = crash_registry
         self._usage_report = usage_report
         self._endpoint_limits = endpoint_limits
@@ -154,8 +155,10 @@
             self.membership_list.record_contact(sender, now)
         self.membership_list.apply_updates(unpack_updates(heartbeat['events']), now)
         self._claims.record_peer_claims(sender.name, heartbeat['claims'], now)
-        if heartbeat['version'] > self._current_version():
-            self._on_newer_version(heartbeat['version'], sender.peer_address)
+        current = self._current_position()
+        position = StorePosition(heartbeat.get('era', current.era), heartbeat['version'])
+        if position.supersedes(current):
+            self._on_newer_position(position, sender.peer_address)
         if sender.name != self.membership_list.local_member.name:
             self.peer_usage_reports.record(sender.name, _decode_usage_of(heartbeat), now)
         self._merge_endpoint_limits(heartbeat, now)
@@ -171,9 +174,11 @@
     def _build_heartbeat(self, *, receiver: str) -> Heartbeat:
         now = time.monotonic()
         limits = self._endpoint_limits.reports(now)
+        position = self._current_position()
         return Heartbeat(
             sender=list(self.membership_list.local_member),
-            version=self._current_version(),
+            version=position.version,
+            era=position.era,
             claims=self._claims.claimed_by_region,
             events=pack_updates(self.membership_list.updates_for(receiver=receiver)),
             crashes=pack_crashes(self._crash_registry.next_reports(now)),
--- a/packages/node/src/plantainloft_node/peering/messages.py
+++ b/packages/node/src/plantainloft_node/peering/messages.py
@@ -1,6 +1,6 @@
 """Gossip messages between entry instances."""
 
-from typing import Any, TypedDict
+from typing import Any, NotRequired, TypedDict
 
 from plantainloft_core.lookup import Member
 from plantainloft_core.membership_list import MembershipStatus, MemberUpdate
@@ -16,6 +16,8 @@
 class Heartbeat(TypedDict):
     """A probe or its answer: the sender, its configuration version and its gossip.
 
+    ``era`` is the era of the table that has this version; builds that know no eras omit it.
+
     ``claims`` is the sender's claim per region above its guaranteed floor, in requests
     in flight (see ``plantainloft_core.capacity_claims``). ``crashes`` is encoded by
     ``quarantine.crash_codec``, and ``uses`` (the usage of organisations' limits) by
@@ -25,6 +27,7 @@
 
     sender: list[Any]
     version: int
+    era: NotRequired[int]
     claims: dict[str, float]
     events: list[Any]
     crashes: bytes
--- a/packages/node/src/plantainloft_node/quarantine_table_store.py
+++ b/packages/node/src/plantainloft_node/quarantine_table_store.py
@@ -5,7 +5,7 @@
 
 from plantainloft_core.membership_list import MembershipList
 from plantainloft_core.outcomes import Unreachable
-from plantainloft_core.store_position import UNKNOWN_ERA, StorePosition
+from plantainloft_core.store_position import StorePosition
 from plantainloft_core.table_client import TableClient, TableRow, TxnConflict
 from plantainloft_node.quarantine.crash_registry import CrashRegistry
 from plantainloft_node.quarantine.quarantine import Quarantine
@@ -33,7 +33,8 @@
         rows = await self._client.scan(KEY_PREFIX)
         if isinstance(rows, Unreachable):
             return rows
-        return [_to_record(row) for row in rows if row.value != _REMOVED]
+        era = self._client.eras.current
+        return [_to_record(row, era) for row in rows if row.value != _REMOVED]
 
     async def write(self, key: str, encoded: bytes) -> Unreachable | None:
         """Write a row unconditionally."""
@@ -57,6 +58,8 @@
         self, row: StoredRecord, value: str
     ) -> VersionConflict | Unreachable | None:
         key = KEY_PREFIX + row.key
+        if row.position.era != self._client.eras.current:
+            return VersionConflict()
         outcome = await self._client.commit_transaction(
             conditions={key: row.position.version}, writes={key: value}
         )
@@ -77,10 +80,10 @@
     )
 
 
-def _to_record(row: TableRow) -> StoredRecord:
+def _to_record(row: TableRow, era: int) -> StoredRecord:
     return StoredRecord(
         row.key.removeprefix(KEY_PREFIX),
-        StorePosition(UNKNOWN_ERA, row.version),
+        StorePosition(era, row.version),
         _decode_hex(row.value),
     )
 
--- a/packages/standins/src/plantainloft_standins/store_return_simulation.py
+++ b/packages/standins/src/plantainloft_standins/store_return_simulation.py
@@ -69,8 +69,8 @@
     """Result of a simulation.
 
     ``calls_after_outages`` counts the calls of all instances in the ``CALLS_COUNTED_S``
-    after each outage of the whole store. ``given_up`` counts the held rows that were not written again in
-    time, ``held_at_end`` those still held.
+    after each outage of the whole store. ``given_up`` counts the held rows that were not
+    written again in time, ``held_at_end`` those still held.
     """
 
     breaches: list[Breach]
--- a/packages/standins/src/plantainloft_standins/table.py
+++ b/packages/standins/src/plantainloft_standins/table.py
@@ -10,14 +10,19 @@
   ``{"conflicts": [{"key", "version"}]}``.
 - ``PUT /objects/{key}``, ``GET /objects/{key}``: the object store.
 - ``POST /faults`` with ``{"mode", "delay_s"}``; ``GET /stats``.
+- ``POST /copy`` keeps a copy of all rows and objects; ``POST /return`` goes back to it.
+
+All responses have the header ``Table-Era``, which rises with each return.
 """
 
 import logging
 from http import HTTPStatus
-from typing import Any
+from typing import Any, NamedTuple
 
 import anyio
 from starlette.applications import Starlette
+from starlette.middleware import Middleware
+from starlette.middleware.base import BaseHTTPMiddleware, RequestResponseEndpoint
 from starlette.requests import Request
 from starlette.responses import JSONResponse, Response
 from starlette.routing import Route
@@ -29,16 +34,33 @@
 log = logging.getLogger(__name__)
 
 
+class _Copy(NamedTuple):
+    rows_by_key: dict[str, tuple[int, Any]]
+    objects_by_key: dict[str, bytes]
+
+
 class TableService:
     """Versioned rows changed by atomic transactions, and an object store."""
 
     def __init__(self) -> None:
         self.rows_by_key: dict[str, tuple[int, Any]] = {}
         self.objects_by_key: dict[str, bytes] = {}
+        self.era = 1
+        self._copy = _Copy({}, {})
         self.faults = Faults()
         self.reads = 0
         self.writes = 0
 
+    def take_copy(self) -> None:
+        """Keep a copy of all rows and objects."""
+        self._copy = _Copy(dict(self.rows_by_key), dict(self.objects_by_key))
+
+    def return_from_copy(self) -> None:
+        """Lose what was written since the copy was taken."""
+        self.rows_by_key = dict(self._copy.rows_by_key)
+        self.objects_by_key = dict(self._copy.objects_by_key)
+        self.era += 1
+
     def version_of(self, key: str) -> int:
         """Return the row's version, 0 when absent."""
         return self.rows_by_key.get(key, (0, None))[0]
@@ -147,7 +169,22 @@
     async def stats(request: Request) -> Response:
         return JSONResponse({'reads': table.reads, 'writes': table.writes})
 
+    async def take_copy(request: Request) -> Response:
+        table.take_copy()
+        return JSONResponse({'era': table.era})
+
+    async def return_from_copy(request: Request) -> Response:
+        table.return_from_copy()
+        log.info('Table: returned from a copy, era %d.', table.era)
+        return JSONResponse({'era': table.era})
+
+    async def name_era(request: Request, call_next: RequestResponseEndpoint) -> Response:
+        response = await call_next(request)
+        response.headers['Table-Era'] = str(table.era)
+        return response
+
     return Starlette(
+        middleware=[Middleware(BaseHTTPMiddleware, dispatch=name_era)],
         routes=[
             Route('/rows', list_rows),
             Route('/rows/{key:path}', get_row),
@@ -156,5 +193,7 @@
             Route('/objects/{key:path}', get_object, methods=['GET']),
             Route('/faults', set_faults, methods=['POST']),
             Route('/stats', stats),
-        ]
+            Route('/copy', take_copy, methods=['POST']),
+            Route('/return', return_from_copy, methods=['POST']),
+        ],
     )
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -11,6 +11,7 @@
 from plantainloft_core.model import Configuration, parse_configuration
 from plantainloft_core.outcomes import Committed, Invalid, Unreachable
 from plantainloft_core.patching import apply_committed_patch, apply_patch
+from plantainloft_core.store_position import UNKNOWN_ERA, StorePosition
 from plantainloft_core.table_client import TableClient
 from plantainloft_core.versions import VERSIONS_PER_SNAPSHOT, Change, Snapshot, read_version
 from plantainloft_node.config_follower import ConfigFollower
@@ -115,7 +116,8 @@
     await follower.poll_once()
     change_after_gap = Change(number=9, patch=second, author='x', change_id='x', committed_at=0)
     follower.note_available_version(
-        9, _StubPeer(changes=[change_after_gap], snapshot=Snapshot(number=1, document=DOCUMENT))
+        StorePosition(UNKNOWN_ERA, 9),
+        _StubPeer(changes=[change_after_gap], snapshot=Snapshot(number=1, document=DOCUMENT)),
     )
     await follower._fetch_announced()
     assert follower.config.version == 2
@@ -135,7 +137,7 @@
     peer = _StubPeer(changes=[], snapshot=Snapshot(number=7, document=DOCUMENT))
     async with anyio.create_task_group() as tasks:
         tasks.start_soon(follower.run)
-        follower.note_available_version(7, peer)
+        follower.note_available_version(StorePosition(UNKNOWN_ERA, 7), peer)
         with anyio.fail_after(5):
             while follower.config.version != 7:
                 await anyio.sleep(0.01)
