--- a/packages/core/src/plantainloft_core/commits.py
+++ b/packages/core/src/plantainloft_core/commits.py
@@ -84,7 +84,8 @@
     )
     outcome = await _commit_change(client, change, base=head)
     if isinstance(outcome, Committed) and outcome.version % VERSIONS_PER_SNAPSHOT == 0:
-        await _store_snapshot(client, Snapshot(number=outcome.version, document=patched[0]))
+        snapshot = Snapshot(number=outcome.version, document=patched[0])
+        await _store_snapshot(client, snapshot, change_id=change_id)
     return outcome
 
 
@@ -179,9 +180,9 @@
     return Unreachable(reason='the fence of the commit is missing') if row is None else row
 
 
-async def _store_snapshot(client: TableClient, snapshot: Snapshot) -> None:
+async def _store_snapshot(client: TableClient, snapshot: Snapshot, *, change_id: str) -> None:
     packed = msgpack.packb(snapshot.document)
-    outcome = await client.put_object(snapshot_key(snapshot.number), packed)
+    outcome = await client.put_object(snapshot_key(snapshot.number, change_id), packed)
     if isinstance(outcome, Unreachable):
         # The commit is still valid: readers start from an older snapshot.
         log.warning('Versions: cannot store snapshot %s: %s.', snapshot.number, outcome.reason)
--- a/packages/core/src/plantainloft_core/versions.py
+++ b/packages/core/src/plantainloft_core/versions.py
@@ -4,7 +4,7 @@
 row ``config/head`` is the current configuration version. The row
 ``config/v/{n}`` holds the patch that created version n, its author, a change
 ID and the time of the commit. Every ``VERSIONS_PER_SNAPSHOT`` versions, the
-whole document is stored in the object store as ``config/snapshot/{n}``
+whole document is stored in the object store as ``config/snapshot/{n}/{change ID}``
 (msgpack). A reader loads the newest snapshot and applies the patches that
 follow it.
 
@@ -74,9 +74,14 @@
     return f'config/v/{number:010d}'
 
 
-def snapshot_key(number: int) -> str:
-    """Return the object store key of the snapshot of version ``number``."""
-    return f'config/snapshot/{number:010d}'
+def snapshot_key(number: int, change_id: str = '') -> str:
+    """Return the object store key of the snapshot of a version.
+
+    With the ID of the change that created it, the snapshot of a version that the table has
+    lost by returning from an older copy is not taken for the one with the same number.
+    """
+    key = f'config/snapshot/{number:010d}'
+    return f'{key}/{change_id}' if change_id else key
 
 
 async def read_head_position(client: TableClient) -> StorePosition | Unreachable:
@@ -120,7 +125,7 @@
     """Return the newest snapshot whose version is at most ``at_most``."""
     number = at_most - at_most % VERSIONS_PER_SNAPSHOT
     while number > 0:
-        packed = await client.get_object(snapshot_key(number))
+        packed = await _read_snapshot_object(client, number)
         if isinstance(packed, Unreachable):
             return packed
         if packed is not None:
@@ -131,6 +136,17 @@
     return Snapshot(number=0, document={})
 
 
+async def _read_snapshot_object(client: TableClient, number: int) -> bytes | Unreachable | None:
+    change = await read_change(client, number)
+    if isinstance(change, Unreachable):
+        return change
+    if isinstance(change, Invalid):
+        return None
+    packed = await client.get_object(snapshot_key(number, change.change_id))
+    # Builds before these keys have stored snapshots by number only.
+    return await client.get_object(snapshot_key(number)) if packed is None else packed
+
+
 async def read_version(client: TableClient, number: int) -> StoredVersion | Unreachable | Invalid:
     """Return version ``number``, built from the newest snapshot and patches."""
     snapshot = await read_snapshot(client, at_most=number)
--- a/tests/test_config_reconciliation.py
+++ b/tests/test_config_reconciliation.py
@@ -140,3 +140,24 @@
         follower.note_available_version(position, PeerOfAnotherEra())
         await follower._fetch_announced()
     assert follower.position() == StorePosition(1, 4)
+
+
+async def test_a_snapshot_of_a_lost_version_is_not_read_for_the_same_number(
+    follower: ConfigFollower,
+    table: TableService,
+    table_client: TableClient,
+    monkeypatch: pytest.MonkeyPatch,
+) -> None:
+    """Failure: a node that starts gets the document of a lost version and patches on it."""
+    for module in ('versions', 'commits'):
+        monkeypatch.setattr(f'plantainloft_core.{module}.VERSIONS_PER_SNAPSHOT', 5)
+    assert await commit(table_client, 'snapshot', against=4) == Committed(version=5)
+    objects = dict(table.objects_by_key)
+    assert objects
+    table.return_from_copy()
+    for number, name in enumerate(('a', 'b', 'c', 'd'), start=2):
+        assert await commit(table_client, name, against=number) == Committed(version=number + 1)
+    table.objects_by_key = objects
+    started = follower_of(table_client)
+    assert await started.poll_once()
+    assert services(started) == {'kept', 'a', 'b', 'c', 'd'}
--- a/tests/test_following.py
+++ b/tests/test_following.py
@@ -160,7 +160,8 @@
         )
     reads_before = table.reads
     through_snapshot = await read_version(table_client, VERSIONS_PER_SNAPSHOT + 10)
-    assert table.reads - reads_before == 11
+    # The change that the snapshot belongs to, the snapshot, and ten changes.
+    assert table.reads - reads_before == 12
     table.objects_by_key.clear()
     replayed = await read_version(table_client, VERSIONS_PER_SNAPSHOT + 10)
     assert not isinstance(replayed, Unreachable | Invalid)
