--- a/packages/node/src/plantainloft_node/entry/row_exchange.py
+++ b/packages/node/src/plantainloft_node/entry/row_exchange.py
@@ -87,7 +87,7 @@
     Raises ``KeyError``, ``TypeError``, ``ValueError`` or ``AttributeError`` if ``raw`` is
     malformed.
     """
-    era = int(raw.get('era', default_era))
+    era = _integer(raw.get('era', default_era))
     rows = [_unpack_row(era, *fields) for fields in raw['rows']]
     version_by_listed_table: Mapping[str, int] = raw.get('whole', {})
     returned = raw.get('returned')
@@ -96,7 +96,8 @@
         changed=[row for row in rows if row.table not in version_by_listed_table],
         listing_by_table={
             table: RowBatch(
-                tuple(row for row in rows if row.table == table), StorePosition(era, version)
+                tuple(row for row in rows if row.table == table),
+                StorePosition(era, _integer(version)),
             )
             for table, version in version_by_listed_table.items()
         },
@@ -112,11 +113,20 @@
 
 
 def _unpack_row(era: Any, table: Any, key: Any, version: Any, content: Any) -> StoreRow:
-    return StoreRow(str(table), str(key), StorePosition(int(era), int(version)), content)
+    if content is not None and not isinstance(content, bytes):
+        raise TypeError(f'content of row {key}: {type(content).__name__}')
+    position = StorePosition(_integer(era), _integer(version))
+    return StoreRow(str(table), str(key), position, content)
 
 
 def _unpack_return(now: float, era: Any, age_s: Any, first_version: Any) -> StoreReturn:
-    version = None if first_version is None else int(first_version)
-    if int(era) <= UNKNOWN_ERA:
+    version = None if first_version is None else _integer(first_version)
+    if _integer(era) <= UNKNOWN_ERA:
         raise ValueError(f'era {era} of a return')
-    return StoreReturn(int(era), now - max(0.0, float(age_s)), version)
+    return StoreReturn(era, now - max(0.0, float(age_s)), version)
+
+
+def _integer(raw: Any) -> int:
+    if not isinstance(raw, int) or isinstance(raw, bool):
+        raise TypeError(f'integer expected, got {type(raw).__name__}')
+    return raw
