--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -403,6 +403,16 @@
         """Return the log records written so far."""
         return [json.loads(line) for line in self.log_path.read_text().splitlines()]
 
+    async def store_return(self) -> dict[str, Any]:
+        """Return what the process knows of returns of the store."""
+        answer = await http_get(self.metrics_address, '/store-returns')
+        listed: list[dict[str, Any]] = json.loads(answer.partition(b'\r\n\r\n')[2])
+        return listed[0]
+
+    async def held_rows(self) -> list[str]:
+        """Return the keys of the rows that the process holds."""
+        return [held['row'] for held in (await self.store_return())['rows_held']]
+
     async def wait_until_ready(self) -> None:
         await wait_until_equal(lambda: self.get_status(self.readiness_address, '/v1/ready'), 200)
 
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -1,10 +1,8 @@
 """Entry processes whose store returns from an older copy."""
 
-import json
 import subprocess
 import sys
 from pathlib import Path
-from typing import Any
 
 import anyio
 import msgpack
@@ -13,10 +11,8 @@
     ENDPOINT_TABLE,
     OPERATOR_TABLE,
     EntryDeployment,
-    EntryProcessHandle,
     StoreStandin,
     endpoint_document,
-    http_get,
     make_configuration,
     running_store,
     send_request_and_count,
@@ -86,16 +82,6 @@
         )
 
 
-async def store_return(entry: EntryProcessHandle) -> dict[str, Any]:
-    answer = await http_get(entry.metrics_address, '/store-returns')
-    listed: list[dict[str, Any]] = json.loads(answer.partition(b'\r\n\r\n')[2])
-    return listed[0]
-
-
-async def held_rows(entry: EntryProcessHandle) -> list[str]:
-    return [held['row'] for held in (await store_return(entry))['rows_held']]
-
-
 async def lose_configuration(deployment: EntryDeployment) -> None:
     """Return from a copy that lacks configuration 5, which nobody writes again."""
     copy = deployment.store.take_copy()
@@ -106,7 +92,7 @@
         )
     deployment.store.return_from_copy(copy)
     for entry in deployment.entry_processes:
-        await wait_until_equal(lambda entry=entry: held_rows(entry), ['config'])
+        await wait_until_equal(lambda entry=entry: entry.held_rows(), ['config'])
 
 
 async def test_a_configuration_that_the_store_has_lost_stays_in_force_and_is_listed(
@@ -117,7 +103,7 @@
     await lose_configuration(entry_deployment)
     for entry in (first, second):
         assert await send_request_and_count(entry_deployment, entry) == (0, 1)
-    seen = await store_return(first)
+    seen = await first.store_return()
     assert seen['era'] == 2 and seen['returns'] == 1 and seen['copy_age_s'] > 0
     command = [str(Path(sys.executable).with_name('plantainctl')), 'store-returns']
     nodes = [f'--nodes=http://{one.metrics_address}' for one in (first, second)]
@@ -125,8 +111,8 @@
     assert b'config 2 of 2 when written again' in b' '.join(listed.stdout.split())
     entry_deployment.store.put(OPERATOR_TABLE, 'config', make_configuration(5, service='other'))
     for entry in (first, second):
-        await wait_until_equal(lambda entry=entry: held_rows(entry), [])
-    assert (await store_return(first))['rows_written_again'] == 1
+        await wait_until_equal(lambda entry=entry: entry.held_rows(), [])
+    assert (await first.store_return())['rows_written_again'] == 1
 
 
 async def test_an_instance_that_starts_after_a_return_gets_held_rows_from_its_peers(
@@ -140,7 +126,7 @@
     second.start()
     await second.wait_until_ready()
     await wait_until_equal(lambda: send_request_and_count(entry_deployment, second), (0, 1))
-    assert await held_rows(second) == ['config']
+    assert await second.held_rows() == ['config']
 
 
 async def register(store: PlatformStore, name: str) -> None:
