Own interface: keys that a returned table has lost are not claimed again

An idempotency key that was claimed in the seconds that the table has lost could be claimed again, and its request ran twice. A claim of an earlier era neither releases nor records a row, whose version may have been given out to another claim. Both tests failed before.

--- a/packages/node/src/plantainloft_node/node_process.py
+++ b/packages/node/src/plantainloft_node/node_process.py
@@ -36,6 +36,7 @@
             await tasks.start(node.listen)
             tasks.start_soon(node.follower.run)
             tasks.start_soon(node.batcher.run)
+            tasks.start_soon(node.handler.run_claim_recovery)
             tasks.start_soon(node.membership.run)
             for component in (node.gossip.run, node.run_crash_detection):
                 tasks.start_soon(component)
--- a/packages/node/src/plantainloft_node/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/request_pipeline.py
@@ -47,6 +47,7 @@
     ) -> None:
         self.admission = admission
         self._idempotency_store = idempotency_store
+        self.run_claim_recovery = idempotency_store.recovery.run
         self._forwarder = forwarder
 
     async def handle(
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -158,3 +158,53 @@
         )
         assert isinstance(outcome, kind)
         tasks.cancel_scope.cancel()
+
+
+async def test_a_key_that_the_table_has_lost_is_not_claimed_again(
+    idempotency_store: IdempotencyStore,
+    batcher: TxnBatcher,
+    table: TableService,
+    table_client: TableClient,
+) -> None:
+    """Failure: a booking runs twice because its key was claimed in lost seconds."""
+    transport = table_client._http._transport
+    other_client = TableClient(base_url='http://table', timeout_s=1.0, transport=transport)
+    other_batcher = TxnBatcher(client=other_client, min_interval_s=0.01)
+    other = IdempotencyStore(client=other_client, batcher=other_batcher, node='n2')
+    async with anyio.create_task_group() as tasks:
+        tasks.start_soon(other_batcher.run)
+        tasks.start_soon(idempotency_store.recovery.run)
+        table.take_copy()
+        assert isinstance(await other.claim('booking', 'k0'), KeyClaim)
+        assert isinstance(await idempotency_store.claim('booking', 'k1'), KeyClaim)
+        table.return_from_copy()
+        assert isinstance(await other.claim('booking', 'k1'), Refused)
+        await table_client.get('config/head')
+        outcome: object = Refused(reason='', retry_after_s=1)
+        with anyio.fail_after(8):
+            while isinstance(outcome, Refused):
+                await anyio.sleep(0.2)
+                outcome = await other.claim('booking', 'k1')
+        assert isinstance(outcome, Unknown)
+        tasks.cancel_scope.cancel()
+    await other_client.close()
+
+
+async def test_a_claim_of_an_earlier_era_changes_no_row(
+    idempotency_store: IdempotencyStore,
+    batcher: TxnBatcher,
+    table: TableService,
+    table_client: TableClient,
+) -> None:
+    """Failure: a refused request releases the claim of another one, which then runs twice."""
+    table.take_copy()
+    claim = await idempotency_store.claim('booking', 'k1')
+    assert isinstance(claim, KeyClaim)
+    table.return_from_copy()
+    row = {'state': 'started', 'node': 'n2', 'claim_id': 'other'}
+    await table_client.commit_transaction(conditions={}, writes={ROW_KEY: row})
+    assert table.rows_by_key[ROW_KEY][0] == claim.version
+    await idempotency_store.release(claim)
+    idempotency_store.record(claim, ANSWER)
+    await batcher.flush(timeout_s=5)
+    assert table.rows_by_key[ROW_KEY] == (claim.version, row)
