--- a/packages/core/src/plantainloft_core/commits.py
+++ b/packages/core/src/plantainloft_core/commits.py
@@ -145,7 +145,7 @@
 ) -> Committed | Conflict | Unreachable:
     base_version = change.number - 1
     # The condition on the head holds in the era of ``base`` only: a copy that has the
-    # fence is younger than ``base``, and one that lacks it fails the transaction.
+    # fence is newer than ``base``, and one that lacks it fails the transaction.
     fence = await _write_fence(client, change.change_id)
     if isinstance(fence, Unreachable):
         return fence
--- a/packages/core/src/plantainloft_core/table_client.py
+++ b/packages/core/src/plantainloft_core/table_client.py
@@ -50,7 +50,7 @@
 class TableClient:
     """HTTP client of the table service at ``base_url``.
 
-    ``eras`` tells whether the service has returned from an older copy of its rows.
+    ``eras`` has the returns of the service from older copies of its rows.
     """
 
     def __init__(
--- a/packages/node/src/plantainloft_node/claim_recovery.py
+++ b/packages/node/src/plantainloft_node/claim_recovery.py
@@ -1,7 +1,7 @@
 """Idempotency keys that the table has lost by returning from an older copy.
 
 A key that was claimed in the lost seconds could be claimed again, and its request would run
-twice. Each node remembers the keys that it has claimed lately and writes them again after
+twice. Each node remembers the keys that it has claimed recently and writes them again after
 a return. Until all nodes have had the time to do so, no key is claimed.
 """
 
@@ -29,7 +29,7 @@
 
 
 class ClaimRecovery:
-    """The keys that this node has claimed lately."""
+    """The keys that this node has claimed recently."""
 
     def __init__(self, *, client: TableClient, batcher: TxnBatcher) -> None:
         self._client = client
--- a/packages/node/src/plantainloft_node/config_follower.py
+++ b/packages/node/src/plantainloft_node/config_follower.py
@@ -159,7 +159,7 @@
             return
         position = announced.position
         if self.config.version and position.era != self._era:
-            # Only the table tells whether the peer has the same changes.
+            # Only the table shows whether the peer has the same changes.
             await self.poll_once()
             return
         self._era = position.era
--- a/packages/node/src/plantainloft_node/config_reconciliation.py
+++ b/packages/node/src/plantainloft_node/config_reconciliation.py
@@ -1,6 +1,6 @@
 """Decides what a table that has returned from an older copy means for the configuration.
 
-The copy lacks the last commits, although operators were told that they are done. Nodes
+The copy lacks the last commits, although they were confirmed to operators. Nodes
 keep them in force and commit them again, with their authors and IDs, unless an operator
 has committed something else on the configuration of the copy. Then that is in force, and
 the lost changes are listed for operators: two lines of changes can't be joined.
@@ -149,7 +149,7 @@
         for change in self.history.after(head.version):
             outcome = await restore_change(self._client, change, base=base)
             if not isinstance(outcome, Committed):
-                # Another node or an operator has committed; the next poll tells which.
+                # Another node or an operator has committed; the next poll shows which.
                 return
             self.restored.append(change)
             log.warning(
--- a/packages/node/src/plantainloft_node/fleet/report_codec.py
+++ b/packages/node/src/plantainloft_node/fleet/report_codec.py
@@ -26,7 +26,7 @@
 # The age is sent as one byte.
 _MAX_AGE_TENTHS = 255
 # The field of the sequence also has the era of the store and a flag in its low bits, and
-# the highest bit to tell it from those without. Builds that know no eras read the whole
+# the highest bit to distinguish it from those without. Builds that know no eras read the whole
 # field as the sequence, whose order it keeps.
 _ERA_BITS = 20
 _HOLDS_ROWS_FLAG = 1 << _ERA_BITS
--- a/packages/node/src/plantainloft_node/replica/fenced_writer.py
+++ b/packages/node/src/plantainloft_node/replica/fenced_writer.py
@@ -4,7 +4,7 @@
 may be given out again to another content of the same row, and a call without an answer
 may be performed after the return. So each conditional write also depends on a fence, a
 row that this instance writes after it has read the condition: a copy that has the fence
-is younger than the condition, and a copy that lacks it fails the write.
+is newer than the condition, and a copy that lacks it fails the write.
 """
 
 from plantainloft_core.outcomes import Unreachable
--- a/packages/node/src/plantainloft_node/replica/return_policy.py
+++ b/packages/node/src/plantainloft_node/replica/return_policy.py
@@ -46,11 +46,13 @@
 class Hold:
     """The row of before the return stays in effect, at most ``for_s`` seconds.
 
-    ``None``: until the store has a row that is believed.
+    ``None``: until the store has a row that is believed. The time counts from the return,
+    or from the row that the store has got since if ``is_since_return`` is false.
     """
 
     for_s: float | None
     reason: str
+    is_since_return: bool = True
 
 
 Decision = Believe | Hold
@@ -78,6 +80,7 @@
     return Hold(
         for_s=CONFIG_REWRITE_S if is_new else None,
         reason=f'the store has version {stored.table.version}',
+        is_since_return=False,
     )
 
 
--- a/packages/node/src/plantainloft_node/replica/row_replica.py
+++ b/packages/node/src/plantainloft_node/replica/row_replica.py
@@ -19,7 +19,7 @@
 class RowReplica:
     """A replica of the polled tables; older positions never replace newer.
 
-    A table moves to a later era by a whole listing only, since a change tells nothing
+    A table moves to a later era by a whole listing only, since a change says nothing
     about the rows that the returned store lacks. Deletions are kept as tombstones, rows
     without content. Beyond ``MAX_TOMBSTONES`` the oldest are pruned, and a peer that may
     lack a pruned one is sent whole tables.
--- a/packages/node/src/plantainloft_node/replica/row_updates.py
+++ b/packages/node/src/plantainloft_node/replica/row_updates.py
@@ -32,7 +32,7 @@
 
 log = logging.getLogger(__name__)
 
-# Changes whose time is kept, to tell the age of a copy that lacks them.
+# Changes whose time is kept, to estimate the age of a copy that lacks them.
 MAX_RECEIVED_CHANGES = 256
 # The source of rows that a poll of the store has returned; others have a peer's name.
 STORE_SOURCE = 'store'
@@ -214,7 +214,8 @@
         is_new_return: bool = False,
     ) -> None:
         known = self.held_rows.get(row.table, row.key)
-        until = None if decision.for_s is None else self._returned_at(now) + decision.for_s
+        since = self._returned_at(now) if decision.is_since_return else now
+        until = None if decision.for_s is None else since + decision.for_s
         self.held_rows.hold(row, until=until, reason=decision.reason, is_new_return=is_new_return)
         if known is None or known.row != row:
             log.info(
--- a/packages/standins/src/plantainloft_standins/replicating_instance.py
+++ b/packages/standins/src/plantainloft_standins/replicating_instance.py
@@ -82,7 +82,7 @@
         self._cuts = cuts
 
     def is_cut(self, name: str) -> bool:
-        """Return whether ``name`` reaches nobody at present, or has ended."""
+        """Return whether ``name`` is cut off at present, or has ended."""
         if name in self.ended:
             return True
         now = anyio.current_time()
--- a/tests/link_soak.py
+++ b/tests/link_soak.py
@@ -7,7 +7,6 @@
 import random
 import signal
 import sys
-import tempfile
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -21,6 +20,7 @@
 from failing_fleet import TURNED_AWAY
 from partitioned_fleet import PartitionedFleet, partitioned_fleet
 from platform_standin import EntryProcessHandle
+from soak_command import run_seeds
 
 from plantainloft_node.retry_budget.registry import DEFAULT_RETRY_LIMITS
 from plantainloft_standins.retry_ledger import RetryLedger, RetryWindow
@@ -285,26 +285,11 @@
     )
 
 
-def main(first_seed: int, count: int) -> None:
-    """Run ``count`` soaks and print what each has seen."""
-    for seed in range(first_seed, first_seed + count):
-        processes: list[EntryProcessHandle] = []
-        try:
-            with tempfile.TemporaryDirectory() as work_dir:
-                result = anyio.run(
-                    lambda: run_soak(
-                        seed,  # noqa: B023
-                        Path(work_dir),
-                        processes,  # noqa: B023
-                        duration_s=20.0,
-                        endpoints_fail=True,
-                    )
-                )
-        finally:
-            for handle in processes:
-                handle.kill()
-        print(seed, result, flush=True)
+async def _run_long(
+    seed: int, work_dir: Path, entry_processes: list[EntryProcessHandle]
+) -> SoakResult:
+    return await run_soak(seed, work_dir, entry_processes, duration_s=20.0, endpoints_fail=True)
 
 
 if __name__ == '__main__':
-    main(int(sys.argv[1]), int(sys.argv[2]))
+    run_seeds(_run_long, int(sys.argv[1]), int(sys.argv[2]))
--- a/tests/store_soak.py
+++ b/tests/store_soak.py
@@ -7,7 +7,6 @@
 import random
 import signal
 import sys
-import tempfile
 import time
 from collections import Counter
 from collections.abc import Callable
@@ -29,6 +28,7 @@
     running_store,
     start_entry_processes,
 )
+from soak_command import run_seeds
 
 __all__ = ['StoreSoakResult', 'run_store_soak']
 
@@ -373,25 +373,11 @@
     return sum([len(await handle.held_rows()) for handle in entry_processes])
 
 
-def main(first_seed: int, count: int) -> None:
-    """Run ``count`` soaks and print what each has seen."""
-    for seed in range(first_seed, first_seed + count):
-        processes: list[EntryProcessHandle] = []
-        try:
-            with tempfile.TemporaryDirectory() as work_dir:
-                result = anyio.run(
-                    lambda: run_store_soak(
-                        seed,  # noqa: B023
-                        Path(work_dir),
-                        processes,  # noqa: B023
-                        duration_s=25.0,
-                    )
-                )
-        finally:
-            for handle in processes:
-                handle.kill()
-        print(seed, result, flush=True)
+async def _run_long(
+    seed: int, work_dir: Path, entry_processes: list[EntryProcessHandle]
+) -> StoreSoakResult:
+    return await run_store_soak(seed, work_dir, entry_processes, duration_s=25.0)
 
 
 if __name__ == '__main__':
-    main(int(sys.argv[1]), int(sys.argv[2]))
+    run_seeds(_run_long, int(sys.argv[1]), int(sys.argv[2]))
