--- a/tests/test_store_return_model.py
+++ b/tests/test_store_return_model.py
@@ -104,6 +104,19 @@
     assert simulate_store_returns(random_scenario(seed, SEVENTY_TWO)).breaches == []
 
 
+def test_195_instances_follow_a_store_that_returns() -> None:
+    scenario = StoreReturnScenario(
+        seed=3,
+        outages=(Outage(9.0, 10.2, FailureMode.SILENT, copy_age_s=3.0),),
+        leaves_at=(7.0, 8.0, 11.0, 14.5),
+        evacuations=((8.0, 18.0),),
+        regions=3,
+        per_region=65,
+        duration_s=20.0,
+    )
+    assert simulate_store_returns(scenario).breaches == []
+
+
 def calls_after_absence(
     size: FleetSize, failure_mode: FailureMode, *, copy_age_s: float | None
 ) -> int:
