A store in an earlier era than reported gets few calls

Read on going through the change: a peer's wrong report of an era would have made each poller list its table again and again without a pause. It waits a second now. Test failing before.

--- a/packages/node/src/plantainloft_node/replica/table_poller.py
+++ b/packages/node/src/plantainloft_node/replica/table_poller.py
@@ -134,6 +134,9 @@
             return
         self._histories_lost = 0
         if outcome.position.era != self._store.eras.current:
+            # The answer of an earlier era was late, or an era was reported that the store
+            # does not have.
+            await anyio.sleep(BACKOFF_MAX_S)
             return
         if after is None:
             self._updates.apply_listing(self._table, outcome, now, source=STORE_SOURCE)
--- a/tests/test_store_copies.py
+++ b/tests/test_store_copies.py
@@ -19,7 +19,9 @@
     wait_until_equal,
 )
 
+from plantainloft_core.store_eras import StoreReturn
 from plantainloft_node.entry.instance_registry import InstanceRegistry
+from plantainloft_node.entry.replicated_state import ReplicatedState
 from plantainloft_node.fleet.membership import FleetMember, FleetMembership, Heartbeat
 from plantainloft_node.replica.fenced_writer import FencedWriter
 from plantainloft_node.replica.store_rows import (
@@ -194,3 +196,15 @@
         assert await registered() == 0
         instances.read_again_soon()
         await wait_until_equal(registered, 2, timeout_s=5.0)
+
+
+async def test_a_store_in_an_earlier_era_than_reported_gets_few_calls() -> None:
+    """Failure: a wrong report of an era makes instances list the tables without a pause."""
+    async with running_store() as (standin, tasks):
+        store = PlatformStore(address=standin.address)
+        state = ReplicatedState(store=store, region_by_zone={}, long_poll_wait_s=lambda: 4.0)
+        store.eras.record_peer_report(StoreReturn(9, anyio.current_time()))
+        for poller in state.pollers.values():
+            tasks.start_soon(poller.run)
+        await anyio.sleep(1.5)
+        assert 0 < len(standin.operations) <= 4
