Load headers with four figures are read

The header of the load may name a fourth figure, how long work takes on the endpoint's machine now. Only three figures were accepted, so that the whole header was ignored and the endpoint seemed to have no load but this instance's.

The counts are used as before, the fourth figure is available as work_factor. Malformed figures are ignored and logged.

--- a/packages/node/src/plantainloft_node/endpoint_signals/signals.py
+++ b/packages/node/src/plantainloft_node/endpoint_signals/signals.py
@@ -20,6 +20,13 @@
 _RETRY_AFTER = frozenset((b'retry-after',))
 _LEAVES = b'1'
 _STAYS = b'0'
+# Running and waiting requests, slots, and in newer endpoints the work time in percent.
+_LOAD_FIGURE_COUNTS = (3, 4)
+_BUSY_FIGURES = 3
+_MAX_FIGURE_DIGITS = 9
+_PERCENT = 100
+# A higher percentage is taken for a mistake: no request would be answered in time.
+_MAX_WORK_PERCENTAGE = 10000
 
 
 class EndpointSignals(NamedTuple):
@@ -29,10 +36,11 @@
     nothing else is known. ``not_run``: the endpoint says that it did not run the request.
     ``claims_not_run``: the status alone says so. ``leaves``: it takes no new requests from
     now on and will end. ``rest_s`` is the time in seconds for which it wants no requests
-    from this instance. ``busy`` is its number of running and waiting requests,
-    ``request_limits`` are the values of its limit headers, and ``is_complete`` is set if
-    their absence shows that the endpoint names no limit. ``problems`` describes
-    values that were ignored or capped.
+    from this instance. ``busy`` is its number of running and waiting requests, and
+    ``work_factor`` is how long work takes on its machine now (1.0 is as usual), both ``None``
+    if not reported. ``request_limits`` are the values of its limit headers, and
+    ``is_complete`` is set if their absence shows that the endpoint names no limit.
+    ``problems`` describes values that were ignored or capped.
     """
 
     is_misdirected: bool = False
@@ -41,6 +49,7 @@
     leaves: bool = False
     rest_s: float = 0.0
     busy: int | None = None
+    work_factor: float | None = None
     request_limits: tuple[bytes, ...] = ()
     is_complete: bool = False
     problems: tuple[str, ...] = ()
@@ -57,17 +66,19 @@
     claims_not_run = status in _NOT_RUN_STATUSES
     leaves, leaving_problems = _decode_leaving(headers, names)
     rest_s, rest_problems = _decode_rest(status, headers)
+    load = _decode_load(headers, names)
     return EndpointSignals(
         not_run=not_run,
         claims_not_run=claims_not_run,
         leaves=leaves,
         rest_s=rest_s,
-        busy=_decode_busy(headers, names),
+        busy=load.busy,
+        work_factor=load.work_factor,
         request_limits=tuple(find_all_headers(headers, names.request_limit)),
         # A refusal or failure may come from a part of the endpoint that doesn't know
         # its limit.
         is_complete=not (not_run or claims_not_run or status >= HTTPStatus.INTERNAL_SERVER_ERROR),
-        problems=(*leaving_problems, *rest_problems),
+        problems=(*leaving_problems, *rest_problems, *load.problems),
     )
 
 
@@ -98,9 +109,34 @@
     return rest_s, tuple(problems)
 
 
-def _decode_busy(headers: Headers, names: HeaderNames) -> int | None:
+class _ReportedLoad(NamedTuple):
+    busy: int | None = None
+    work_factor: float | None = None
+    problems: tuple[str, ...] = ()
+
+
+def _decode_load(headers: Headers, names: HeaderNames) -> _ReportedLoad:
+    """Decode the running, waiting and possible requests, and the percentage of usual work time.
+
+    Only some endpoints report the percentage.
+    """
     reported = find_header(headers, names.load_report)
-    counts = [] if reported is None else [count.strip() for count in reported.split(b',')]
-    if len(counts) != 3 or not all(count.isdigit() for count in counts):
-        return None
-    return int(counts[0]) + int(counts[1])
+    if reported is None:
+        return _ReportedLoad()
+    figures = [_decode_figure(figure) for figure in reported.split(b',')]
+    busy = [figure for figure in figures[:_BUSY_FIGURES] if figure is not None]
+    if len(figures) not in _LOAD_FIGURE_COUNTS or len(busy) < _BUSY_FIGURES:
+        return _ReportedLoad(problems=(f'invalid load {reported[:MAX_SHOWN_BYTES]!r}',))
+    if len(figures) == _LOAD_FIGURE_COUNTS[0]:
+        return _ReportedLoad(busy=busy[0] + busy[1])
+    percentage = figures[-1]
+    if percentage is None or not 0 < percentage <= _MAX_WORK_PERCENTAGE:
+        # The counts of requests hold all the same.
+        problem = f'invalid work time in load {reported[:MAX_SHOWN_BYTES]!r}'
+        return _ReportedLoad(busy=busy[0] + busy[1], problems=(problem,))
+    return _ReportedLoad(busy=busy[0] + busy[1], work_factor=percentage / _PERCENT)
+
+
+def _decode_figure(figure: bytes) -> int | None:
+    stripped = figure.strip()
+    return int(stripped) if stripped.isdigit() and len(stripped) <= _MAX_FIGURE_DIGITS else None
