--- a/packages/core/src/plantainloft_core/routes.py
+++ b/packages/core/src/plantainloft_core/routes.py
@@ -40,7 +40,7 @@
     (0 is served first). ``shares`` are the services that the route's requests
     are split over. ``regions`` are the only regions in which requests may run;
     an empty set means all. A ``public`` route requires no key, even if
-    organisations are declared.
+    organisations are declared. Responses of a route with ``is_download`` are large.
     """
 
     name: str
@@ -55,6 +55,7 @@
     sticky: bool
     regions: frozenset[str]
     public: bool = False
+    is_download: bool = False
 
     def with_organisation_settings(self, organisation: Organisation) -> 'Route':
         """Return this route with the settings of ``organisation`` applied.
@@ -107,6 +108,11 @@
         """Whether routes that are not public require a key."""
         return bool(self.organisations.by_name)
 
+    @property
+    def has_downloads(self) -> bool:
+        """Whether any route has large responses."""
+        return any(route.is_download for routes in self.routes_by_host.values() for route in routes)
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix that matches ``path``."""
         for route in self.routes_by_host.get(host, ()):
--- a/packages/node/src/plantainloft_node/entry/settings.py
+++ b/packages/node/src/plantainloft_node/entry/settings.py
@@ -14,7 +14,7 @@
 from plantainloft_node.limits.limiter import DEFAULT_LIMIT_SETTINGS
 from plantainloft_node.retry_budget.registry import DEFAULT_RETRY_LIMITS
 
-__all__ = ['EntrySettings', 'parse_entry_settings']
+__all__ = ['AUTO', 'OFF', 'ON', 'EntrySettings', 'parse_entry_settings']
 
 MS_PER_S = 1000.0
 # Defaults that match current deployments.
@@ -22,6 +22,10 @@
 DEFAULT_COLD_OVER = 1.5
 DEFAULT_COLD_SLACK = 5.0
 DEFAULT_MAX_SHIFT = 0.15
+# Overload control: depending on the configuration in force, always or never.
+AUTO = 'auto'
+ON = 'on'
+OFF = 'off'
 _BOUNDS = 'bounds'
 _LISTEN = 'listen'
 
@@ -71,6 +75,7 @@
     limit_window_s: float
     limit_over: float
     limit_slack: float
+    overload_control: str
     log_level: str
 
     @property
@@ -107,6 +112,7 @@
     Option(_BOUNDS, 'limit_window', duration, DEFAULT_LIMIT_SETTINGS.window_s),
     Option(_BOUNDS, 'limit_over', non_negative_float, DEFAULT_LIMIT_SETTINGS.overshoot_ratio),
     Option(_BOUNDS, 'limit_slack', non_negative_float, DEFAULT_LIMIT_SETTINGS.overshoot_requests),
+    Option('overload', 'control', one_of(AUTO, ON, OFF), AUTO),
     Option('log', 'level', one_of('DEBUG', 'INFO', 'WARNING', 'ERROR'), 'INFO'),
 )
 
@@ -142,5 +148,6 @@
         limit_window_s=found['bounds.limit_window'],
         limit_over=found['bounds.limit_over'],
         limit_slack=found['bounds.limit_slack'],
+        overload_control=found['overload.control'],
         log_level=found['log.level'],
     )
