Instances count sharers of limits and relays' ranks once, not at each update

Four times a second an instance went over all others three times to find those that share limits, and ranked the instances of its zone by hashing their names at each poll. The sharers are kept until an instance joins, comes up, starts to drain or leaves, and for a second at most; scores and incarnations are cached.

--- a/packages/node/src/plantainloft_node/fleet/demand.py
+++ b/packages/node/src/plantainloft_node/fleet/demand.py
@@ -106,7 +106,12 @@
     """
     if not members.has_member_list:
         return 0
-    return 1 + sum(not members.liveness.has_shut_down(peer.name, now) for peer in members.peers())
+    shut_down = members.liveness.shut_down_names(now)
+    return (
+        1
+        + members.registry.peer_count
+        - sum(members.registry.get(name) is not None for name in shut_down)
+    )
 
 
 def fleet_view(
--- a/packages/node/src/plantainloft_node/fleet/liveness.py
+++ b/packages/node/src/plantainloft_node/fleet/liveness.py
@@ -28,12 +28,19 @@
 
     def __init__(self) -> None:
         self._liveness_by_name: dict[str, Liveness] = {}
+        self._draining_names: set[str] = set()
+        # Incremented whenever an instance comes up or starts to drain.
+        self.revision = 0
 
     def record(self, name: str, reported: Liveness, now: float) -> bool:
         """Merge new liveness of ``name``; return whether it was down or unknown before."""
         known = self._liveness_by_name.get(name)
+        if reported.draining and name not in self._draining_names:
+            self._draining_names.add(name)
+            self.revision += 1
         if known is None:
             self._liveness_by_name[name] = reported
+            self.revision += 1
             return True
         was_up = now < known.until
         newest = reported if reported.at >= known.at else known
@@ -44,11 +51,14 @@
             until=max(reported.until, known.until),
             since=known.since if was_up else reported.at,
         )
+        self.revision += not was_up
         return not was_up
 
     def drop(self, name: str) -> None:
         """Remove the liveness of ``name``, which was replaced or has restarted."""
         self._liveness_by_name.pop(name, None)
+        self._draining_names.discard(name)
+        self.revision += 1
 
     def get(self, name: str) -> Liveness | None:
         """Return the newest liveness of ``name``, even if it has expired."""
@@ -69,6 +79,10 @@
         liveness = self.get(name)
         return liveness is not None and liveness.draining and now >= liveness.until
 
+    def shut_down_names(self, now: float) -> list[str]:
+        """Return the instances that announced that they are shutting down, and are down."""
+        return [name for name in self._draining_names if self.has_shut_down(name, now)]
+
     def is_available(self, name: str) -> bool:
         """Return whether ``name`` was last reported as ready and is not draining."""
         liveness = self._liveness_by_name.get(name)
--- a/packages/node/src/plantainloft_node/fleet/member_registry.py
+++ b/packages/node/src/plantainloft_node/fleet/member_registry.py
@@ -14,6 +14,8 @@
         self._name_by_key: dict[int, str] = {member_key(local_member): local_member.name}
         # Cached until the membership changes.
         self._members_by_zone: dict[str, list[FleetMember]] | None = None
+        # Incremented whenever an instance is added, replaced or removed.
+        self.revision = 0
 
     def get(self, name: str) -> FleetMember | None:
         """Return the instance called ``name``."""
@@ -23,6 +25,11 @@
         """Return the name of the instance with ``key``, which may be this one."""
         return self._name_by_key.get(key)
 
+    @property
+    def peer_count(self) -> int:
+        """The number of known instances except this one."""
+        return len(self._member_by_name)
+
     def peers(self) -> list[FleetMember]:
         """Return all known instances except this one."""
         return list(self._member_by_name.values())
@@ -44,6 +51,7 @@
             self._name_by_key.pop(member_key(known), None)
         self._member_by_name[member.name] = member
         self._members_by_zone = None
+        self.revision += 1
         self._name_by_key[member_key(member)] = member.name
         return known is not None and known.incarnation != member.incarnation
 
@@ -51,4 +59,5 @@
         """Remove the instance called ``name``."""
         known = self._member_by_name.pop(name)
         self._members_by_zone = None
+        self.revision += 1
         self._name_by_key.pop(member_key(known), None)
--- a/packages/node/src/plantainloft_node/fleet/membership.py
+++ b/packages/node/src/plantainloft_node/fleet/membership.py
@@ -1,5 +1,8 @@
 """Fleet membership: the known entry instances and which of them are up."""
 
+from collections.abc import Mapping
+from typing import NamedTuple
+
 from plantainloft_node.fleet.heartbeat_table import (
     HeartbeatTable,
     ReportedUsage,
@@ -25,12 +28,23 @@
 FORWARDED_DOWN_AFTER_S = 6.5
 # An instance not heard from for this long no longer counts for shared limits.
 UNCOUNTED_AFTER_S = 60.0
+# Those that count are determined again at least this often. An instance that no longer
+# counts takes a part of shared limits until then, which keeps within them.
+LIMIT_SHARERS_INTERVAL_S = 1.0
 # An instance not heard from for this long counts as replaced, not partitioned:
 # users plan for region outages of up to an hour, and an instance that returns
 # from a longer one registers again by its heartbeats.
 REPLACED_AFTER_S = 7200.0
 
 
+class _LimitSharers(NamedTuple):
+    """The regions of the instances that share limits, as of revisions of the membership."""
+
+    region_by_name: Mapping[str, str]
+    revisions: tuple[int, int]
+    until: float
+
+
 class FleetMembership:
     """All known instances, their liveness, and the demand of their zones."""
 
@@ -42,6 +56,7 @@
         self.zone_demands = ZoneDemandTable()
         self.reported_usage: ReportedUsage | None = None
         self._added_at_by_name: dict[str, float] = {}
+        self._limit_sharers: _LimitSharers | None = None
         # Whether the list of all instances was read since this process started.
         self.has_member_list = False
 
@@ -146,7 +161,7 @@
         """Return the other instances that are up, ready and not draining."""
         return [member for member in self.peers_up(now) if self.liveness.is_available(member.name)]
 
-    def region_by_limit_sharer(self, now: float) -> dict[str, str]:
+    def region_by_limit_sharer(self, now: float) -> Mapping[str, str]:
         """Return the regions of the instances that share limits, by instance name.
 
         Includes this instance. Instances that are listed but have sent no
@@ -157,8 +172,17 @@
         """
         if not self.has_member_list:
             return {}
-        sharers = sorted((*self.peers_sharing_limits(now), self.local_member))
-        return {member.name: member.region for member in sharers}
+        revisions = (self.registry.revision, self.liveness.revision)
+        known = self._limit_sharers
+        if known is None or known.revisions != revisions or now >= known.until:
+            sharers = sorted((*self.peers_sharing_limits(now), self.local_member))
+            known = _LimitSharers(
+                {member.name: member.region for member in sharers},
+                revisions,
+                now + LIMIT_SHARERS_INTERVAL_S,
+            )
+            self._limit_sharers = known
+        return known.region_by_name
 
     def _register(self, member: FleetMember) -> None:
         if self.registry.put(member):
--- a/packages/node/src/plantainloft_node/fleet/relay_selection.py
+++ b/packages/node/src/plantainloft_node/fleet/relay_selection.py
@@ -4,6 +4,7 @@
 """
 
 from collections.abc import Iterable
+from functools import lru_cache
 
 from plantainloft_node.fleet.membership import FleetMembership
 from plantainloft_node.fleet.reports import FleetMember
@@ -25,6 +26,8 @@
 MAX_STANDBYS = 2
 # Two reports in a row are missing.
 UNRESPONSIVE_AFTER_S = 1.2
+# Each poll of the store ranks the instances of the zone.
+MAX_CACHED_SCORES = 4096
 
 
 def zone_relays(
@@ -85,7 +88,12 @@
 
 
 def _rank(member: FleetMember) -> tuple[int, str]:
-    return rendezvous_score('relay', member.name), member.name
+    return _relay_score(member.name), member.name
+
+
+@lru_cache(maxsize=MAX_CACHED_SCORES)
+def _relay_score(name: str) -> int:
+    return rendezvous_score('relay', name)
 
 
 def is_responsive(member: FleetMember, members: FleetMembership, now: float) -> bool:
--- a/packages/node/src/plantainloft_node/placement/endpoints.py
+++ b/packages/node/src/plantainloft_node/placement/endpoints.py
@@ -202,6 +202,8 @@
         self.evacuated_zones: frozenset[str] = frozenset()
         # Incremented whenever endpoints are added or removed; invalidates cached rankings.
         self.revision = 0
+        self._incarnations: frozenset[str] = frozenset()
+        self._incarnations_revision = 0
 
     def add_or_update(self, record: EndpointRecord, now: float) -> None:
         """Add an incarnation, or apply a newer row of a known one.
@@ -228,9 +230,14 @@
         self.ids_by_service.setdefault(record.service, set()).add(record.id)
         self.revision += 1
 
-    def incarnations(self) -> set[str]:
+    def incarnations(self) -> frozenset[str]:
         """Return the incarnations of all known endpoints."""
-        return {state.record.incarnation for state in self.by_id.values()}
+        if self._incarnations_revision != self.revision:
+            self._incarnations = frozenset(
+                state.record.incarnation for state in self.by_id.values()
+            )
+            self._incarnations_revision = self.revision
+        return self._incarnations
 
     def remove_expired_announcements(self, now: float) -> None:
         """Remove the announcements that no longer matter."""
