Placement: regional capacity plan under overload control

Cause: a region's own callers may load it up to twice the mean load of all regions, whatever its slots can do, and shares follow demand only after it has changed. A region with a tenth of the slots and a third of the callers is overloaded while others have room.

Change: with overload control on, shares are aimed at a plan of all regions. Before the first request of a service, shares are set at once. The step limit is as before; with overload control off, the former target is used.

--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -53,6 +53,7 @@
         metrics.set_gauge('members_up', len(self._members.peers_up(now)) + 1)
         metrics.set_gauge('requests_in_progress', forwarding_handler.requests_in_progress)
         self._set_retry_gauges(dispatcher, now)
+        self._set_capacity_plan_gauges(placement)
         metrics.set_gauge('spilled_share', placement.spilled_share(now))
         metrics.set_gauge('quarantined_requests', len(dispatcher.crash_registry.quarantined(now)))
         self._set_store_and_endpoint_gauges(now)
@@ -130,6 +131,17 @@
             self._metrics.set_gauge('retries', usage.sent, service=service, outcome='sent')
             self._metrics.set_gauge('retries', usage.withheld, service=service, outcome='withheld')
 
+    def _set_capacity_plan_gauges(self, placement: Placement) -> None:
+        set_gauge = self._metrics.set_gauge
+        for service, plan in placement.capacity_planner.plan_by_service.items():
+            set_gauge('capacity_plan_utilisation', plan.max_utilisation, service=service)
+            for region, slots in plan.slots.items():
+                set_gauge('capacity_plan_slots', slots, service=service, region=region)
+            for region, demand in plan.demand.items():
+                set_gauge('capacity_plan_demand', demand, service=service, region=region)
+            for region, share in placement.region_shares(service).items():
+                set_gauge('region_share', share, service=service, region=region)
+
     def _set_announcement_gauges(self, now: float) -> None:
         announcements = self._replicated_state.endpoint_registry.announcements
         self._metrics.set_gauge('endpoints_leaving', announcements.leaving_count())
--- a/packages/node/src/plantainloft_node/entry/periodic_updates.py
+++ b/packages/node/src/plantainloft_node/entry/periodic_updates.py
@@ -1,10 +1,14 @@
 """Periodic updates of state that changes with time, not only with row changes."""
 
+from collections.abc import Callable
+
 import anyio
 
 from plantainloft_node.entry.component_parameters import UPDATE_INTERVAL_S
+from plantainloft_node.entry.overload_switch import is_overload_control_active
 from plantainloft_node.entry.replicated_state import ReplicatedState
 from plantainloft_node.entry.request_pipeline import RequestPipeline
+from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.fleet.demand import (
     fleet_size,
     fleet_view,
@@ -29,9 +33,11 @@
         replicated_state: ReplicatedState,
         members: FleetMembership,
         pipeline: RequestPipeline,
+        settings: Callable[[], EntrySettings],
     ) -> None:
         self._replicated_state = replicated_state
         self._members = members
+        self._settings = settings
         self._placement = pipeline.placement
         self._demand = pipeline.dispatcher.demand
         self._pool = pipeline.pool
@@ -72,7 +78,13 @@
         self._replicated_state.endpoint_registry.remove_expired_announcements(now)
         zones = zone_demands(self._members, self._demand.rate_by_service, now)
         demand = [DemandReport(zone.region, zone.rate_by_service) for zone in zones]
-        self._placement.update_region_shares(demand_by_region(demand))
+        self._placement.update_region_shares(
+            demand_by_region(demand),
+            now,
+            is_overload_control_active=is_overload_control_active(
+                self._settings(), self._replicated_state.routing_state.route_table
+            ),
+        )
         self._update_limits(now)
 
     def _update_limits(self, now: float) -> None:
--- a/packages/node/src/plantainloft_node/placement/placement.py
+++ b/packages/node/src/plantainloft_node/placement/placement.py
@@ -14,6 +14,7 @@
 
 from plantainloft_core.routes import Route, ServiceLimits
 from plantainloft_node.endpoint_limits.limiter import EndpointLimiter, FleetView
+from plantainloft_node.placement.capacity_plan import CapacityPlanner
 from plantainloft_node.placement.cold_rate_limit import cold_share
 from plantainloft_node.placement.endpoints import EndpointRegistry, EndpointState
 from plantainloft_node.placement.regions import RegionShares, target_region_shares
@@ -125,6 +126,7 @@
         self._ranking_by_key: dict[tuple[str, str], list[str]] = {}
         self._ranked_revision = -1
         self._shares_by_service: dict[str, RegionShares] = {}
+        self.capacity_planner = CapacityPlanner(own_region=settings.region)
         self._failing_services: frozenset[str] = frozenset()
         self._spillover_limiter = SpilloverDecayLimiter(window_s=settings.shift_window_s)
         self.endpoint_limiter = EndpointLimiter(
@@ -192,22 +194,42 @@
                 services.append(service)
         self._failing_services = frozenset(services)
 
-    def update_region_shares(self, demand_by_region: Mapping[str, Mapping[str, float]]) -> None:
+    def update_region_shares(
+        self,
+        demand_by_region: Mapping[str, Mapping[str, float]],
+        now: float = 0.0,
+        *,
+        is_overload_control_active: bool = False,
+    ) -> None:
         """Update the region shares for a demand (requests a second) by service and region."""
+        planner = self.capacity_planner
+        if is_overload_control_active:
+            planner.update(demand_by_region, self._endpoint_registry.processing_by_service, now)
+        else:
+            planner.reset()
         for service in self._endpoint_registry.ids_by_service:
             slots = self._slots_by_region(service)
-            target = target_region_shares(
-                own_region=self.settings.region,
-                slots=slots,
-                demand=demand_by_region.get(service, {}),
-            )
+            if is_overload_control_active:
+                target = planner.target_shares(service, slots, now)
+            else:
+                target = target_region_shares(
+                    own_region=self.settings.region,
+                    slots=slots,
+                    demand=demand_by_region.get(service, {}),
+                )
             shares = self._shares_by_service.get(service)
             if shares is None:
                 shares = RegionShares(
                     own_region=self.settings.region, max_step=self.settings.max_share_step
                 )
                 self._shares_by_service[service] = shares
-            shares.update(target, slots)
+            moves_traffic = not is_overload_control_active or planner.has_had_demand(service)
+            shares.update(target, slots, moves_traffic=moves_traffic)
+
+    def region_shares(self, service: str) -> dict[str, float]:
+        """Return the share (0..1) of each region in the requests of ``service``."""
+        shares = self._shares_by_service.get(service)
+        return {} if shares is None else shares.current()
 
     def record_sent(self, state: EndpointState, now: float) -> None:
         """Count a request sent to ``state`` against the limits that apply to it."""
--- a/packages/node/src/plantainloft_node/placement/prediction.py
+++ b/packages/node/src/plantainloft_node/placement/prediction.py
@@ -50,6 +50,11 @@
         else:
             self._uncached_s = _moving_average(self._uncached_s, processing_s)
 
+    @property
+    def is_measured(self) -> bool:
+        """Whether any answer was recorded."""
+        return self._overall_s is not None
+
     @property
     def mean_s(self) -> float:
         """The mean over all requests."""
--- a/packages/node/src/plantainloft_node/placement/regions.py
+++ b/packages/node/src/plantainloft_node/placement/regions.py
@@ -70,13 +70,17 @@
         self._shares: dict[str, float] = {}
         self._max_slots: dict[str, float] = {}
 
-    def update(self, target: dict[str, float], slots: Mapping[str, float]) -> None:
+    def update(
+        self, target: dict[str, float], slots: Mapping[str, float], *, moves_traffic: bool = True
+    ) -> None:
         """Move towards ``target``, or switch to it at once if a region lost slots.
 
         Moving slowly keeps each shift within the traffic shift cap. A region
         that lost a large part of its slots would be overloaded in the meantime.
+        ``moves_traffic`` is false before the first request of the service; no step
+        is too large then.
         """
-        if not self._shares or _lost_slots(self._max_slots, slots):
+        if not self._shares or not moves_traffic or _lost_slots(self._max_slots, slots):
             self._shares = dict(target)
             self._max_slots = dict(slots)
             return
