--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -134,11 +134,12 @@
     def _set_capacity_plan_gauges(self, placement: Placement) -> None:
         set_gauge = self._metrics.set_gauge
         for service, plan in placement.capacity_planner.plan_by_service.items():
-            set_gauge('capacity_plan_utilisation', plan.max_utilisation, service=service)
+            if plan.is_measured:
+                set_gauge('capacity_plan_utilisation', plan.max_utilisation, service=service)
+                for region, demand in plan.demand.items():
+                    set_gauge('capacity_plan_demand', demand, service=service, region=region)
             for region, slots in plan.slots.items():
                 set_gauge('capacity_plan_slots', slots, service=service, region=region)
-            for region, demand in plan.demand.items():
-                set_gauge('capacity_plan_demand', demand, service=service, region=region)
             for region, share in placement.region_shares(service).items():
                 set_gauge('region_share', share, service=service, region=region)
 
