--- /dev/null
+++ b/packages/node/src/plantainloft_node/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control: ordered returns of refused callers."""
