Shares of returns don't grow while a zone is silent

Cause: during a partition each side's share of a division by its own demand grew with it, up to 1.06 of the capacity over all instances (8 instances, model).

Change: until all zones are heard of again, a share is at most what it was.

--- a/packages/node/src/plantainloft_node/overload/return_shares.py
+++ b/packages/node/src/plantainloft_node/overload/return_shares.py
@@ -54,6 +54,7 @@
     def __init__(self) -> None:
         self._samples: deque[_Sample] = deque()
         self._rates_by_zone: dict[str, _Rates] = {}
+        self._whole_shares: dict[str, ReturnShare] = {}
 
     def update(self, reports: FleetReports, now: float) -> dict[str, ReturnShare]:
         """Return this instance's share of each service that has demand."""
@@ -70,10 +71,19 @@
             self._samples.popleft()
         if not reports.instances_by_zone:
             return {}
-        return {
+        shares = {
             service: self._share(service, reports)
             for service in total_rates.keys() | reports.own_rates.keys()
         }
+        if reports.instances_by_zone.keys() <= reports.rates_by_zone.keys():
+            self._whole_shares = shares
+            return shares
+        return {service: self._limited(service, share) for service, share in shares.items()}
+
+    def _limited(self, service: str, share: ReturnShare) -> ReturnShare:
+        """Limit a share to what it was when all zones were heard of: a silent one grows too."""
+        whole = self._whole_shares.get(service, share)
+        return share._replace(size=min(share.size, whole.size))
 
     def _share(self, service: str, reports: FleetReports) -> ReturnShare:
         instance_count = sum(reports.instances_by_zone.values())
