Send and receive promises to refused callers

Cause: a refused caller may return to any instance of its zone, which must know that it was told to.

Change: promises go to the zone's instances in datagrams of format version 6; builds that don't know it ignore them. Metrics: returns, returns_reserved_per_second. A datagram that is a map instead of a list is ignored too; before, it raised KeyError in the task that receives heartbeats.

--- a/packages/node/src/plantainloft_node/entry/fleet_tasks.py
+++ b/packages/node/src/plantainloft_node/entry/fleet_tasks.py
@@ -20,6 +20,7 @@
 from plantainloft_node.entry.store_probes import PROBE_CALL, StoreProbes
 from plantainloft_node.fleet.heartbeats import HeartbeatExchange
 from plantainloft_node.fleet.membership import FleetMembership, Heartbeat
+from plantainloft_node.overload.promise_exchange import PromiseExchange
 from plantainloft_node.quarantine.quarantine import Quarantine
 from plantainloft_node.replica.row_replica import RowReplica
 from plantainloft_node.tunnels.announcements import ANNOUNCEMENT_CALL, AnnouncementForwarder
@@ -38,6 +39,7 @@
     own_heartbeat: Callable[[], Heartbeat],
     quarantine: Quarantine,
     announcements: AnnouncementForwarder,
+    promises: PromiseExchange,
     tasks: TaskGroup,
 ) -> HeartbeatExchange:
     """Start heartbeats, peer calls, store probes and instance registration.
@@ -57,6 +59,7 @@
         seeds=seed_addresses(settings),
         crash_registry=quarantine.crash_registry,
         endpoint_limits=replicated_state.endpoint_registry.request_limits,
+        on_promises=promises.receive,
     )
     instances = InstanceRegistry(members=members, store=replicated_state.store)
     answers = RowAnswers(members=members, replicated_state=replicated_state)
@@ -69,6 +72,7 @@
     }
     tasks.start_soon(calls.serve, handler_by_kind)
     tasks.start_soon(announcements.run, calls)
+    tasks.start_soon(promises.run, heartbeats.send_to_zone)
     tasks.start_soon(_announce_row_changes, replicated_state.rows, heartbeats)
 
     tasks.start_soon(
--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -12,6 +12,7 @@
 from plantainloft_node.limits.limiter import RequestLimiter
 from plantainloft_node.limits.organisation_listing import ListedOrganisation, list_organisations
 from plantainloft_node.links.listing import list_links
+from plantainloft_node.overload.return_planner import ScheduledReturns
 from plantainloft_node.placement.placement import Placement
 from plantainloft_node.replica.return_listing import StoreReturnEntry, list_store_return
 
@@ -35,6 +36,7 @@
         self.limiter: RequestLimiter | None = None
         self.endpoint_limiter: EndpointLimiter | None = None
         self.endpoint_links: EndpointLinks | None = None
+        self.returns: ScheduledReturns | None = None
 
     def observe(self, route: str, outcome: str, seconds: float) -> None:
         """Record one answered request and its duration."""
@@ -61,6 +63,7 @@
         self._set_announcement_gauges(now)
         self._set_link_gauges(now)
         self._set_store_return_gauges()
+        self._set_return_gauges(now)
         return metrics.text()
 
     def organisations(self) -> list[ListedOrganisation]:
@@ -139,6 +142,16 @@
                 'sends_against_announcement', count, announcement=announcement, attempt=attempt
             )
 
+    def _set_return_gauges(self, now: float) -> None:
+        """Set the gauges of callers that were told to return; none while there are none."""
+        if self.returns is None:
+            return
+        for service, counts in self.returns.counts_by_service.items():
+            reserved_rate = self.returns.reserved_rate(service, now)
+            self._metrics.set_gauge('returns_reserved_per_second', reserved_rate, service=service)
+            for outcome, count in counts._asdict().items():
+                self._metrics.set_gauge('returns', count, service=service, outcome=outcome)
+
     def _set_link_gauges(self, now: float) -> None:
         if self.endpoint_links is None:
             return
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -109,6 +109,7 @@
             own_heartbeat=self._own_heartbeat,
             quarantine=self.quarantine,
             announcements=self.pipeline.endpoint_links.announcements,
+            promises=self.pipeline.returns.exchange,
             tasks=tasks,
         )
         self._heartbeats = heartbeats
--- a/packages/node/src/plantainloft_node/entry/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/entry/request_pipeline.py
@@ -15,6 +15,7 @@
 from plantainloft_node.entry.endpoint_links import EndpointLinks, build_endpoint_links
 from plantainloft_node.entry.metrics_report import MetricsReport
 from plantainloft_node.entry.replicated_state import ReplicatedState
+from plantainloft_node.entry.return_planning import ReturnPlanning
 from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.fleet.membership import FleetMembership
 from plantainloft_node.limits.limiter import RequestLimiter
@@ -36,9 +37,11 @@
     crash_detector: CrashDetector
     limiter: RequestLimiter
     endpoint_links: EndpointLinks
+    returns: ReturnPlanning
 
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply the limits of reloaded settings."""
+        self.returns.settings = settings
         self.placement.settings = placement_settings(settings)
         self.dispatcher.retry_budgets.limits = retry_limits(settings)
         self.limiter.settings = limit_parameters(settings)
@@ -79,6 +82,12 @@
         crash_detector=crash_detector,
         quarantine=quarantine,
     )
+    returns = ReturnPlanning(
+        members=members,
+        settings=settings,
+        route_table=lambda: replicated_state.routing_state.route_table,
+    )
+    report.returns = returns.planner
     limiter = RequestLimiter(instance=settings.name, settings=limit_parameters(settings))
     forwarding_handler = ForwardingHandler(
         names=names,
@@ -95,4 +104,5 @@
         crash_detector=crash_detector,
         limiter=limiter,
         endpoint_links=endpoint_links,
+        returns=returns,
     )
--- a/packages/node/src/plantainloft_node/fleet/datagrams.py
+++ b/packages/node/src/plantainloft_node/fleet/datagrams.py
@@ -31,6 +31,11 @@
     decode_usage,
     encode_usage,
 )
+from plantainloft_node.overload.promise_codec import (
+    PROMISES_FORMAT_VERSION,
+    PromiseReport,
+    unpack_promises,
+)
 
 __all__ = [
     'MAX_GROUPS_PER_DATAGRAM',
@@ -77,7 +82,8 @@
     ``fleet_usage`` is each organisation's usage of its limits in all zones, as far
     as the sender knows, by organisation number. It is empty if not reported.
     ``endpoint_limits`` and ``limit_claims`` are what the sender knows of the request
-    limits of endpoints and of the instances that divide them.
+    limits of endpoints and of the instances that divide them. ``promises`` are the
+    promises to refused callers that it announces.
     """
 
     sender: str
@@ -86,6 +92,7 @@
     fleet_usage: Mapping[int, OrganisationUsage] = NO_USAGE
     endpoint_limits: tuple[LimitReport, ...] = ()
     limit_claims: tuple[GroupClaims, ...] = ()
+    promises: tuple[PromiseReport, ...] = ()
 
 
 def pack_endpoint_limits(
@@ -151,8 +158,11 @@
 
 
 def _parse_datagram(raw: Any) -> Datagram:
+    require_type(raw, list)
     if raw[0] == ENDPOINT_LIMITS_FORMAT_VERSION:
         return _parse_endpoint_limits(*raw[1:])
+    if raw[0] == PROMISES_FORMAT_VERSION:
+        return _parse_promises(*raw[1:])
     if raw[0] != FORMAT_VERSION:
         raise ValueError(f'format version {raw[0]!r} is not supported')
     sender, wants_reports, items, packed_usage = raw[1:]
@@ -185,3 +195,12 @@
             for group, packed in groups
         ),
     )
+
+
+def _parse_promises(sender: Any, services: Any, packed: Any) -> Datagram:
+    return Datagram(
+        require_type(sender, str),
+        wants_reports=False,
+        reports=(),
+        promises=unpack_promises(services, packed),
+    )
--- a/packages/node/src/plantainloft_node/fleet/heartbeats.py
+++ b/packages/node/src/plantainloft_node/fleet/heartbeats.py
@@ -15,7 +15,7 @@
 from plantainloft_node.endpoint_limits.registry import EndpointLimitRegistry
 from plantainloft_node.fleet.membership import FleetMembership
 from plantainloft_node.fleet.report_planner import OutgoingDatagram, ReportPlanner
-from plantainloft_node.fleet.report_receiver import ReportReceiver, UpdateHint
+from plantainloft_node.fleet.report_receiver import PromiseHandler, ReportReceiver, UpdateHint
 from plantainloft_node.fleet.reports import Heartbeat
 from plantainloft_node.quarantine.crash_registry import CrashRegistry
 
@@ -43,11 +43,15 @@
         seeds: tuple[str, ...],
         crash_registry: CrashRegistry,
         endpoint_limits: EndpointLimitRegistry,
+        on_promises: PromiseHandler | None = None,
     ) -> None:
         self._members = members
         self._on_update_hint = on_update_hint
         self._report_receiver = ReportReceiver(
-            members=members, crash_registry=crash_registry, endpoint_limits=endpoint_limits
+            members=members,
+            crash_registry=crash_registry,
+            endpoint_limits=endpoint_limits,
+            on_promises=on_promises,
         )
         self._report_planner = ReportPlanner(
             members=members,
@@ -89,6 +93,13 @@
         for datagram in self._report_planner.datagrams_for_subscribers(anyio.current_time()):
             await self._send(datagram)
 
+    async def send_to_zone(self, packed: bytes) -> None:
+        """Send a datagram to the other instances of this availability zone that are up."""
+        own_zone = self._members.local_member.zone
+        for member in self._members.peers_up(anyio.current_time()):
+            if member.zone == own_zone:
+                await self._send(OutgoingDatagram(member.heartbeat_address, packed))
+
     async def _send_rounds(self) -> None:
         include_not_due = True
         while True:
--- a/packages/node/src/plantainloft_node/fleet/report_receiver.py
+++ b/packages/node/src/plantainloft_node/fleet/report_receiver.py
@@ -1,6 +1,6 @@
 """Processes the datagrams that this instance receives from its peers."""
 
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from plantainloft_core.store_position import StorePosition
@@ -9,9 +9,13 @@
 from plantainloft_node.fleet.heartbeat_table import ReportedUsage
 from plantainloft_node.fleet.membership import DOWN_AFTER_S, FleetMembership
 from plantainloft_node.fleet.reports import FleetMember, Heartbeat, ZoneReport
+from plantainloft_node.overload.promise_codec import PromiseReport
 from plantainloft_node.quarantine.crash_registry import CrashRegistry
 
-__all__ = ['ReceiveResult', 'ReportReceiver', 'UpdateHint']
+__all__ = ['PromiseHandler', 'ReceiveResult', 'ReportReceiver', 'UpdateHint']
+
+# Takes the promises that a peer announces, and the time at which they were received.
+PromiseHandler = Callable[[tuple[PromiseReport, ...], float], None]
 
 # How long reports include the full record of an instance after it joined.
 INTRODUCTION_PERIOD_S = 3.0
@@ -68,8 +72,10 @@
         members: FleetMembership,
         crash_registry: CrashRegistry,
         endpoint_limits: EndpointLimitRegistry,
+        on_promises: PromiseHandler | None = None,
     ) -> None:
         self._members = members
+        self._on_promises = on_promises
         self._endpoint_limits = endpoint_limits
         self._crash_registry = crash_registry
         self._version_by_sender: dict[str, _ReportVersion] = {}
@@ -89,6 +95,8 @@
             self._members.reported_usage = ReportedUsage(datagram.fleet_usage, now)
         if datagram.endpoint_limits and self._is_sent_from(datagram.sender, host):
             self._endpoint_limits.merge(datagram.endpoint_limits, datagram.limit_claims, now)
+        if datagram.promises and self._on_promises and self._is_sent_from(datagram.sender, host):
+            self._on_promises(datagram.promises, now)
         for item in datagram.reports:
             member = item.report.heartbeat.member
             if member.name == datagram.sender and _host(member.heartbeat_address) == host:
