--- a/tests/test_ordered_returns.py
+++ b/tests/test_ordered_returns.py
@@ -10,7 +10,11 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from plantainloft_node.endpoint_limits.registry import EndpointLimitRegistry
+from plantainloft_node.entry.return_planning import fleet_reports
 from plantainloft_node.fleet.datagrams import unpack_datagram
+from plantainloft_node.fleet.membership import FleetMember, FleetMembership
+from plantainloft_node.fleet.report_receiver import ReportReceiver
 from plantainloft_node.overload.promise_codec import PromiseReport, pack_promises
 from plantainloft_node.overload.promise_exchange import MAX_PENDING, PromiseExchange
 from plantainloft_node.overload.promises import (
@@ -24,6 +28,7 @@
 from plantainloft_node.overload.return_shares import FleetReports, ReturnShares
 from plantainloft_node.overload.returns import Promise, ReturnRequest, ServiceCapacity
 from plantainloft_node.placement.demand import DemandMeter
+from plantainloft_node.quarantine.crash_registry import CrashRegistry
 
 SERVICE = 'tiles'
 DIGEST = caller_digest('10.0.0.1', 'read', 'a')
@@ -177,6 +182,40 @@
     assert shares.update(reports._replace(own_rates={SERVICE: 9.0}), 1.0)[SERVICE].size == 0.5
 
 
+def fleet_member(name: str, zone: str = 'a') -> FleetMember:
+    return FleetMember(name, 1, 'ankara', zone, f'{name}:80', f'{name}:90')
+
+
+def test_promises_of_unknown_senders_are_ignored() -> None:
+    """Failure: a datagram from anywhere admits its sender before others."""
+    members = FleetMembership(local_member=fleet_member('e1'))
+    members.add_member(fleet_member('e2'), 0.0)
+    receiving = exchange()
+    receiver = ReportReceiver(
+        members=members,
+        crash_registry=CrashRegistry(),
+        endpoint_limits=EndpointLimitRegistry(),
+        on_promises=receiving.receive,
+    )
+    packed = pack_promises('e2', [PromiseReport(DIGEST, SERVICE, 1, 1.0, False)])[0]
+    assert receiver.receive(packed, 'elsewhere', 0.0) is not None
+    assert not len(receiving.book)
+    receiver.receive(packed, 'e2', 0.0)
+    assert len(receiving.book) == 1
+
+
+def test_silent_instances_are_counted_as_running() -> None:
+    """Failure: an instance that hears of no peer promises the whole capacity."""
+    members = FleetMembership(local_member=fleet_member('e2'))
+    for name, zone in (('e1', 'a'), ('e3', 'b'), ('e4', 'b')):
+        members.add_member(fleet_member(name, zone), 0.0)
+    assert not fleet_reports(members, {SERVICE: 5.0}, 1.0).instances_by_zone
+    members.has_member_list = True
+    reports = fleet_reports(members, {SERVICE: 5.0}, 1.0)
+    assert reports.zone_position == 1
+    assert ReturnShares().update(reports, 1.0)[SERVICE].size <= 0.25
+
+
 promise_reports = st.builds(
     PromiseReport,
     st.binary(min_size=8, max_size=8),
