--- a/packages/core/src/plantainloft_core/routes.py
+++ b/packages/core/src/plantainloft_core/routes.py
@@ -95,24 +95,23 @@
 
 
 class RouteTable(NamedTuple):
-    """One version of all routes, services, limits and organisations."""
+    """One version of all routes, services, limits and organisations.
+
+    ``has_downloads`` says whether any route has large responses.
+    """
 
     version: int
     routes_by_host: Mapping[str, tuple[Route, ...]]
     services_by_name: Mapping[str, ServiceLimits]
     limits: CallerLimits
     organisations: OrganisationIndex = NO_ORGANISATIONS
+    has_downloads: bool = False
 
     @property
     def requires_keys(self) -> bool:
         """Whether routes that are not public require a key."""
         return bool(self.organisations.by_name)
 
-    @property
-    def has_downloads(self) -> bool:
-        """Whether any route has large responses."""
-        return any(route.is_download for routes in self.routes_by_host.values() for route in routes)
-
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route of ``host`` with the longest prefix that matches ``path``."""
         for route in self.routes_by_host.get(host, ()):
@@ -140,6 +139,7 @@
         services_by_name={service.name: service for service in services},
         limits=limits,
         organisations=organisations,
+        has_downloads=any(route.is_download for route in longest_first),
     )
 
 
