Admission under scarcity: the decisions

With more requests than the slots can take, endpoints' queues were filled in the order of arrival: late requests delayed those that could be on time, less urgent ones delayed more urgent ones, and one organisation could take most of the room.

overload/ holds pure code that decides before a request is sent: by its priority, whether it can be on time at the endpoint that was chosen, and whether its organisation and zone are within their fair shares. Selection has the expected time to the answer. Nothing uses it yet.

--- /dev/null
+++ b/packages/node/src/plantainloft_node/overload/__init__.py
@@ -0,0 +1,1 @@
+"""Overload control: admission of requests and the returns of refused callers."""
--- /dev/null
+++ b/packages/node/src/plantainloft_node/overload/admission.py
@@ -0,0 +1,123 @@
+"""Whether a request is admitted to the endpoint that placement has chosen.
+
+Endpoints queue requests in the order of arrival and an instance can't reorder them. A
+request that should yield must therefore be kept out while the queue that it would join
+leaves no room for those that come before it. While the service has room, all requests
+are admitted that can be answered in time for their route.
+"""
+
+from enum import StrEnum
+from typing import NamedTuple
+
+__all__ = [
+    'Admit',
+    'Arrival',
+    'CallerRequest',
+    'Reject',
+    'RejectReason',
+    'ServiceState',
+    'decide_admission',
+    'rank_of',
+]
+
+# The part of the slack of a request up to which it may queue although it is beyond the
+# share of its group, by priority. The rest of the queue is left to requests within
+# their shares; a shorter queue would leave slots idle between arrivals.
+BEYOND_SHARE_QUEUE = (0.6, 0.4, 0.25)
+# A request that can only be late may queue for this part of its objective, in which a
+# slot becomes free anyhow: requests that join after it can still be on time.
+LATE_QUEUE = 0.2
+
+
+class RejectReason(StrEnum):
+    """Why a request is rejected."""
+
+    NO_ENDPOINT = 'no endpoint'
+    NOT_IN_TIME = 'not in time'
+    LATE = 'late'
+    BEYOND_SHARE = 'beyond share'
+    NOT_RUN = 'not run'
+    EXPIRED = 'out of time'
+
+
+class Admit(NamedTuple):
+    """The request may be sent."""
+
+
+class Reject(NamedTuple):
+    """The request must not be sent; the caller may return after ``retry_after_s``.
+
+    ``is_promised``: room is reserved for its return.
+    """
+
+    reason: RejectReason
+    retry_after_s: float
+    is_promised: bool = False
+
+
+class CallerRequest(NamedTuple):
+    """Who asks for what; the same for a caller that returns.
+
+    ``digest`` identifies the caller with its request, ``organisation`` is empty where no key
+    is required, ``caller_deadline`` is when the caller gives up (monotonic, seconds).
+    """
+
+    digest: bytes
+    service: str
+    priority: int
+    organisation: str
+    caller_deadline: float
+
+
+class Arrival(NamedTuple):
+    """A request with the prediction for the endpoint that was chosen for it.
+
+    Times in seconds: ``objective_left_s`` until its answer is late, ``remaining_s`` until
+    it is abandoned, ``expected_s`` until the answer if it is sent now, of which ``wait_s`` is
+    spent in the queue. ``has_promise``: its caller returns on a promise.
+    """
+
+    priority: int
+    objective_s: float
+    objective_left_s: float
+    remaining_s: float
+    expected_s: float
+    wait_s: float
+    has_promise: bool = False
+
+    @property
+    def slack_s(self) -> float:
+        """How long it may queue and still be on time; negative if it is late anyhow."""
+        return self.objective_left_s - (self.expected_s - self.wait_s)
+
+    @property
+    def is_late(self) -> bool:
+        """Whether its answer can only be late."""
+        return self.wait_s > self.slack_s
+
+
+class ServiceState(NamedTuple):
+    """Whether room of the service is scarce, and whether the group is within its share."""
+
+    is_scarce: bool
+    is_within_share: bool
+
+
+def rank_of(arrival: Arrival) -> int:
+    """Return the rank within a group: by priority, then on time before late."""
+    return 2 * arrival.priority + arrival.is_late
+
+
+def decide_admission(arrival: Arrival, service: ServiceState) -> RejectReason | None:
+    """Return why ``arrival`` is rejected, or ``None`` if it is admitted."""
+    if arrival.expected_s > arrival.remaining_s:
+        return RejectReason.NOT_IN_TIME
+    if arrival.has_promise or not service.is_scarce:
+        return None
+    if arrival.is_late:
+        fits = arrival.wait_s <= LATE_QUEUE * arrival.objective_s
+        return None if fits else RejectReason.LATE
+    if service.is_within_share:
+        return None
+    part = BEYOND_SHARE_QUEUE[min(arrival.priority, len(BEYOND_SHARE_QUEUE) - 1)]
+    return None if arrival.wait_s <= part * arrival.slack_s else RejectReason.BEYOND_SHARE
--- a/packages/node/src/plantainloft_node/placement/selection.py
+++ b/packages/node/src/plantainloft_node/placement/selection.py
@@ -52,12 +52,14 @@
 
     ``limited_ids`` are the endpoints of the key's region that were left out because
     this instance has used its share of the request limit that they name, ``unwilling_ids``
-    those that have announced that they want no requests.
+    those that have announced that they want no requests. ``expected_s`` is the expected time
+    from now to the answer, 0 if unknown.
     """
 
     endpoint: EndpointState
     load: float
     rank: int
+    expected_s: float = 0.0
     limited_ids: tuple[str, ...] = ()
     unwilling_ids: tuple[str, ...] = ()
 
@@ -95,7 +97,7 @@
             continue
         expected_s = state.expected_s(request.key, load, now)
         if best is None or (cached and expected_s < soonest_s):
-            best = Selection(endpoint=state, load=load, rank=rank)
+            best = Selection(endpoint=state, load=load, rank=rank, expected_s=expected_s)
             soonest_s = expected_s
     if best is None:
         return NoCapacity(
