Admission control decides before a request's first attempt

A refused caller was told a random Retry-After, and requests were refused only when every queue was full.

The dispatcher asks the admission controller before the first attempt, and takes Retry-After from the planner of returns at the end of all attempts. The controller is told capacity and demand every 0.25 s; while overload control is off, nothing of it is called and Retry-After is random as before. Until the plan of returns is merged, UnplannedReturns promises nothing. GET /scarcity and metrics show the decisions.

--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -10,9 +10,11 @@
     TunnelPath,
     UpstreamConnection,
 )
+from plantainloft_node.overload.admission import CallerRequest
 from plantainloft_node.quarantine.crash_detector import EndpointAttempt
 
 __all__ = [
+    'AdmissionRecord',
     'Answered',
     'AttemptOutcome',
     'Attempts',
@@ -94,10 +96,14 @@
 
 @dataclass(frozen=True, slots=True, kw_only=True)
 class Refusal:
-    """The request did not run and will not; the caller may retry later."""
+    """The request did not run and will not; the caller may retry later.
+
+    ``is_promised``: room is reserved for its return in ``retry_after_s``.
+    """
 
     reason: str
     retry_after_s: float
+    is_promised: bool = False
 
 
 class PlacementDetails(NamedTuple):
@@ -138,6 +144,19 @@
     organisation: str = ''
 
 
+@dataclass(slots=True)
+class AdmissionRecord:
+    """What admission control knows of a request and has decided about it.
+
+    ``request`` is ``None`` if the request is not controlled. ``rejected_for`` is why it was
+    rejected, empty if it was not. ``has_promise``: its caller returned on a promise.
+    """
+
+    request: CallerRequest | None = None
+    rejected_for: str = ''
+    has_promise: bool = False
+
+
 class Attempts:
     """Records which endpoints a request was sent to, and how each attempt ended."""
 
@@ -152,6 +171,7 @@
         # once one may have run.
         self.may_have_run = False
         self._withheld_reason = ''
+        self._admission = AdmissionRecord()
         self._has_unsent_retry = False
         self._failure_reasons: list[str] = []
         # The endpoint that is processing the request now, if any.
@@ -195,6 +215,11 @@
         """Record that the request may be sent once more."""
         self._has_unsent_retry = True
 
+    @property
+    def admission(self) -> AdmissionRecord:
+        """What admission control knows of the request and has decided about it."""
+        return self._admission
+
     @property
     def has_unsent_retry(self) -> bool:
         """Whether a retry was granted and no byte of it was sent."""
--- a/packages/node/src/plantainloft_node/engine/dispatcher.py
+++ b/packages/node/src/plantainloft_node/engine/dispatcher.py
@@ -7,14 +7,13 @@
 """
 
 import logging
-import random
 from http import HTTPStatus
 from typing import NamedTuple
 
 import anyio
 
-from plantainloft_core.organisations import Organisation
-from plantainloft_core.routes import Route, RouteTable
+from plantainloft_core.routes import RouteTable
+from plantainloft_node.engine.admitted_request import AdmittedRequest
 from plantainloft_node.engine.attempts import (
     Answered,
     Attempts,
@@ -24,12 +23,13 @@
     PlacementDetails,
     Refusal,
 )
-from plantainloft_node.engine.exchange import Exchange
 from plantainloft_node.engine.header_names import HeaderNames
 from plantainloft_node.engine.headers import Headers, forwardable_headers
+from plantainloft_node.engine.request_admission import RequestAdmission
 from plantainloft_node.engine.responses import request_id
 from plantainloft_node.engine.sender import EndpointRequest, Sender
 from plantainloft_node.engine.upstream_connection import UpstreamRequest
+from plantainloft_node.overload.admission import RejectReason
 from plantainloft_node.placement.demand import DemandMeter
 from plantainloft_node.placement.placement import NoCapacity, Placement, PlacementRequest, Selection
 from plantainloft_node.placement.weighted_round_robin import SmoothWeightedRoundRobin
@@ -39,7 +39,7 @@
 from plantainloft_node.quarantine.quarantine import AdmissionDecision, Admitted, Blocked, Quarantine
 from plantainloft_node.retry_budget.registry import RetryBudgets
 
-__all__ = ['AdmittedRequest', 'Dispatcher', 'refusal_with_retry_after']
+__all__ = ['Dispatcher']
 
 log = logging.getLogger(__name__)
 
@@ -48,26 +48,12 @@
 MAX_CONNECT_FAILURES = 3
 # Misdirected attempts of a request beyond which it is not retried.
 MAX_MISDIRECTED = 2
-# Bounds of Retry-After: about the time in which endpoints finish their current
-# requests, with jitter so that refused callers do not all retry at once.
-MIN_RETRY_AFTER_S = 0.15
-RETRY_AFTER_JITTER_S = 0.35
 
 
-class AdmittedRequest(NamedTuple):
-    """A request with its route and its deadline.
+class _Unplaced(NamedTuple):
+    """The request is not sent to an endpoint (any more), with the result."""
 
-    ``organisation`` is the one identified by the caller's key; ``None`` where no key
-    is required.
-    """
-
-    exchange: Exchange
-    route: Route
-    affinity_key: str
-    deadline: float
-    body: bytes
-    body_complete: bool
-    organisation: Organisation | None = None
+    result: Refusal | Failed
 
 
 class Dispatcher:
@@ -82,7 +68,10 @@
         retry_budgets: RetryBudgets,
         crash_detector: CrashDetector,
         quarantine: Quarantine,
+        admission: RequestAdmission | None = None,
     ) -> None:
+        """Set up the dispatcher; without ``admission``, overload control is always off."""
+        self.admission = admission or RequestAdmission(names=names, controller=None)
         self._names = names
         self._crash_detector = crash_detector
         self._quarantine = quarantine
@@ -115,13 +104,9 @@
         service = round_robin.next_service(route.shares)
         self.retry_budgets.record_request(service, anyio.current_time())
         self.demand.record_request(service)
-        try:
-            return await self._send_until_final(
-                admitted, service, route_table, attempts, send_once=send_once
-            )
-        finally:
-            if attempts.has_unsent_retry:
-                self.retry_budgets.release(service, anyio.current_time())
+        return await self._send_controlled(
+            admitted, service, route_table, attempts, send_once=send_once
+        )
 
     def record_streamed_response(self, attempt: EndpointAttempt, *, complete: bool) -> None:
         """Record how the streamed response of ``attempt`` ended."""
@@ -135,6 +120,28 @@
             return Admitted()
         return await self._quarantine.admit(self._fingerprint(admitted))
 
+    async def _send_controlled(
+        self,
+        admitted: AdmittedRequest,
+        service: str,
+        route_table: RouteTable,
+        attempts: Attempts,
+        *,
+        send_once: bool,
+    ) -> Answered | Refusal | Failed:
+        """Send the request, and settle its promise and its retries when it has ended."""
+        promise = self.admission.begin(admitted, service, attempts, now=anyio.current_time())
+        outcome: Answered | Refusal | Failed | None = None
+        try:
+            outcome = await self._send_until_final(
+                admitted, service, route_table, attempts, send_once=send_once
+            )
+        finally:
+            self.admission.record_outcome(promise, served=isinstance(outcome, Answered))
+            if attempts.has_unsent_retry:
+                self.retry_budgets.release(service, anyio.current_time())
+        return outcome
+
     async def _send_until_final(
         self,
         admitted: AdmittedRequest,
@@ -146,20 +153,22 @@
     ) -> Answered | Refusal | Failed:
         while True:
             outcome = await self._attempt(admitted, service, route_table, attempts)
-            if isinstance(outcome, Refusal):
-                return _refusal_or_failure(outcome, attempts)
+            if isinstance(outcome, _Unplaced):
+                return outcome.result
             if isinstance(outcome, Answered | Failed):
                 is_last = send_once or _is_final(outcome)
                 if is_last or not self._may_retry_executed(admitted, service, attempts):
                     return outcome
             elif not self._may_retry_unexecuted(admitted, service, attempts, outcome):
-                return _refusal_or_failure(
-                    refusal_with_retry_after('; '.join(attempts.failure_reasons())), attempts
+                return self.admission.refuse(
+                    attempts,
+                    '; '.join(attempts.failure_reasons()),
+                    counted_as=RejectReason.NOT_RUN,
                 )
 
     async def _attempt(
         self, admitted: AdmittedRequest, service: str, route_table: RouteTable, attempts: Attempts
-    ) -> Answered | NotSent | NotRun | Failed | Refusal:
+    ) -> Answered | NotSent | NotRun | Failed | _Unplaced:
         now = anyio.current_time()
         remaining_s = admitted.deadline - now
         placement_request = PlacementRequest(
@@ -174,9 +183,17 @@
         )
         if isinstance(selection, NoCapacity):
             attempts.candidate_loads = selection.load_summary
-            return refusal_with_retry_after(
-                selection.reason, earliest_s=selection.retry_after_s or 0.0
+            return _Unplaced(
+                self.admission.refuse(
+                    attempts,
+                    selection.reason,
+                    counted_as=RejectReason.NO_ENDPOINT,
+                    earliest_s=selection.retry_after_s or 0.0,
+                )
             )
+        rejection = self.admission.decide(admitted, selection, attempts, now=now)
+        if rejection is not None:
+            return _Unplaced(rejection)
         self._placement.record_sent(selection.endpoint, now)
         endpoint_request = self._build_endpoint_request(
             admitted,
@@ -368,15 +385,3 @@
     return isinstance(outcome, Answered) and (
         outcome.head.status < HTTPStatus.INTERNAL_SERVER_ERROR
     )
-
-
-def refusal_with_retry_after(reason: str, *, earliest_s: float = 0.0) -> Refusal:
-    """Return a refusal that tells the caller when to retry, in ``earliest_s`` or later."""
-    return Refusal(
-        reason=reason,
-        retry_after_s=max(MIN_RETRY_AFTER_S, earliest_s) + random.random() * RETRY_AFTER_JITTER_S,
-    )
-
-
-def _refusal_or_failure(refusal: Refusal, attempts: Attempts) -> Refusal | Failed:
-    return Failed(reason=refusal.reason) if attempts.may_have_run else refusal
--- a/packages/node/src/plantainloft_node/engine/forwarding_handler.py
+++ b/packages/node/src/plantainloft_node/engine/forwarding_handler.py
@@ -6,6 +6,7 @@
 
 from plantainloft_core.organisations import Organisation
 from plantainloft_core.routes import CallerLimits, Route, RouteTable
+from plantainloft_node.engine.admitted_request import AdmittedRequest
 from plantainloft_node.engine.attempts import (
     Answered,
     Attempts,
@@ -13,17 +14,14 @@
     Refusal,
     RequestContext,
 )
-from plantainloft_node.engine.dispatcher import (
-    AdmittedRequest,
-    Dispatcher,
-    refusal_with_retry_after,
-)
+from plantainloft_node.engine.dispatcher import Dispatcher
 from plantainloft_node.engine.exchange import Exchange, ExchangeHandler
 from plantainloft_node.engine.header_names import HeaderNames
 from plantainloft_node.engine.headers import find_cookie
 from plantainloft_node.engine.request_body import BodyTooLargeError
 from plantainloft_node.engine.responses import DEADLINE_EXCEEDED, ResponseSender, request_id
 from plantainloft_node.limits.limiter import RequestLimiter
+from plantainloft_node.overload.admission import RejectReason
 from plantainloft_node.quarantine.quarantine import Blocked
 
 __all__ = ['ForwardingHandler']
@@ -113,7 +111,8 @@
         route_table: RouteTable,
         organisation: Organisation | None,
     ) -> None:
-        deadline = exchange.received_at + min(self._requested_timeout_s(exchange), route.timeout_s)
+        requested_s = self._requested_timeout_s(exchange)
+        deadline = exchange.received_at + min(requested_s, route.timeout_s)
         organisation_name = organisation.name if organisation else ''
         context = RequestContext(
             self._affinity_key(exchange), route_table.version, organisation_name
@@ -129,6 +128,7 @@
                     route,
                     context.affinity_key,
                     deadline,
+                    exchange.received_at + requested_s,
                     body,
                     body_complete,
                     organisation,
@@ -141,7 +141,9 @@
             ran = isinstance(outcome, Answered) or attempts.may_have_run
             self._update_limit_usage(organisation, attempts, ran=ran)
         if outcome is None:
-            outcome = _deadline_exceeded(attempts)
+            outcome = self._dispatcher.admission.refuse(
+                attempts, DEADLINE_EXCEEDED, counted_as=RejectReason.EXPIRED
+            )
         await self._responses.respond(exchange, route, outcome, attempts)
 
     def _update_limit_usage(
@@ -174,9 +176,3 @@
         # Without an affinity key, requests are distributed by their request ids.
         cookie = find_cookie(exchange.headers, self._names.affinity_cookie)
         return cookie or request_id(exchange, self._names)
-
-
-def _deadline_exceeded(attempts: Attempts) -> Refusal | Failed:
-    if attempts.may_have_run:
-        return Failed(reason=DEADLINE_EXCEEDED)
-    return refusal_with_retry_after(DEADLINE_EXCEEDED)
--- a/packages/node/src/plantainloft_node/engine/responses.py
+++ b/packages/node/src/plantainloft_node/engine/responses.py
@@ -146,6 +146,8 @@
             self._record_outcome(route.name, 'refused', elapsed_s)
             fields['reason'] = outcome.reason
             fields['endpoints'] = attempts.candidate_loads
+            if outcome.is_promised:
+                fields['promised'] = True
             self._log_outcome(exchange, 'refused', fields)
             await self.respond_refused(exchange, outcome)
         elif isinstance(outcome, Blocked):
@@ -247,6 +249,10 @@
         fields['organisation'] = attempts.context.organisation
     if attempts.withheld_reason:
         fields['retry_withheld'] = attempts.withheld_reason
+    if attempts.admission.rejected_for:
+        fields['rejected_for'] = attempts.admission.rejected_for
+    if attempts.admission.has_promise:
+        fields['returned'] = True
     if attempts.path is not None:
         fields['via'] = attempts.path.peer
         fields['tunnel'] = attempts.path.tunnel
--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -12,6 +12,7 @@
 from plantainloft_node.limits.limiter import RequestLimiter
 from plantainloft_node.limits.organisation_listing import ListedOrganisation, list_organisations
 from plantainloft_node.links.listing import list_links
+from plantainloft_node.overload.controller import AdmissionController, ScarcityEntry
 from plantainloft_node.placement.placement import Placement
 from plantainloft_node.replica.return_listing import StoreReturnEntry, list_store_return
 
@@ -35,6 +36,7 @@
         self.limiter: RequestLimiter | None = None
         self.endpoint_limiter: EndpointLimiter | None = None
         self.endpoint_links: EndpointLinks | None = None
+        self.admission: AdmissionController | None = None
 
     def observe(self, route: str, outcome: str, seconds: float) -> None:
         """Record one answered request and its duration."""
@@ -61,6 +63,7 @@
         self._set_announcement_gauges(now)
         self._set_link_gauges(now)
         self._set_store_return_gauges()
+        self._set_admission_gauges()
         return metrics.text()
 
     def organisations(self) -> list[ListedOrganisation]:
@@ -87,6 +90,10 @@
         state = self._replicated_state
         return list_store_return(state.store.eras, state.updates, anyio.current_time())
 
+    def scarcity(self) -> list[ScarcityEntry]:
+        """Return what admission control has admitted to each service, and rejected."""
+        return [] if self.admission is None else self.admission.listing()
+
     def _set_store_return_gauges(self) -> None:
         entry = self.store_return()
         self._metrics.set_gauge('store_era', entry['era'])
@@ -130,6 +137,22 @@
             self._metrics.set_gauge('retries', usage.sent, service=service, outcome='sent')
             self._metrics.set_gauge('retries', usage.withheld, service=service, outcome='withheld')
 
+    def _set_admission_gauges(self) -> None:
+        if self.admission is None:
+            return
+        set_gauge = self._metrics.set_gauge
+        set_gauge('overload_control_active', int(self.admission.is_active))
+        for entry in self.admission.listing():
+            service = entry['service']
+            set_gauge('admission_room_per_second', entry['room'], service=service)
+            set_gauge('admission_load', entry['load'], service=service)
+            set_gauge('admissions', entry['admitted'], service=service, decision='admitted')
+            for reason, count in entry['rejected'].items():
+                set_gauge('admissions', count, service=service, decision=reason)
+            set_gauge('returns_promised', entry['promised'], service=service)
+            set_gauge('returns', entry['returned'], service=service)
+            set_gauge('returns_served', entry['served_on_return'], service=service)
+
     def _set_announcement_gauges(self, now: float) -> None:
         announcements = self._replicated_state.endpoint_registry.announcements
         self._metrics.set_gauge('endpoints_leaving', announcements.leaving_count())
--- a/packages/node/src/plantainloft_node/entry/periodic_updates.py
+++ b/packages/node/src/plantainloft_node/entry/periodic_updates.py
@@ -1,19 +1,25 @@
 """Periodic updates of state that changes with time, not only with row changes."""
 
+from collections.abc import Callable, Mapping
+
 import anyio
 
 from plantainloft_node.entry.component_parameters import UPDATE_INTERVAL_S
+from plantainloft_node.entry.overload_switch import is_overload_control_active
 from plantainloft_node.entry.replicated_state import ReplicatedState
 from plantainloft_node.entry.request_pipeline import RequestPipeline
+from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.fleet.demand import (
     fleet_size,
     fleet_view,
     has_current_fleet_usage,
     max_running_instances,
     sum_fleet_usage,
-    zone_demands,
+    zone_demand_by_name,
 )
+from plantainloft_node.fleet.heartbeat_table import ZoneDemand
 from plantainloft_node.fleet.membership import FleetMembership
+from plantainloft_node.overload.service_demand import estimate_demand
 from plantainloft_node.placement.cold_rate_limit import cold_limit_sharers
 from plantainloft_node.placement.demand import DemandReport, demand_by_region
 
@@ -29,7 +35,11 @@
         replicated_state: ReplicatedState,
         members: FleetMembership,
         pipeline: RequestPipeline,
+        settings: Callable[[], EntrySettings],
     ) -> None:
+        """Set up the updates; ``settings`` returns those in force."""
+        self._settings = settings
+        self._admission = pipeline.admission
         self._replicated_state = replicated_state
         self._members = members
         self._placement = pipeline.placement
@@ -70,11 +80,27 @@
         self._demand.update(UPDATE_INTERVAL_S)
         self._crash_registry.delete_expired(now)
         self._replicated_state.endpoint_registry.remove_expired_announcements(now)
-        zones = zone_demands(self._members, self._demand.rate_by_service, now)
-        demand = [DemandReport(zone.region, zone.rate_by_service) for zone in zones]
+        zones = zone_demand_by_name(self._members, self._demand.rate_by_service, now)
+        demand = [DemandReport(zone.region, zone.rate_by_service) for zone in zones.values()]
         self._placement.update_region_shares(demand_by_region(demand))
+        self._update_admission(zones, now)
         self._update_limits(now)
 
+    def _update_admission(self, zones: Mapping[str, ZoneDemand], now: float) -> None:
+        self._admission.is_active = is_overload_control_active(
+            self._settings(), self._replicated_state.routing_state.route_table
+        )
+        if not self._admission.is_active:
+            return
+        demand = estimate_demand(
+            registry=self._replicated_state.endpoint_registry,
+            rates_by_zone={name: zone.rate_by_service for name, zone in zones.items()},
+            own_rates=self._demand.rate_by_service,
+            instance_count=max_running_instances(self._members, now),
+            now=now,
+        )
+        self._admission.update(demand, now)
+
     def _update_limits(self, now: float) -> None:
         organisations = self._replicated_state.routing_state.route_table.organisations
         if not organisations.by_name:
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -116,6 +116,7 @@
             replicated_state=self.replicated_state,
             members=self.members,
             pipeline=self.pipeline,
+            settings=lambda: self._settings,
         )
         for poller in self.replicated_state.pollers.values():
             tasks.start_soon(poller.run)
@@ -139,9 +140,7 @@
             operators = OperatorHandler(
                 metrics_text=self._metrics,
                 quarantine=self.quarantine,
-                organisations=self.report.organisations,
-                endpoint_limits=self.report.endpoint_limits,
-                store_return=self.report.store_return,
+                report=self.report,
                 announcements=self.replicated_state.endpoint_registry.announcements,
                 links=self.pipeline.endpoint_links.monitor,
                 retry_budgets=self.pipeline.dispatcher.retry_budgets,
--- a/packages/node/src/plantainloft_node/entry/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/entry/request_pipeline.py
@@ -1,11 +1,13 @@
 """The components that process callers' requests, and how they are wired."""
 
+import random
 from typing import NamedTuple
 
 from plantainloft_node.engine.connection_pool import ConnectionPool
 from plantainloft_node.engine.dispatcher import Dispatcher
 from plantainloft_node.engine.forwarding_handler import ForwardingHandler
 from plantainloft_node.engine.header_names import HeaderNames
+from plantainloft_node.engine.request_admission import RequestAdmission
 from plantainloft_node.engine.sender import Sender
 from plantainloft_node.entry.component_parameters import (
     limit_parameters,
@@ -18,6 +20,8 @@
 from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.fleet.membership import FleetMembership
 from plantainloft_node.limits.limiter import RequestLimiter
+from plantainloft_node.overload.controller import AdmissionController
+from plantainloft_node.overload.unplanned_returns import UnplannedReturns, no_digest
 from plantainloft_node.placement.placement import Placement
 from plantainloft_node.quarantine.crash_detector import CrashDetector, EndpointAttempt
 from plantainloft_node.quarantine.quarantine import Quarantine
@@ -36,6 +40,7 @@
     crash_detector: CrashDetector
     limiter: RequestLimiter
     endpoint_links: EndpointLinks
+    admission: AdmissionController
 
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply the limits of reloaded settings."""
@@ -71,6 +76,12 @@
         quarantine.record_crash(attempt, now)
 
     crash_detector = CrashDetector(on_crash=record_crash, has_ended=endpoint_links.has_ended)
+    admission = AdmissionController(
+        zone=settings.zone,
+        planner=UnplannedReturns(rng=random.Random()),
+        digest_caller=no_digest,
+    )
+    report.admission = admission
     dispatcher = Dispatcher(
         names=names,
         placement=placement,
@@ -78,6 +89,7 @@
         retry_budgets=RetryBudgets(limits=retry_limits(settings)),
         crash_detector=crash_detector,
         quarantine=quarantine,
+        admission=RequestAdmission(names=names, controller=admission),
     )
     limiter = RequestLimiter(instance=settings.name, settings=limit_parameters(settings))
     forwarding_handler = ForwardingHandler(
@@ -95,4 +107,5 @@
         crash_detector=crash_detector,
         limiter=limiter,
         endpoint_links=endpoint_links,
+        admission=admission,
     )
--- a/packages/node/src/plantainloft_node/fleet/demand.py
+++ b/packages/node/src/plantainloft_node/fleet/demand.py
@@ -14,6 +14,7 @@
     'has_current_fleet_usage',
     'max_running_instances',
     'sum_fleet_usage',
+    'zone_demand_by_name',
     'zone_demands',
     'zone_heartbeats',
     'zone_request_rates',
@@ -126,9 +127,16 @@
     members: FleetMembership, own_rates: Mapping[str, float], now: float
 ) -> list[ZoneDemand]:
     """Return the demand of each availability zone."""
+    return list(zone_demand_by_name(members, own_rates, now).values())
+
+
+def zone_demand_by_name(
+    members: FleetMembership, own_rates: Mapping[str, float], now: float
+) -> dict[str, ZoneDemand]:
+    """Return the demand of each availability zone, by the zone's name."""
     demand_by_zone = members.zone_demands.by_zone(now)
     if members.local_member.zone not in demand_by_zone:
         rates = zone_request_rates(zone_heartbeats(members, now), own_rates)
         demand = ZoneDemand(members.local_member.region, rates)
         demand_by_zone[members.local_member.zone] = demand
-    return list(demand_by_zone.values())
+    return demand_by_zone
