--- a/packages/node/src/plantainloft_node/overload/admission.py
+++ b/packages/node/src/plantainloft_node/overload/admission.py
@@ -7,8 +7,11 @@
 """
 
 from enum import StrEnum
+from types import MappingProxyType
 from typing import NamedTuple
 
+from plantainloft_node.overload.fair_shares import Standing
+
 __all__ = [
     'Admit',
     'Arrival',
@@ -20,10 +23,16 @@
     'rank_of',
 ]
 
-# The part of the slack of a request up to which it may queue although it is beyond the
-# share of its group, by priority. The rest of the queue is left to requests within
-# their shares; a shorter queue would leave slots idle between arrivals.
-BEYOND_SHARE_QUEUE = (0.6, 0.4, 0.25)
+# The part of its slack for which a request may queue, by priority and by what its group has
+# of its fair share: the rest of the queue is left to those that come before it. The least
+# is nothing: slots that are free anyhow are used by whoever asks.
+QUEUE_PARTS = MappingProxyType(
+    {
+        Standing.BELOW_SHARE: (1.0, 1.0, 0.6),
+        Standing.WITHIN_SHARE: (1.0, 1.0, 0.25),
+        Standing.BEYOND_SHARE: (0.5, 0.25, 0.0),
+    }
+)
 # A request that can only be late may queue for this part of its objective, in which a
 # slot becomes free anyhow: requests that join after it can still be on time.
 LATE_QUEUE = 0.2
@@ -36,6 +45,7 @@
     NOT_IN_TIME = 'not in time'
     LATE = 'late'
     BEYOND_SHARE = 'beyond share'
+    MORE_URGENT = 'room for more urgent'
     NOT_RUN = 'not run'
     EXPIRED = 'out of time'
 
@@ -97,10 +107,10 @@
 
 
 class ServiceState(NamedTuple):
-    """Whether room of the service is scarce, and whether the group is within its share."""
+    """Whether room of the service is scarce, and the standing of the group."""
 
     is_scarce: bool
-    is_within_share: bool
+    standing: Standing
 
 
 def rank_of(arrival: Arrival) -> int:
@@ -117,7 +127,9 @@
     if arrival.is_late:
         fits = arrival.wait_s <= LATE_QUEUE * arrival.objective_s
         return None if fits else RejectReason.LATE
-    if service.is_within_share:
+    parts = QUEUE_PARTS[service.standing]
+    if arrival.wait_s <= parts[min(arrival.priority, len(parts) - 1)] * arrival.slack_s:
         return None
-    part = BEYOND_SHARE_QUEUE[min(arrival.priority, len(BEYOND_SHARE_QUEUE) - 1)]
-    return None if arrival.wait_s <= part * arrival.slack_s else RejectReason.BEYOND_SHARE
+    if service.standing is Standing.BEYOND_SHARE:
+        return RejectReason.BEYOND_SHARE
+    return RejectReason.MORE_URGENT
--- a/packages/node/src/plantainloft_node/overload/controller.py
+++ b/packages/node/src/plantainloft_node/overload/controller.py
@@ -17,7 +17,7 @@
     decide_admission,
     rank_of,
 )
-from plantainloft_node.overload.fair_shares import FairShares, fair_level
+from plantainloft_node.overload.fair_shares import FairShares, Standing, fair_level
 from plantainloft_node.overload.returns import (
     Promise,
     ReturnPlanner,
@@ -34,14 +34,14 @@
 
 log = logging.getLogger(__name__)
 
-# Load (demand over capacity) from which room is scarce. A queue at a slightly lower load
-# lasts for many seconds, in which all requests are late.
-SCARCITY_LOAD = 0.95
+# Load (demand over capacity) from which room is scarce: from here on, queues only grow.
+SCARCITY_LOAD = 1.0
 # With fewer requests than this at the endpoints, as a part of their slots, there is room
 # whatever the load seems to be: processing times may have been learned while no object
-# was cached. With more than the second, there is none.
+# was cached.
 MIN_USED_IF_SCARCE = 0.75
-USED_IF_FULL = 1.25
+# With more, there is none: the queues hold most of a round of work, and late answers follow.
+USED_IF_FULL = 1.75
 # Scarcity is logged at most this often, for each service.
 LOG_INTERVAL_S = 1.0
 # Callers honour a Retry-After of up to this part of the time that they have left.
@@ -152,8 +152,10 @@
         service = self._service(request.service)
         group = request.organisation
         rank = rank_of(arrival)
-        within = not service.is_scarce or service.shares.is_within_share(group, rank, now)
-        reason = decide_admission(arrival, ServiceState(service.is_scarce, within))
+        standing = Standing.BELOW_SHARE
+        if service.is_scarce:
+            standing = service.shares.standing(group, rank, now)
+        reason = decide_admission(arrival, ServiceState(service.is_scarce, standing))
         if reason is not None:
             return self.reject(request, reason, now)
         service.count(service.admitted_by_group, group)
@@ -267,4 +269,4 @@
     level = fair_level(demand.rate_by_zone.values(), capacity.rate)
     if not math.isfinite(level):
         return own_part
-    return min(1.0, level / zone_rate) * capacity.demand_rate
+    return level / zone_rate * capacity.demand_rate
--- a/packages/node/src/plantainloft_node/overload/fair_shares.py
+++ b/packages/node/src/plantainloft_node/overload/fair_shares.py
@@ -7,8 +7,9 @@
 
 import math
 from collections.abc import Iterable, Mapping
+from enum import Enum
 
-__all__ = ['DECAY_S', 'DecayingSum', 'FairShares', 'fair_level']
+__all__ = ['DECAY_S', 'DecayingSum', 'FairShares', 'Standing', 'fair_level']
 
 # Demand changes within seconds, and an instance of a large fleet has only a few requests
 # a second, of which a shorter period would hold too few.
@@ -17,6 +18,17 @@
 MIN_WEIGHT = 0.02
 
 
+class Standing(Enum):
+    """A group's recent demand and use against its fair share.
+
+    It asks for no more than its share, it asks for more and has not used it up, or it has.
+    """
+
+    BELOW_SHARE = 'below'
+    WITHIN_SHARE = 'within'
+    BEYOND_SHARE = 'beyond'
+
+
 def fair_level(demands: Iterable[float], room: float) -> float:
     """Return the most that a group may get so that all together get at most ``room``.
 
@@ -90,10 +102,15 @@
         """Count an admitted request of ``rank``."""
         self._group_by_name.setdefault(name, _Group()).record_use(rank, now)
 
-    def is_within_share(self, name: str, rank: int, now: float) -> bool:
-        """Return whether the group has some of its share left for a request of ``rank``."""
+    def standing(self, name: str, rank: int, now: float) -> Standing:
+        """Return what a request of ``rank`` of the group finds of its share."""
         group = self._group_by_name.get(name)
-        return group is None or group.use(rank, now) < self._level
+        if group is None:
+            return Standing.BELOW_SHARE
+        if group.use(rank, now) >= self._level:
+            return Standing.BEYOND_SHARE
+        asks_for_less = group.demand.value(now) <= self._level
+        return Standing.BELOW_SHARE if asks_for_less else Standing.WITHIN_SHARE
 
     def update(self, room_per_s: float, now: float) -> None:
         """Divide ``room_per_s`` (requests a second) by the recent demand."""
