plantainctl scarcity: what admission admits and rejects

Operators saw only how many requests an instance refused, not whose and why.

The command adds up GET /scarcity of instances by service, zone and organisation.

--- a/packages/ctl/src/plantainloft_ctl/main.py
+++ b/packages/ctl/src/plantainloft_ctl/main.py
@@ -14,6 +14,7 @@
 from plantainloft_ctl.commands.organisations import KeyDigest, Organisations
 from plantainloft_ctl.commands.quarantine import Quarantine
 from plantainloft_ctl.commands.retry_budgets import RetryBudgets
+from plantainloft_ctl.commands.scarcity import Scarcity
 from plantainloft_ctl.commands.show import Show
 from plantainloft_ctl.commands.status import Status
 from plantainloft_ctl.commands.store_returns import StoreReturns
@@ -41,6 +42,7 @@
         | EndpointSignals
         | EndpointLinks
         | RetryBudgets
+        | Scarcity
         | StoreReturns
     ]
 
--- a/packages/ctl/src/plantainloft_ctl/request_timeline.py
+++ b/packages/ctl/src/plantainloft_ctl/request_timeline.py
@@ -26,6 +26,7 @@
         'reload',
         'quarantine',
         'retry_budget',
+        'scarcity',
     )
 )
 # Lines of the instance through which a request passed.
--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -28,6 +28,7 @@
 from plantainloft_node.engine.dispatcher import Dispatcher
 from plantainloft_node.engine.forwarding_handler import ForwardingHandler
 from plantainloft_node.engine.header_names import HeaderNames
+from plantainloft_node.engine.request_admission import RequestAdmission
 from plantainloft_node.engine.sender import Sender
 from plantainloft_node.limits.limiter import LimitSettings, RequestLimiter
 from plantainloft_node.links.monitor import LinkMonitor
@@ -276,6 +277,7 @@
     table: RouteTable | None = None,
     tables: list[RouteTable] | None = None,
     limiter: RequestLimiter | None = None,
+    admission: RequestAdmission | None = None,
 ) -> AsyncIterator[tuple[ForwardingServer, list[ScriptedEndpoint]]]:
     """Run a handler that forwards to one scripted endpoint for each script.
 
@@ -316,6 +318,7 @@
                 retry_budgets=retry_budgets,
                 crash_detector=crash_detector,
                 quarantine=quarantine,
+                admission=admission,
             ),
             limiter=limiter or RequestLimiter(instance='e1', settings=LIMIT_SETTINGS),
             route_table=lambda: table_versions[-1],
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,7 +7,19 @@
 from typing import NamedTuple
 
 import pytest
+from entry_fixtures import (
+    HEADER_NAMES,
+    ConnectionScript,
+    ScriptedConnection,
+    get_request,
+    make_route,
+    make_route_table,
+    running_forwarding_server,
+    signed_ok_response,
+)
 
+from plantainloft_ctl.scarcity import aggregate_scarcity, format_groups, format_scarcity_table
+from plantainloft_node.engine.request_admission import RequestAdmission
 from plantainloft_node.overload.admission import (
     Admit,
     Arrival,
@@ -324,3 +336,84 @@
     capacity = ServiceCapacity(rate=32.0, demand_rate=64.0, own_share=1.0)
     controller.update({SERVICE: ServiceDemand(capacity, {'a': 64.0}, 0.5)}, 0.25)
     assert controller.decide(caller, late, 0.25) == Admit()
+
+
+async def refuse(connection: ScriptedConnection) -> None:
+    while True:
+        await connection.read_request()
+        await connection.send(b'HTTP/1.1 503 Full\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n')
+
+
+async def serve(connection: ScriptedConnection) -> None:
+    while True:
+        await connection.read_request()
+        await connection.send(signed_ok_response(b'ok'))
+
+
+async def send_twice(
+    controller: AdmissionController, script: ConnectionScript
+) -> tuple[list[bytes], int]:
+    """Return the answers to two requests, and how many requests reached the endpoint."""
+    admission = RequestAdmission(names=HEADER_NAMES, controller=controller)
+    async with running_forwarding_server(script, admission=admission) as (server, (endpoint,)):
+        answers = [await server.send_request(get_request()) for _ in range(2)]
+    return answers, len(endpoint.requests)
+
+
+@pytest.mark.anyio
+async def test_a_request_that_no_endpoint_ran_is_told_when_to_return_and_served_then() -> None:
+    """Failure: callers were told a time at random and met the same full queues."""
+    planner = FakePlanner()
+    controller = make_controller(planner, load=2.0)
+    controller.is_active = True
+    answers, _ = await send_twice(controller, refuse)
+    assert all(answer.startswith(b'HTTP/1.1 503') for answer in answers)
+    assert all(b'retry-after: 0.70' in answer.lower() for answer in answers)
+    assert planner.outcomes == [False]
+    planner.outcomes.clear()
+    answers, _ = await send_twice(controller, serve)
+    assert all(answer.startswith(b'HTTP/1.1 200') for answer in answers)
+    assert planner.outcomes == [True]
+
+
+@pytest.mark.anyio
+async def test_nothing_is_asked_of_admission_while_overload_control_is_off() -> None:
+    """Failure: deployments without overload control were refused by its rules."""
+    planner = FakePlanner()
+    controller = make_controller(planner, load=2.0)
+    answers, sent = await send_twice(controller, refuse)
+    assert all(b'retry-after: 0.' in answer.lower() for answer in answers)
+    assert not planner.requests
+    assert not controller.listing()[0]['rejected']
+    assert sent == 2
+
+
+@pytest.mark.anyio
+async def test_a_rejected_request_reaches_no_endpoint() -> None:
+    """Failure: a request was told that it had not run, and it had been sent."""
+    controller = make_controller(FakePlanner(), load=2.0)
+    controller.is_active = True
+    table = make_route_table(make_route(idempotent=True, prefix='/files/', timeout_s=0.05))
+    admission = RequestAdmission(names=HEADER_NAMES, controller=controller)
+    async with running_forwarding_server(serve, table=table, admission=admission) as (
+        server,
+        (endpoint,),
+    ):
+        answer = await server.send_request(get_request())
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert not endpoint.requests
+    assert controller.listing()[0]['rejected'] == {'not in time': 1}
+
+
+def test_the_command_adds_up_what_instances_list() -> None:
+    """Failure: operators saw only how many requests an instance refused, not whose or why."""
+    controller = make_controller(FakePlanner(), load=2.0)
+    for organisation in ('east', 'west'):
+        caller = CallerRequest(b'caller', SERVICE, 1, organisation, caller_deadline=0.0)
+        controller.decide(caller, make_arrival(priority=1), 0.0)
+        controller.decide(caller, make_arrival(priority=1, wait_s=0.7), 0.0)
+    rows = aggregate_scarcity([controller.listing(), controller.listing()])
+    assert format_scarcity_table(rows)[1].split()[:8] == [
+        *(SERVICE, '64.0/s', '2.00', '4', '4', '0', '0', '0')
+    ]
+    assert format_groups(rows)[1].split() == [SERVICE, 'organisation', 'east', '2', '2']
