--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -18,6 +18,7 @@
     signed_ok_response,
 )
 
+from plantainloft_core.discovery import EndpointRecord
 from plantainloft_ctl.scarcity import aggregate_scarcity, format_groups, format_scarcity_table
 from plantainloft_node.engine.request_admission import RequestAdmission
 from plantainloft_node.overload.admission import (
@@ -38,7 +39,9 @@
     ReturnRequest,
     ServiceCapacity,
 )
+from plantainloft_node.overload.service_demand import estimate_demand
 from plantainloft_node.placement.demand import DemandMeter
+from plantainloft_node.placement.endpoints import EndpointRegistry
 
 SERVICE = 'desk'
 OBJECTIVE_S = 1.0
@@ -417,3 +420,34 @@
         *(SERVICE, '64.0/s', '2.00', '4', '4', '0', '0', '0')
     ]
     assert format_groups(rows)[1].split() == [SERVICE, 'organisation', 'east', '2', '2']
+
+
+def test_capacity_and_own_part_are_those_of_usable_endpoints_and_reported_rates() -> None:
+    """Failure: endpoints that leave counted as room, and each instance took all of it."""
+    registry = EndpointRegistry(region_by_zone={'a': 'north'})
+    for number, draining in enumerate((False, False, True)):
+        record = EndpointRecord(
+            id=f'i{number}',
+            service=SERVICE,
+            address='127.0.0.1:1',
+            zone='a',
+            slots=4,
+            draining=draining,
+            cold_s=0.0,
+        )
+        registry.add_or_update(record, 0.0)
+    registry.processing_by_service[SERVICE].record(WORK_S, cached=False)
+    rates = {'a': {SERVICE: 30.0}, 'b': {SERVICE: 10.0}}
+    estimated = estimate_demand(
+        registry=registry,
+        rates_by_zone=rates,
+        own_rates={SERVICE: 10.0},
+        instance_count=8,
+        now=0.0,
+    )
+    assert estimated[SERVICE].capacity == ServiceCapacity(8 / WORK_S, 10.0, 0.25)
+    assert estimated[SERVICE].rate_by_zone == {'a': 30.0, 'b': 10.0}
+    unknown = estimate_demand(
+        registry=registry, rates_by_zone={}, own_rates={}, instance_count=8, now=0.0
+    )
+    assert unknown[SERVICE].capacity.own_share == 1 / 8
--- a/tests/test_from_id_to_cause.py
+++ b/tests/test_from_id_to_cause.py
@@ -20,6 +20,7 @@
 from plantainloft_ctl.commands.endpoint_limits import EndpointLimits
 from plantainloft_ctl.commands.endpoint_signals import EndpointSignals
 from plantainloft_ctl.commands.retry_budgets import RetryBudgets
+from plantainloft_ctl.commands.scarcity import Scarcity
 from plantainloft_ctl.request_timeline import explain_request, parse_log_lines
 
 pytestmark = pytest.mark.anyio
@@ -265,3 +266,35 @@
     service, requests, retries, _, left, sent, withheld = listed[1].split()[:7]
     assert (service, requests, withheld) == ('desk', '1', '1')
     assert (retries, left, sent) == ('0', '0', '0')
+
+
+async def test_refused_while_overload_control_is_active(
+    entry_deployment: EntryDeployment, capsys: pytest.CaptureFixture[str]
+) -> None:
+    """Failure: neither the line of a refused request nor a listing told what was refused why."""
+
+    async def turn_away(connection: ScriptedConnection) -> None:
+        while True:
+            await connection.read_request()
+            await connection.send(
+                b'HTTP/1.1 503 Busy\r\nX-Plantainloft-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n'
+            )
+
+    entry_deployment.endpoints[0].script = turn_away
+    configuration = make_configuration(4)
+    configuration['resources'][0]['spec']['kind'] = 'download'
+    entry_deployment.store.put(OPERATOR_TABLE, 'config', configuration)
+    entry = entry_deployment.entry_processes[0]
+    with anyio.fail_after(5):
+        while b'overload_control_active 1' not in await http_get(entry.metrics_address, '/metrics'):
+            await anyio.sleep(0.1)
+    answer = await http_get(
+        entry.caller_address, '/files/1', extra_headers=request_id_header('scarce-1')
+    )
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert 'rejected_for=not run' in '\n'.join(timeline(entry_deployment, 'scarce-1'))
+    nodes = [f'http://{one.metrics_address}' for one in entry_deployment.entry_processes]
+    await anyio.to_thread.run_sync(Scarcity(nodes=nodes))
+    listed = capsys.readouterr().out.splitlines()
+    (line,) = (line for line in listed if line.startswith('desk ') and 'not run' in line)
+    assert line.endswith('not run: 1')
