--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -150,11 +150,13 @@
 
     ``request`` is ``None`` if the request is not controlled. ``rejected_for`` is why it was
     rejected, empty if it was not. ``has_promise``: its caller returned on a promise.
+    ``admitted_rank`` is the rank with which it was admitted, if it was.
     """
 
     request: CallerRequest | None = None
     rejected_for: str = ''
     has_promise: bool = False
+    admitted_rank: int | None = None
 
 
 class Attempts:
--- a/packages/node/src/plantainloft_node/engine/request_admission.py
+++ b/packages/node/src/plantainloft_node/engine/request_admission.py
@@ -95,6 +95,7 @@
         )
         decision = self._controller.decide(request, arrival, now)
         if isinstance(decision, Admit):
+            attempts.admission.admitted_rank = decision.rank
             return None
         attempts.candidate_loads = f'{selection.endpoint.record.id} {selection.load:.1f}'
         return _refusal(f'short of room: {decision.reason.value}', decision, attempts)
@@ -121,7 +122,11 @@
                 reason=reason, retry_after_s=max(MIN_RETRY_AFTER_S, earliest_s) + jitter_s
             )
         rejected = self._controller.reject(
-            request, counted_as, anyio.current_time(), earliest_s=earliest_s
+            request,
+            counted_as,
+            anyio.current_time(),
+            earliest_s=earliest_s,
+            admitted_rank=attempts.admission.admitted_rank,
         )
         return _refusal(reason, rejected, attempts)
 
--- a/packages/node/src/plantainloft_node/overload/admission.py
+++ b/packages/node/src/plantainloft_node/overload/admission.py
@@ -51,7 +51,9 @@
 
 
 class Admit(NamedTuple):
-    """The request may be sent."""
+    """The request may be sent; ``rank`` is the one that its use is counted with."""
+
+    rank: int
 
 
 class Reject(NamedTuple):
--- a/packages/node/src/plantainloft_node/overload/controller.py
+++ b/packages/node/src/plantainloft_node/overload/controller.py
@@ -74,7 +74,8 @@
     """Admission to one service at this instance.
 
     ``room`` is the number of requests a second that this instance may admit, ``load`` the
-    service's demand over its capacity, the rest are counts since the process started.
+    service's demand over its capacity, the rest are counts since the process started. A
+    request that was admitted and that no endpoint ran counts as rejected as well.
     """
 
     service: str
@@ -160,7 +161,7 @@
             return self.reject(request, reason, now)
         service.count(service.admitted_by_group, group)
         service.shares.record_use(group, rank, now)
-        return Admit()
+        return Admit(rank)
 
     def reject(
         self,
@@ -169,9 +170,15 @@
         now: float,
         *,
         earliest_s: float = 0.0,
+        admitted_rank: int | None = None,
     ) -> Reject:
-        """Reject a request that may return in ``earliest_s`` or later."""
+        """Reject a request that may return in ``earliest_s`` or later.
+
+        ``admitted_rank``: it had been admitted with this rank, and no endpoint ran it.
+        """
         service = self._service(request.service)
+        if admitted_rank is not None:
+            service.shares.release(request.organisation, admitted_rank, now)
         service.rejected_by_reason[reason.value] += 1
         service.count(service.rejected_by_group, request.organisation)
         latest_s = max(0.0, request.caller_deadline - now) * HONOURED_PART
--- a/packages/node/src/plantainloft_node/overload/fair_shares.py
+++ b/packages/node/src/plantainloft_node/overload/fair_shares.py
@@ -73,6 +73,11 @@
     def record_use(self, rank: int, now: float) -> None:
         self._use_by_rank.setdefault(rank, DecayingSum()).add(1.0, now)
 
+    def release(self, rank: int, now: float) -> None:
+        used = self._use_by_rank.get(rank)
+        if used is not None:
+            used.add(-min(1.0, used.value(now)), now)
+
     def use(self, rank: int, now: float) -> float:
         """Return the use by requests of ``rank`` and of those before it."""
         return sum(one.value(now) for known, one in self._use_by_rank.items() if known <= rank)
@@ -98,6 +103,12 @@
             self._group_by_name[name] = group
         group.demand.add(1.0, now)
 
+    def release(self, name: str, rank: int, now: float) -> None:
+        """Take back the use of an admitted request that did not run."""
+        group = self._group_by_name.get(name)
+        if group is not None:
+            group.release(rank, now)
+
     def record_use(self, name: str, rank: int, now: float) -> None:
         """Count an admitted request of ``rank``."""
         self._group_by_name.setdefault(name, _Group()).record_use(rank, now)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -295,6 +295,17 @@
     assert shares.standing('east', 0, 0.0) is Standing.WITHIN_SHARE
 
 
+def test_a_request_that_no_endpoint_ran_uses_nothing_of_its_share() -> None:
+    """Failure: requests that endpoints turned away used up the share of their organisation."""
+    shares = FairShares()
+    for _ in range(10):
+        shares.record_demand('east', 0.0)
+        shares.record_use('east', 0, 0.0)
+        shares.release('east', 0, 0.0)
+    shares.update(5 / DECAY_S, 0.0)
+    assert shares.standing('east', 0, 0.0) is Standing.WITHIN_SHARE
+
+
 def test_what_a_group_does_not_ask_for_is_divided_among_the_others() -> None:
     """Failure: equal parts left slots idle while others were refused."""
     assert fair_level([1.0, 4.0, 9.0], 9.0) == 4.0
@@ -322,7 +333,7 @@
     assert planner.requests[0].latest_s == pytest.approx(1.0)
     promise = controller.begin(caller, 0.7)
     assert promise is not None
-    assert controller.decide(caller, late._replace(has_promise=True), 0.7) == Admit()
+    assert controller.decide(caller, late._replace(has_promise=True), 0.7) == Admit(rank=3)
     controller.record_outcome(promise, served=True)
     (entry,) = controller.listing()
     assert (entry['promised'], entry['returned'], entry['served_on_return']) == (1, 1, 1)
@@ -338,7 +349,7 @@
     assert isinstance(controller.decide(caller, late, 0.0), Reject)
     capacity = ServiceCapacity(rate=32.0, demand_rate=64.0, own_share=1.0)
     controller.update({SERVICE: ServiceDemand(capacity, {'a': 64.0}, 0.5)}, 0.25)
-    assert controller.decide(caller, late, 0.25) == Admit()
+    assert controller.decide(caller, late, 0.25) == Admit(rank=5)
 
 
 async def refuse(connection: ScriptedConnection) -> None:
