--- a/packages/node/src/plantainloft_node/overload/admission.py
+++ b/packages/node/src/plantainloft_node/overload/admission.py
@@ -36,6 +36,9 @@
 # A request that can only be late may queue for this part of its objective, in which a
 # slot becomes free anyhow: requests that join after it can still be on time.
 LATE_QUEUE = 0.2
+# While nearly all requests can only be late, as at the start, when no object is cached,
+# nobody needs the queue: without one, slots would be idle between arrivals.
+LATE_QUEUE_OF_ALL = 1.0
 
 
 class RejectReason(StrEnum):
@@ -109,10 +112,14 @@
 
 
 class ServiceState(NamedTuple):
-    """Whether room of the service is scarce, and the standing of the group."""
+    """Whether room of the service is scarce, and the standing of the group.
+
+    ``all_are_late``: hardly any recent request could be on time, even without a queue.
+    """
 
     is_scarce: bool
     standing: Standing
+    all_are_late: bool = False
 
 
 def rank_of(arrival: Arrival) -> int:
@@ -126,12 +133,20 @@
         return RejectReason.NOT_IN_TIME
     if arrival.has_promise or not service.is_scarce:
         return None
-    if arrival.is_late:
-        fits = arrival.wait_s <= LATE_QUEUE * arrival.objective_s
-        return None if fits else RejectReason.LATE
     parts = QUEUE_PARTS[service.standing]
-    if arrival.wait_s <= parts[min(arrival.priority, len(parts) - 1)] * arrival.slack_s:
+    part = parts[min(arrival.priority, len(parts) - 1)]
+    if arrival.wait_s <= part * _longest_wait_s(arrival, service):
         return None
+    if arrival.is_late:
+        return RejectReason.LATE
     if service.standing is Standing.BEYOND_SHARE:
         return RejectReason.BEYOND_SHARE
     return RejectReason.MORE_URGENT
+
+
+def _longest_wait_s(arrival: Arrival, service: ServiceState) -> float:
+    """Return how long the most urgent request within its share may queue."""
+    if not arrival.is_late:
+        return arrival.slack_s
+    late_queue = LATE_QUEUE_OF_ALL if service.all_are_late else LATE_QUEUE
+    return late_queue * arrival.objective_s
--- a/packages/node/src/plantainloft_node/overload/controller.py
+++ b/packages/node/src/plantainloft_node/overload/controller.py
@@ -17,7 +17,7 @@
     decide_admission,
     rank_of,
 )
-from plantainloft_node.overload.fair_shares import FairShares, Standing, fair_level
+from plantainloft_node.overload.fair_shares import DecayingSum, FairShares, Standing, fair_level
 from plantainloft_node.overload.returns import (
     Promise,
     ReturnPlanner,
@@ -42,6 +42,8 @@
 MIN_USED_IF_SCARCE = 0.75
 # With more, there is none: the queues hold most of a round of work, and late answers follow.
 USED_IF_FULL = 1.75
+# With a smaller part of requests that can be on time, late ones need not leave room for them.
+MIN_PUNCTUAL_PART = 0.1
 # Scarcity is logged at most this often, for each service.
 LOG_INTERVAL_S = 1.0
 # Callers honour a Retry-After of up to this part of the time that they have left.
@@ -98,6 +100,9 @@
         self.load = 0.0
         self.is_scarce = False
         self._groups: set[str] = set()
+        # Recent requests, and those of them that could be on time if they need not queue.
+        self._decided = DecayingSum()
+        self._punctual = DecayingSum()
         self.room_per_s = math.inf
         self.promised = 0
         self.returned = 0
@@ -106,6 +111,15 @@
         self.admitted_by_group: Counter[str] = Counter()
         self.rejected_by_group: Counter[str] = Counter()
 
+    def record_slack(self, slack_s: float, now: float) -> None:
+        """Count a request that can queue for ``slack_s`` without being late."""
+        self._decided.add(1.0, now)
+        if slack_s >= 0:
+            self._punctual.add(1.0, now)
+
+    def all_are_late(self, now: float) -> bool:
+        return self._punctual.value(now) < MIN_PUNCTUAL_PART * self._decided.value(now)
+
     def count(self, counter: Counter[str], group: str) -> None:
         if group not in self._groups:
             if len(self._groups) >= MAX_COUNTED_GROUPS:
@@ -153,10 +167,15 @@
         service = self._service(request.service)
         group = request.organisation
         rank = rank_of(arrival)
-        standing = Standing.BELOW_SHARE
+        service.record_slack(arrival.slack_s, now)
+        state = ServiceState(is_scarce=False, standing=Standing.BELOW_SHARE)
         if service.is_scarce:
-            standing = service.shares.standing(group, rank, now)
-        reason = decide_admission(arrival, ServiceState(service.is_scarce, standing))
+            state = ServiceState(
+                is_scarce=True,
+                standing=service.shares.standing(group, rank, now),
+                all_are_late=service.all_are_late(now),
+            )
+        reason = decide_admission(arrival, state)
         if reason is not None:
             return self.reject(request, reason, now)
         service.count(service.admitted_by_group, group)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -260,6 +260,17 @@
     assert decide_admission(late_anyhow, SCARCE) is None
 
 
+def test_late_requests_may_queue_while_none_can_be_on_time() -> None:
+    """Failure: at the start, when no object is cached, slots were idle and callers refused."""
+    controller = make_controller(FakePlanner(), load=2.0)
+    caller = CallerRequest(b'caller', SERVICE, 0, 'east', caller_deadline=3.0)
+    late_anyhow = make_arrival(objective_left_s=0.3, wait_s=0.5)
+    assert isinstance(controller.decide(caller, late_anyhow, 0.0), Admit)
+    for _ in range(4):
+        controller.decide(caller, make_arrival(), 0.0)
+    assert isinstance(controller.decide(caller, late_anyhow, 0.0), Reject)
+
+
 def test_a_request_that_no_endpoint_answers_in_time_is_rejected_at_once() -> None:
     """Failure: such requests were held, and answered 504, although there was no hope."""
     hopeless = make_arrival(wait_s=2.1)
