--- a/packages/node/src/plantainloft_node/entry/periodic_updates.py
+++ b/packages/node/src/plantainloft_node/entry/periodic_updates.py
@@ -96,7 +96,8 @@
             registry=self._replicated_state.endpoint_registry,
             rates_by_zone={name: zone.rate_by_service for name, zone in zones.items()},
             own_rates=self._demand.rate_by_service,
-            instance_count=max_running_instances(self._members, now),
+            reporting_count=fleet_size(self._members, now).reporting,
+            running_count=max_running_instances(self._members, now),
             now=now,
         )
         self._admission.update(demand, now)
--- a/packages/node/src/plantainloft_node/overload/service_demand.py
+++ b/packages/node/src/plantainloft_node/overload/service_demand.py
@@ -14,23 +14,24 @@
     registry: EndpointRegistry,
     rates_by_zone: Mapping[str, Mapping[str, float]],
     own_rates: Mapping[str, float],
-    instance_count: int,
+    reporting_count: int,
+    running_count: int,
     now: float,
 ) -> dict[str, ServiceDemand]:
     """Return the capacity and demand of each service that has endpoints.
 
     ``rates_by_zone`` are requests a second by zone and service, ``own_rates`` those of
-    this instance. Without reported rates, its part is one of ``instance_count`` instances
-    that may be running (0 if unknown: it has no part).
+    this instance. Of the ``running_count`` instances that may be running (0 if unknown),
+    ``reporting_count`` are heard; parts of the others stay reserved.
     """
     estimates = {}
     for service in registry.ids_by_service:
         rate_by_zone = {zone: rates.get(service, 0.0) for zone, rates in rates_by_zone.items()}
         own_rate = own_rates.get(service, 0.0)
         fleet_rate = sum(rate_by_zone.values())
-        own_share = 1 / instance_count if instance_count else 0.0
+        own_share = 1 / running_count if running_count else 0.0
         if fleet_rate > 0:
-            own_share = min(1.0, own_rate / fleet_rate)
+            own_share *= min(running_count, reporting_count) * min(1.0, own_rate / fleet_rate)
         slots, requests = _slots_and_requests(registry, service, now)
         processing_s = registry.processing_by_service[service].mean_s
         estimates[service] = ServiceDemand(
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -460,16 +460,20 @@
         registry.add_or_update(record, 0.0)
     registry.processing_by_service[SERVICE].record(WORK_S, cached=False)
     rates = {'a': {SERVICE: 30.0}, 'b': {SERVICE: 10.0}}
-    estimated = estimate_demand(
-        registry=registry,
-        rates_by_zone=rates,
-        own_rates={SERVICE: 10.0},
-        instance_count=8,
-        now=0.0,
-    )
-    assert estimated[SERVICE].capacity == ServiceCapacity(8 / WORK_S, 10.0, 0.25)
-    assert estimated[SERVICE].rate_by_zone == {'a': 30.0, 'b': 10.0}
-    unknown = estimate_demand(
-        registry=registry, rates_by_zone={}, own_rates={}, instance_count=8, now=0.0
-    )
-    assert unknown[SERVICE].capacity.own_share == 1 / 8
+
+    def estimate(rates: dict[str, dict[str, float]], *, reporting: int) -> ServiceDemand:
+        estimated = estimate_demand(
+            registry=registry,
+            rates_by_zone=rates,
+            own_rates={SERVICE: 10.0},
+            reporting_count=reporting,
+            running_count=8,
+            now=0.0,
+        )
+        return estimated[SERVICE]
+
+    estimated = estimate(rates, reporting=8)
+    assert estimated.capacity == ServiceCapacity(8 / WORK_S, 10.0, 0.25)
+    assert estimated.rate_by_zone == {'a': 30.0, 'b': 10.0}
+    assert estimate(rates, reporting=4).capacity.own_share == 0.25 / 2
+    assert estimate({}, reporting=8).capacity.own_share == 1 / 8
