--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -141,9 +141,7 @@
             operators = OperatorHandler(
                 metrics_text=self._metrics,
                 quarantine=self.quarantine,
-                organisations=self.report.organisations,
-                endpoint_limits=self.report.endpoint_limits,
-                store_return=self.report.store_return,
+                report=self.report,
                 announcements=self.replicated_state.endpoint_registry.announcements,
                 links=self.pipeline.endpoint_links.monitor,
                 retry_budgets=self.pipeline.dispatcher.retry_budgets,
--- a/packages/node/src/plantainloft_node/entry/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/entry/request_pipeline.py
@@ -6,6 +6,7 @@
 from plantainloft_node.engine.dispatcher import Dispatcher
 from plantainloft_node.engine.forwarding_handler import ForwardingHandler
 from plantainloft_node.engine.header_names import HeaderNames
+from plantainloft_node.engine.request_admission import RequestAdmission
 from plantainloft_node.engine.sender import Sender
 from plantainloft_node.entry.component_parameters import (
     limit_parameters,
@@ -19,6 +20,8 @@
 from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.fleet.membership import FleetMembership
 from plantainloft_node.limits.limiter import RequestLimiter
+from plantainloft_node.overload.controller import AdmissionController
+from plantainloft_node.overload.promises import caller_digest
 from plantainloft_node.placement.placement import Placement
 from plantainloft_node.quarantine.crash_detector import CrashDetector, EndpointAttempt
 from plantainloft_node.quarantine.quarantine import Quarantine
@@ -38,6 +41,7 @@
     limiter: RequestLimiter
     endpoint_links: EndpointLinks
     returns: ReturnPlanning
+    admission: AdmissionController
 
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply the limits of reloaded settings."""
@@ -74,6 +78,16 @@
         quarantine.record_crash(attempt, now)
 
     crash_detector = CrashDetector(on_crash=record_crash, has_ended=endpoint_links.has_ended)
+    returns = ReturnPlanning(
+        members=members,
+        settings=settings,
+        route_table=lambda: replicated_state.routing_state.route_table,
+    )
+    report.returns = returns.planner
+    admission = AdmissionController(
+        zone=settings.zone, planner=returns.planner, digest_caller=caller_digest
+    )
+    report.admission = admission
     dispatcher = Dispatcher(
         names=names,
         placement=placement,
@@ -81,13 +95,8 @@
         retry_budgets=RetryBudgets(limits=retry_limits(settings)),
         crash_detector=crash_detector,
         quarantine=quarantine,
+        admission=RequestAdmission(names=names, controller=admission),
     )
-    returns = ReturnPlanning(
-        members=members,
-        settings=settings,
-        route_table=lambda: replicated_state.routing_state.route_table,
-    )
-    report.returns = returns.planner
     limiter = RequestLimiter(instance=settings.name, settings=limit_parameters(settings))
     forwarding_handler = ForwardingHandler(
         names=names,
@@ -105,4 +114,5 @@
         limiter=limiter,
         endpoint_links=endpoint_links,
         returns=returns,
+        admission=admission,
     )
--- a/packages/node/src/plantainloft_node/overload/__init__.py
+++ b/packages/node/src/plantainloft_node/overload/__init__.py
@@ -1,1 +1,1 @@
-"""Overload control: ordered returns of refused callers."""
+"""Overload control: admission of requests and the returns of refused callers."""
