--- a/packages/node/src/plantainloft_node/overload/controller.py
+++ b/packages/node/src/plantainloft_node/overload/controller.py
@@ -215,7 +215,7 @@
         for name, demand in demand_by_service.items():
             service = self._service(name)
             reserved = self._planner.reserved_rate(name, now)
-            service.load = _load(demand.capacity)
+            service.load = _load(demand.capacity, reserved)
             service.is_scarce = _is_scarce(service.load, demand.used)
             service.room_per_s = max(0.0, _fair_room(demand, self._zone) - reserved)
             service.shares.update(service.room_per_s, now)
@@ -271,10 +271,10 @@
         )
 
 
-def _load(capacity: ServiceCapacity) -> float:
-    """Return the demand over the capacity; 0 while the capacity is unknown."""
+def _load(capacity: ServiceCapacity, reserved: float) -> float:
+    """Return demand and ``reserved`` requests a second over the capacity, 0 if it is unknown."""
     own_rate = capacity.rate * capacity.own_share
-    return capacity.demand_rate / own_rate if own_rate > 0 else 0.0
+    return (capacity.demand_rate + reserved) / own_rate if own_rate > 0 else 0.0
 
 
 def _is_scarce(load: float, used: float) -> bool:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -58,6 +58,7 @@
         self.promises: dict[bytes, Promise] = {}
         self.outcomes: list[bool] = []
         self.requests: list[ReturnRequest] = []
+        self.reserved = 0.0
 
     def offer(self, request: ReturnRequest, now: float) -> ReturnOffer:
         self.requests.append(request)
@@ -74,7 +75,7 @@
         self.outcomes.append(served)
 
     def reserved_rate(self, service: str, now: float) -> float:
-        return 0.0
+        return self.reserved
 
     def update(self, capacity: Mapping[str, ServiceCapacity], now: float) -> None:
         pass
@@ -346,6 +347,19 @@
     assert entry['organisations'] == [{'name': 'east', 'admitted': 1, 'rejected': 1}]
 
 
+def test_newcomers_leave_the_room_that_is_promised() -> None:
+    """Failure: newcomers took the slots that were promised to returning callers."""
+    planner = FakePlanner()
+    caller = CallerRequest(b'caller', SERVICE, 1, 'east', caller_deadline=3.0)
+    late = make_arrival(priority=1, wait_s=0.7)
+    unreserved = make_controller(planner, load=0.8)
+    assert isinstance(unreserved.decide(caller, late, 0.0), Admit)
+    planner.reserved = 16.0
+    reserved = make_controller(planner, load=0.8)
+    assert isinstance(reserved.decide(caller, late, 0.0), Reject)
+    assert reserved.listing()[0]['room'] == 16.0
+
+
 def test_idle_endpoints_show_that_room_is_not_scarce() -> None:
     """Failure: processing times learned without cached objects made idle slots seem scarce."""
     controller = make_controller(FakePlanner(), load=2.0)
