Predictions take the speed of an endpoint's machine into account

The load header names how long work takes on the endpoint's machine, and the figure was parsed but not used: requests went on to endpoints that take 2.5 times as long, although they say so.

An endpoint's state keeps the factor. It decays to 1.0 within 0.6 s, the length of an episode, and multiplies the expected processing and waiting times. The averages of a service hold usual times: a measured time is divided by the factor, or slow episodes would raise the expectation for all endpoints.

Endpoints that report no factor are predicted as before.

--- a/packages/node/src/plantainloft_node/placement/endpoints.py
+++ b/packages/node/src/plantainloft_node/placement/endpoints.py
@@ -16,7 +16,12 @@
 from plantainloft_node.placement.cold_rate_limit import ColdRateLimiter
 from plantainloft_node.placement.health import EndpointHealth
 from plantainloft_node.placement.latency import EndpointLatency, ServiceLatency
-from plantainloft_node.placement.prediction import ProcessingTimes, RecentKeys, ZoneRoundTrips
+from plantainloft_node.placement.prediction import (
+    ProcessingTimes,
+    RecentKeys,
+    WorkFactor,
+    ZoneRoundTrips,
+)
 
 __all__ = ['EndpointRegistry', 'EndpointState']
 
@@ -64,6 +69,7 @@
         )
         self.service_latency = service_latency
         self.recent_keys = RecentKeys()
+        self.work_factor = WorkFactor()
         self._processing = processing
         self._round_trips = round_trips
         self.region = region
@@ -99,6 +105,8 @@
     def record_signals(self, signals: EndpointSignals, *, sent_at: float, now: float) -> None:
         """Record what a response to a request that was sent at ``sent_at`` announces."""
         self.announced.record_response(signals, now)
+        if signals.work_factor is not None:
+            self.work_factor.record(signals.work_factor, now)
         if signals.request_limits or signals.is_complete:
             self.record_request_limit(signals.request_limits, sent_at=sent_at, now=now)
 
@@ -142,7 +150,9 @@
         cached = self.recent_keys.contains(key, now)
         if had_free_slot:
             round_trip_s = self._round_trips.round_trip_s(self.record.zone)
-            self._processing.record(max(0.0, took_s - round_trip_s), cached=cached)
+            processing_s = max(0.0, took_s - round_trip_s)
+            # The averages are of usual times; predictions multiply them by the factor.
+            self._processing.record(processing_s / self.work_factor.current(now), cached=cached)
         self.recent_keys.record(key, now)
 
     def expected_s(self, key: str, load: float, now: float) -> float:
@@ -151,7 +161,8 @@
         rounds_ahead = max(0.0, load + 1 - slots) / slots
         processing_s = self._processing.expected_s(cached=self.recent_keys.contains(key, now))
         wait_s = rounds_ahead * self._processing.mean_s
-        return self._round_trips.round_trip_s(self.record.zone) + processing_s + wait_s
+        work_s = (processing_s + wait_s) * self.work_factor.current(now)
+        return self._round_trips.round_trip_s(self.record.zone) + work_s
 
     def record_abandoned(self, after_s: float, now: float) -> None:
         """Record a request that was abandoned; its answer would have taken longer."""
--- a/packages/node/src/plantainloft_node/placement/prediction.py
+++ b/packages/node/src/plantainloft_node/placement/prediction.py
@@ -9,7 +9,7 @@
 
 from collections import OrderedDict
 
-__all__ = ['ProcessingTimes', 'RecentKeys', 'ZoneRoundTrips']
+__all__ = ['ProcessingTimes', 'RecentKeys', 'WorkFactor', 'ZoneRoundTrips']
 
 # Weight of the newest answer in the moving averages: about 20 answers count.
 NEWEST_WEIGHT = 0.05
@@ -25,6 +25,11 @@
 # one that opens more slowly may only have met a busy endpoint.
 DECREASE_WEIGHT = 0.5
 INCREASE_WEIGHT = 0.02
+# The usual factor, also of an endpoint that reports none.
+USUAL_WORK_FACTOR = 1.0
+# Episodes of slow work last about 0.6 s. The mean of what is left of one falls linearly
+# with the age of the report.
+WORK_FACTOR_DECAY_S = 0.6
 
 
 class ProcessingTimes:
@@ -82,6 +87,24 @@
         return answered_at is not None and now - answered_at < RECENT_KEY_TTL_S
 
 
+class WorkFactor:
+    """How long work takes on an endpoint's machine, as a multiple of the usual time."""
+
+    def __init__(self) -> None:
+        self._reported = USUAL_WORK_FACTOR
+        self._reported_at = 0.0
+
+    def record(self, factor: float, now: float) -> None:
+        """Record the factor that the endpoint has reported."""
+        self._reported = factor
+        self._reported_at = now
+
+    def current(self, now: float) -> float:
+        """Return the last reported factor, which decays to 1.0 with its age."""
+        weight = max(0.0, 1 - (now - self._reported_at) / WORK_FACTOR_DECAY_S)
+        return USUAL_WORK_FACTOR + weight * (self._reported - USUAL_WORK_FACTOR)
+
+
 class ZoneRoundTrips:
     """Round-trip times to availability zones, estimated from connection setup."""
 
