Requests that can't be answered in time are refused at once

With overload control on, each candidate's expected time from now to the answer counts its queue, whether it has the object cached, its work factor and the measured times of cold endpoints. A request that exceeds its time at every candidate is NoCapacity; one that can be late but within its time is sent. Before any answer of a service is measured, nothing is refused for its time. Selection.expected_s names the expectation.

--- a/packages/node/src/plantainloft_node/entry/periodic_updates.py
+++ b/packages/node/src/plantainloft_node/entry/periodic_updates.py
@@ -1,10 +1,14 @@
 """Periodic updates of state that changes with time, not only with row changes."""
 
+from collections.abc import Callable
+
 import anyio
 
 from plantainloft_node.entry.component_parameters import UPDATE_INTERVAL_S
+from plantainloft_node.entry.overload_switch import is_overload_control_active
 from plantainloft_node.entry.replicated_state import ReplicatedState
 from plantainloft_node.entry.request_pipeline import RequestPipeline
+from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.fleet.demand import (
     fleet_size,
     fleet_view,
@@ -29,9 +33,11 @@
         replicated_state: ReplicatedState,
         members: FleetMembership,
         pipeline: RequestPipeline,
+        settings: Callable[[], EntrySettings],
     ) -> None:
         self._replicated_state = replicated_state
         self._members = members
+        self._settings = settings
         self._placement = pipeline.placement
         self._demand = pipeline.dispatcher.demand
         self._pool = pipeline.pool
@@ -53,6 +59,9 @@
     def update(self, now: float) -> None:
         """Update everything that depends on the current time."""
         self._replicated_state.update(now)
+        self._placement.overload_control = is_overload_control_active(
+            self._settings(), self._replicated_state.routing_state.route_table
+        )
         region_by_instance = self._members.region_by_limit_sharer(now)
         if self._started_at is None:
             self._started_at = now
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -116,6 +116,7 @@
             replicated_state=self.replicated_state,
             members=self.members,
             pipeline=self.pipeline,
+            settings=lambda: self._settings,
         )
         for poller in self.replicated_state.pollers.values():
             tasks.start_soon(poller.run)
--- a/packages/node/src/plantainloft_node/placement/endpoints.py
+++ b/packages/node/src/plantainloft_node/placement/endpoints.py
@@ -70,8 +70,8 @@
         self.service_latency = service_latency
         self.recent_keys = RecentKeys()
         self.work_factor = WorkFactor()
-        self._processing = processing
-        self._round_trips = round_trips
+        self.processing = processing
+        self.round_trips = round_trips
         self.region = region
         self.in_flight = 0
         self.health = EndpointHealth(latency=service_latency)
@@ -137,7 +137,7 @@
 
     def record_connect_time(self, took_s: float) -> None:
         """Record the time that opening a connection took."""
-        self._round_trips.record(self.record.zone, took_s)
+        self.round_trips.record(self.record.zone, took_s)
 
     def record_processing(
         self, key: str, took_s: float, now: float, *, had_free_slot: bool
@@ -149,20 +149,21 @@
         """
         cached = self.recent_keys.contains(key, now)
         if had_free_slot:
-            round_trip_s = self._round_trips.round_trip_s(self.record.zone)
+            round_trip_s = self.round_trips.round_trip_s(self.record.zone)
             processing_s = max(0.0, took_s - round_trip_s)
             # The averages are of usual times; predictions multiply them by the factor.
-            self._processing.record(processing_s / self.work_factor.current(now), cached=cached)
+            usual_s = processing_s / self.work_factor.current(now)
+            self.processing.record(usual_s, cached=cached, cold=self.is_cold(now))
         self.recent_keys.record(key, now)
 
     def expected_s(self, key: str, load: float, now: float) -> float:
         """Return the expected answer time for ``key`` at the given ``load``."""
         slots = self.record.slots
         rounds_ahead = max(0.0, load + 1 - slots) / slots
-        processing_s = self._processing.expected_s(cached=self.recent_keys.contains(key, now))
-        wait_s = rounds_ahead * self._processing.mean_s
+        processing_s = self.processing.expected_s(cached=self.recent_keys.contains(key, now))
+        wait_s = rounds_ahead * self.processing.mean_s
         work_s = (processing_s + wait_s) * self.work_factor.current(now)
-        return self._round_trips.round_trip_s(self.record.zone) + work_s
+        return self.round_trips.round_trip_s(self.record.zone) + work_s
 
     def record_abandoned(self, after_s: float, now: float) -> None:
         """Record a request that was abandoned; its answer would have taken longer."""
--- a/packages/node/src/plantainloft_node/placement/placement.py
+++ b/packages/node/src/plantainloft_node/placement/placement.py
@@ -24,6 +24,7 @@
     PlacementRequest,
     Selection,
     earliest_completion,
+    earliest_in_time,
 )
 from plantainloft_node.placement.spillover import SpilloverDecayLimiter
 
@@ -119,6 +120,8 @@
 
     def __init__(self, *, settings: PlacementSettings, endpoint_registry: EndpointRegistry) -> None:
         self.settings = settings
+        # Whether overload control is active; set periodically.
+        self.overload_control = False
         self._endpoint_registry = endpoint_registry
         self._region_by_instance: dict[str, str] = {}
         self._cold_share_by_id_and_rate: dict[tuple[str, float], int] = {}
@@ -152,7 +155,8 @@
             candidates = [
                 state for state in remote if state.load(now) < state.record.slots
             ] or candidates
-        choice = earliest_completion(candidates, request, now)
+        select = earliest_in_time if self.overload_control else earliest_completion
+        choice = select(candidates, request, now)
         if isinstance(choice, Selection):
             spilled = bool(local) and choice.endpoint in remote
             self._spillover_limiter.record_request(now, spilled=spilled)
@@ -267,7 +271,8 @@
                 state, request.route, service_limits, now
             ):
                 rank = self._ranking(request).index(state.record.id)
-                return Selection(endpoint=state, load=load, rank=rank)
+                expected_s = state.expected_s(request.key, load, now)
+                return Selection(endpoint=state, load=load, rank=rank, expected_s=expected_s)
         return None
 
     def _no_endpoint(
--- a/packages/node/src/plantainloft_node/placement/prediction.py
+++ b/packages/node/src/plantainloft_node/placement/prediction.py
@@ -43,18 +43,26 @@
         self._overall_s: float | None = None
         self._cached_s: float | None = None
         self._uncached_s: float | None = None
+        self._cold_s: float | None = None
 
-    def record(self, processing_s: float, *, cached: bool) -> None:
+    def record(self, processing_s: float, *, cached: bool, cold: bool = False) -> None:
         """Record one answer's time without round trip and queueing.
 
-        ``cached``: the endpoint had the object cached.
+        ``cached``: the endpoint had the object cached. ``cold``: it was cold.
         """
+        if cold:
+            self._cold_s = _moving_average(self._cold_s, processing_s)
         self._overall_s = _moving_average(self._overall_s, processing_s)
         if cached:
             self._cached_s = _moving_average(self._cached_s, processing_s)
         else:
             self._uncached_s = _moving_average(self._uncached_s, processing_s)
 
+    @property
+    def is_measured(self) -> bool:
+        """Whether any answer was measured; the expected times are a guess otherwise."""
+        return self._overall_s is not None
+
     @property
     def mean_s(self) -> float:
         """The mean over all requests."""
@@ -67,6 +75,10 @@
             return uncached_s
         return min(uncached_s, self._cached_s)
 
+    def expected_cold_s(self) -> float:
+        """Return the expected processing time of a request at a cold endpoint."""
+        return max(self._cold_s or 0.0, self.expected_s(cached=False))
+
 
 class RecentKeys:
     """Keys that one endpoint recently answered to this instance."""
--- a/packages/node/src/plantainloft_node/placement/selection.py
+++ b/packages/node/src/plantainloft_node/placement/selection.py
@@ -12,6 +12,7 @@
 from typing import NamedTuple
 
 from plantainloft_core.routes import Route
+from plantainloft_node.placement.answer_prediction import predict_answer
 from plantainloft_node.placement.endpoints import EndpointState
 
 __all__ = [
@@ -20,6 +21,7 @@
     'PlacementRequest',
     'Selection',
     'earliest_completion',
+    'earliest_in_time',
 ]
 
 # Requests that may be queued at an endpoint beyond its slots, as a ratio of its
@@ -52,12 +54,14 @@
 
     ``limited_ids`` are the endpoints of the key's region that were left out because
     this instance has used its share of the request limit that they name, ``unwilling_ids``
-    those that have announced that they want no requests.
+    those that have announced that they want no requests. ``expected_s`` is the time from
+    now to the expected end of the answer.
     """
 
     endpoint: EndpointState
     load: float
     rank: int
+    expected_s: float
     limited_ids: tuple[str, ...] = ()
     unwilling_ids: tuple[str, ...] = ()
 
@@ -95,7 +99,7 @@
             continue
         expected_s = state.expected_s(request.key, load, now)
         if best is None or (cached and expected_s < soonest_s):
-            best = Selection(endpoint=state, load=load, rank=rank)
+            best = Selection(endpoint=state, load=load, rank=rank, expected_s=expected_s)
             soonest_s = expected_s
     if best is None:
         return NoCapacity(
@@ -112,6 +116,32 @@
     return best
 
 
+def earliest_in_time(
+    candidates: Sequence[EndpointState], request: PlacementRequest, now: float
+) -> Selection | NoCapacity:
+    """Return the one of ``candidates`` that should answer first, if it is within the time left.
+
+    For overload control: a request that would be running or queued when its time is over is
+    refused at once instead. Before any answer of the service was measured, nothing is known
+    about that and none is refused for it.
+    """
+    best: Selection | None = None
+    reason = 'every endpoint is full'
+    for rank, state in enumerate(candidates):
+        load = state.load(now)
+        predicted = predict_answer(state, request.key, load, now)
+        if load >= _load_limit(state, request.route, now, may_queue=not rank or predicted.cached):
+            continue
+        if predicted.is_measured and predicted.expected_s > request.remaining_s:
+            reason = 'no endpoint answers in time'
+            continue
+        if best is None or (predicted.cached and predicted.expected_s < best.expected_s):
+            best = Selection(endpoint=state, load=load, rank=rank, expected_s=predicted.expected_s)
+    if best is None:
+        return NoCapacity(reason=reason, load_summary=_format_loads(candidates, now))
+    return best
+
+
 def _load_limit(state: EndpointState, route: Route, now: float, *, may_queue: bool) -> float:
     """Return the load at which ``state`` gets no more requests of ``route``."""
     if not may_queue:
--- a/tests/test_endpoint_choice.py
+++ b/tests/test_endpoint_choice.py
@@ -6,7 +6,15 @@
 from plantainloft_core.discovery import EndpointRecord
 from plantainloft_core.routes import ServiceLimits
 from plantainloft_node.endpoint_signals.signals import EndpointSignals
+from plantainloft_node.placement.answer_prediction import predict_answer
 from plantainloft_node.placement.endpoints import EndpointRegistry, EndpointState
+from plantainloft_node.placement.placement import (
+    NoCapacity,
+    Placement,
+    PlacementRequest,
+    PlacementSettings,
+    Selection,
+)
 
 NOW = 1000.0
 KEY = '7'
@@ -47,6 +55,33 @@
     return registry
 
 
+@pytest.fixture
+def placement(registry: EndpointRegistry) -> Placement:
+    settings = PlacementSettings(region='ankara', instance='e1', cold_over=1.5, cold_slack=5.0)
+    placement = Placement(settings=settings, endpoint_registry=registry)
+    placement.update_instances({'e1': 'ankara'})
+    placement.overload_control = True
+    return placement
+
+
+def select(
+    placement: Placement, *, remaining_s: float = 2.5, tried: frozenset[str] = frozenset()
+) -> Selection | NoCapacity:
+    request = PlacementRequest(ROUTE, SERVICE, KEY, tried, remaining_s)
+    return placement.select_endpoint(request, SERVICE_LIMITS, NOW)
+
+
+def chosen(placement: Placement, **changes: object) -> EndpointState:
+    choice = select(placement, **changes)  # type: ignore[arg-type]
+    assert isinstance(choice, Selection)
+    return choice.endpoint
+
+
+def fill(registry: EndpointRegistry, busy: int) -> None:
+    for state in registry.by_id.values():
+        state.record_load_report(busy=busy, now=NOW)
+
+
 def measure_processing(registry: EndpointRegistry) -> None:
     processing = registry.processing_by_service[SERVICE]
     for _ in range(200):
@@ -84,3 +119,55 @@
     report_work_factor(state, 2.0)
     state.record_processing(KEY, 2 * UNCACHED_S + 0.001, NOW, had_free_slot=True)
     assert registry.by_id['a1'].expected_s('8', 0, NOW) == pytest.approx(UNCACHED_S, rel=0.01)
+
+
+def test_a_request_that_can_only_time_out_is_refused_at_once(
+    registry: EndpointRegistry, placement: Placement
+) -> None:
+    """Failure: 504 at the route timeout for requests that were running or queued by then."""
+    measure_processing(registry)
+    refused = select(placement, remaining_s=UNCACHED_S - 0.1)
+    assert isinstance(refused, NoCapacity)
+    assert refused.reason == 'no endpoint answers in time'
+    assert chosen(placement, remaining_s=UNCACHED_S + ROUND_TRIP_S + 0.1)
+
+
+def test_the_queue_of_an_endpoint_counts(registry: EndpointRegistry, placement: Placement) -> None:
+    """Failure: a request is queued behind others for longer than it has left."""
+    measure_processing(registry)
+    fill(registry, 2 * SLOTS - 1)
+    assert isinstance(select(placement, remaining_s=UNCACHED_S + 0.2), NoCapacity)
+    assert chosen(placement, remaining_s=2 * UNCACHED_S)
+
+
+def test_a_cached_object_makes_a_request_possible(
+    registry: EndpointRegistry, placement: Placement
+) -> None:
+    """Failure: a request is refused that its endpoint answers in 0.3 s from its cache."""
+    measure_processing(registry)
+    chosen(placement).recent_keys.record(KEY, NOW)
+    assert chosen(placement, remaining_s=CACHED_S + 0.2)
+
+
+def test_nothing_is_refused_on_a_guess(registry: EndpointRegistry, placement: Placement) -> None:
+    """Failure: after a start all requests with little time are refused and none is measured."""
+    assert chosen(placement, remaining_s=0.1)
+
+
+def test_a_cold_endpoint_is_expected_to_be_slow(registry: EndpointRegistry) -> None:
+    """Failure: requests time out on an endpoint that has just started."""
+    measure_processing(registry)
+    registry.add_or_update(make_record('a9', 'a', cold_s=3.0), NOW)
+    started = registry.by_id['a9']
+    started.record_processing('8', 4 * UNCACHED_S + 0.001, NOW, had_free_slot=True)
+    assert predict_answer(started, KEY, 0, NOW).expected_s == pytest.approx(4.0, rel=0.01)
+    assert predict_answer(registry.by_id['a0'], KEY, 0, NOW).expected_s < 1.3
+
+
+def test_without_overload_control_only_queued_requests_are_refused(
+    registry: EndpointRegistry, placement: Placement
+) -> None:
+    """Failure: a deployment that does not use overload control sees other refusals."""
+    measure_processing(registry)
+    placement.overload_control = False
+    assert chosen(placement, remaining_s=UNCACHED_S - 0.1)
