With overload control, more candidates are weighed by completion time

With one candidate in the region, the busiest of endpoints with few slots has 2.6 to 3.1 times the mean load, and a refusal said nothing: the next request met the same full endpoint.

With overload control on, up to 3 candidates in the region and 2 elsewhere are considered by expected completion time. One that is not likely to have the object cached needs free slots and is charged the delay that its additional work causes others, which grows with the usual load per slot of the service. A refusal that reports its load updates the estimate; the other candidates are used next. LoadEstimate and UsualLoad are moved out of EndpointState. The load model has a flag for overload control, under which endpoints report slowdowns.

--- a/packages/node/src/plantainloft_node/engine/dispatcher.py
+++ b/packages/node/src/plantainloft_node/engine/dispatcher.py
@@ -342,6 +342,7 @@
             priority=admitted.route.priority,
             allowed_regions=admitted.route.regions,
             on_send=attempts.record_send,
+            uses_refusal_load=self._placement.overload_control,
         )
 
 
--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -2,6 +2,7 @@
 
 import itertools
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import replace
 from http import HTTPStatus
@@ -24,6 +25,7 @@
     UpstreamRequest,
 )
 from plantainloft_node.placement.endpoints import EndpointState
+from plantainloft_node.placement.selection import full_load
 
 __all__ = ['EndpointRequest', 'Sender']
 
@@ -45,7 +47,8 @@
     ``may_repeat``: it may be sent again although it may have run. ``priority`` is that of
     its route (0 is the highest). Unless ``allowed_regions`` is empty, its bytes may only
     pass through instances of these regions. ``on_send`` is called before the first byte is
-    sent.
+    sent. ``uses_refusal_load``: there are other candidates for the endpoint to be avoided
+    after a refusal.
     """
 
     request: UpstreamRequest
@@ -57,6 +60,7 @@
     priority: int = 0
     allowed_regions: frozenset[str] = frozenset()
     on_send: Callable[[], None] = _do_nothing
+    uses_refusal_load: bool = False
 
 
 class Sender:
@@ -289,6 +293,8 @@
             if not outcome.signals.rest_s and not self._is_own_path(state, outcome):
                 state.health.record_failure(now)
         elif isinstance(outcome, NotRun):
+            if endpoint_request.uses_refusal_load:
+                _record_refusal_load(state, outcome.signals, now)
             # Refusing is correct for an endpoint at capacity, or one that says when it
             # will have capacity again, and is not a failure.
             if not outcome.signals.rest_s and state.load(now) < state.record.slots:
@@ -316,12 +322,25 @@
             state.health.record_failure(now)
         else:
             state.health.record_success(now)
-        # Not the load that a refusal reports: with its first choice known to be full, a
-        # request would be refused rather than sent elsewhere.
+        # Not the load that a refusal reports, unless there are other candidates: with its
+        # first choice known to be full, a request would be refused rather than sent elsewhere.
         if outcome.signals.busy is not None:
             state.record_load_report(busy=outcome.signals.busy, now=now)
 
 
+def _record_refusal_load(state: EndpointState, signals: EndpointSignals, now: float) -> None:
+    """Record the load of an endpoint that refused a request.
+
+    It counts as full if all its slots are busy, although its queue may be shorter than the
+    one that is used to decide.
+    """
+    if signals.busy is None:
+        return
+    is_full = signals.busy >= state.record.slots
+    busy = max(signals.busy, math.ceil(full_load(state))) if is_full else signals.busy
+    state.record_load_report(busy=busy, now=now)
+
+
 async def _stream_body(
     connection: UpstreamConnection,
     body: RequestBody,
--- a/packages/node/src/plantainloft_node/placement/answer_prediction.py
+++ b/packages/node/src/plantainloft_node/placement/answer_prediction.py
@@ -1,5 +1,6 @@
 """Prediction of when an endpoint answers a request, for overload control."""
 
+import math
 from typing import NamedTuple
 
 from plantainloft_node.placement.endpoints import EndpointState
@@ -7,14 +8,23 @@
 __all__ = ['AnswerPrediction', 'predict_answer']
 
 
+# The part of the time of work on an uncached object that a cached one saves.
+EXTRA_WORK_FRACTION = 0.67
+# Weight of the delay of others. Reported loads are old, and about half of the load that a
+# request meets in simulations; with a lower weight, more objects are evicted than it gains.
+DISPLACEMENT_WEIGHT = 4.0
+
+
 class AnswerPrediction(NamedTuple):
     """When an endpoint is expected to answer a request that is sent now.
 
-    ``cached``: the endpoint is likely to have the object cached. Unless ``is_measured``,
-    no answer of the service is known and ``expected_s`` is a guess.
+    ``displaced_s`` is the time by which the additional work on an uncached object delays
+    others, all together. ``cached``: the endpoint is likely to have the object cached. Unless
+    ``is_measured``, no answer of the service is known and ``expected_s`` is a guess.
     """
 
     expected_s: float
+    displaced_s: float
     cached: bool
     is_measured: bool
 
@@ -23,17 +33,31 @@
     """Return the prediction for ``key`` at the given ``load``, slow starts included."""
     expected_s = state.expected_s(key, load, now)
     if state.is_cold(now):
-        expected_s = max(expected_s, _expected_cold_s(state, load, now))
+        expected_s += _additional_cold_s(state, load, now)
     return AnswerPrediction(
         expected_s=expected_s,
+        displaced_s=_displaced_s(state),
         cached=state.recent_keys.contains(key, now),
         is_measured=state.processing.is_measured,
     )
 
 
-def _expected_cold_s(state: EndpointState, load: float, now: float) -> float:
-    """Return the expected answer time if the requests ahead are slow, too."""
+def _additional_cold_s(state: EndpointState, load: float, now: float) -> float:
+    """Return how much longer a request takes because it and those ahead of it are slow."""
     slots = state.record.slots
     rounds = 1 + max(0.0, load + 1 - slots) / slots
-    work_s = rounds * state.processing.expected_cold_s() * state.work_factor.current(now)
-    return state.round_trips.round_trip_s(state.record.zone) + work_s
+    processing = state.processing
+    additional_s = processing.expected_cold_s() - processing.expected_s(cached=False)
+    return rounds * additional_s * state.work_factor.current(now)
+
+
+def _displaced_s(state: EndpointState) -> float:
+    """Return by how much the additional work on an uncached object delays other requests.
+
+    The delay grows with the power of the load per slot by which the queue of an endpoint with
+    that many slots grows (Sakasegawa's approximation): little as long as slots are free.
+    """
+    exponent = math.sqrt(2 * (state.record.slots + 1))
+    busy = math.pow(state.processing.usual_load.per_slot, exponent)
+    extra_work_s = EXTRA_WORK_FRACTION * state.processing.expected_s(cached=False)
+    return DISPLACEMENT_WEIGHT * busy * extra_work_s
--- a/packages/node/src/plantainloft_node/placement/endpoints.py
+++ b/packages/node/src/plantainloft_node/placement/endpoints.py
@@ -16,6 +16,7 @@
 from plantainloft_node.placement.cold_rate_limit import ColdRateLimiter
 from plantainloft_node.placement.health import EndpointHealth
 from plantainloft_node.placement.latency import EndpointLatency, ServiceLatency
+from plantainloft_node.placement.load_estimate import LoadEstimate
 from plantainloft_node.placement.prediction import (
     ProcessingTimes,
     RecentKeys,
@@ -25,19 +26,6 @@
 
 __all__ = ['EndpointRegistry', 'EndpointState']
 
-# The last reported load from other instances decays linearly to zero over this
-# time: requests last a few tenths of a second, so an older report says little
-# about the current load.
-REPORT_DECAY_S = 1.5
-# As the report decays, the typical load from other instances takes its place:
-# reports arrive about once a second, and an endpoint without a recent one is not
-# idle. If it counted as idle, it would attract requests into a queue that this
-# instance doesn't see. The typical load decays as well, so that an endpoint that
-# is avoided is tried again.
-TYPICAL_LOAD_WEIGHT = 0.15
-TYPICAL_LOAD_DECAY_S = 6.0
-# Before its first report, this fraction of an endpoint's slots counts as used.
-INITIAL_USED_FRACTION = 0.3
 # An endpoint is slow if its mean answer time exceeds the service's by this
 # factor. Its keys are sent to other endpoints, where fewer requests fail.
 SLOW_FACTOR = 2.0
@@ -71,7 +59,7 @@
         self.recent_keys = RecentKeys()
         self.work_factor = WorkFactor()
         self.processing = processing
-        self.round_trips = round_trips
+        self._round_trips = round_trips
         self.region = region
         self.in_flight = 0
         self.health = EndpointHealth(latency=service_latency)
@@ -79,9 +67,7 @@
         self.cold_until = now + record.cold_s
         self._added_at = now
         self._own_latency = EndpointLatency()
-        self._others_load = record.slots * INITIAL_USED_FRACTION
-        self._typical_others_load = self._others_load
-        self._reported_at = now
+        self.load_estimate = LoadEstimate(slots=record.slots, usual=processing.usual_load, now=now)
 
     def update_record(self, record: EndpointRecord, now: float) -> None:
         """Apply a newer row of the same incarnation."""
@@ -124,11 +110,9 @@
 
     def record_load_report(self, *, busy: int, now: float) -> None:
         """Record the endpoint's own count of running and queued requests."""
-        self._others_load = max(0.0, busy - self.in_flight)
-        self._typical_others_load += TYPICAL_LOAD_WEIGHT * (
-            self._others_load - self._typical_others_load
+        self.load_estimate.record(
+            busy=busy, in_flight=self.in_flight, slots=self.record.slots, now=now
         )
-        self._reported_at = now
 
     def record_response_time(self, took_s: float, now: float) -> None:
         """Record the time that an answer took."""
@@ -137,7 +121,7 @@
 
     def record_connect_time(self, took_s: float) -> None:
         """Record the time that opening a connection took."""
-        self.round_trips.record(self.record.zone, took_s)
+        self._round_trips.record(self.record.zone, took_s)
 
     def record_processing(
         self, key: str, took_s: float, now: float, *, had_free_slot: bool
@@ -149,7 +133,7 @@
         """
         cached = self.recent_keys.contains(key, now)
         if had_free_slot:
-            round_trip_s = self.round_trips.round_trip_s(self.record.zone)
+            round_trip_s = self._round_trips.round_trip_s(self.record.zone)
             processing_s = max(0.0, took_s - round_trip_s)
             # The averages are of usual times; predictions multiply them by the factor.
             usual_s = processing_s / self.work_factor.current(now)
@@ -163,7 +147,7 @@
         processing_s = self.processing.expected_s(cached=self.recent_keys.contains(key, now))
         wait_s = rounds_ahead * self.processing.mean_s
         work_s = (processing_s + wait_s) * self.work_factor.current(now)
-        return self.round_trips.round_trip_s(self.record.zone) + work_s
+        return self._round_trips.round_trip_s(self.record.zone) + work_s
 
     def record_abandoned(self, after_s: float, now: float) -> None:
         """Record a request that was abandoned; its answer would have taken longer."""
@@ -186,13 +170,7 @@
 
     def load(self, now: float) -> float:
         """Estimate the number of requests at the endpoint, from all instances."""
-        age_s = now - self._reported_at
-        report_weight = max(0.0, 1 - age_s / REPORT_DECAY_S)
-        typical = self._typical_others_load * max(0.0, 1 - age_s / TYPICAL_LOAD_DECAY_S)
-        others = report_weight * self._others_load + (1 - report_weight) * min(
-            typical, self.record.slots
-        )
-        return self.in_flight + others
+        return self.in_flight + self.load_estimate.others(self.record.slots, now)
 
     def is_cold(self, now: float) -> bool:
         """Return whether the rate limit of cold endpoints applies."""
--- a/packages/node/src/plantainloft_node/placement/placement.py
+++ b/packages/node/src/plantainloft_node/placement/placement.py
@@ -38,6 +38,10 @@
 # help a little in bursts, but leave fewer objects cached on every endpoint.
 LOCAL_CANDIDATES = 1
 REMOTE_CANDIDATES = 1
+# The same with overload control, which weighs the cost of an uncached object: with one
+# candidate, the busiest of endpoints with few slots has three times the mean load.
+MANY_LOCAL_CANDIDATES = 3
+MANY_REMOTE_CANDIDATES = 2
 
 
 class PlacementSettings(NamedTuple):
@@ -76,8 +80,10 @@
 class _CandidateCollector:
     """Collects candidates from endpoints that are added in rank order."""
 
-    def __init__(self, *, region: str) -> None:
+    def __init__(self, *, region: str, max_local: int, max_remote: int) -> None:
         self._region = region
+        self._max_local = max_local
+        self._max_remote = max_remote
         self.local: list[EndpointState] = []
         self._remote: list[EndpointState] = []
         self._limited_ids: list[str] = []
@@ -87,8 +93,8 @@
     def has_room_for(self, state: EndpointState) -> bool:
         """Return whether there may be one more candidate in the region of ``state``."""
         if state.region == self._region:
-            return len(self.local) < LOCAL_CANDIDATES
-        return len(self._remote) < REMOTE_CANDIDATES
+            return len(self.local) < self._max_local
+        return len(self._remote) < self._max_remote
 
     def add(self, state: EndpointState, *, may_return: bool) -> None:
         """Add an endpoint; ``may_return``: it gets requests for the key after a rest."""
@@ -111,7 +117,7 @@
         """
         local = self.local
         if not local and not self._remote:
-            local = self._ramping[:LOCAL_CANDIDATES]
+            local = self._ramping[: self._max_local]
         return _Candidates(local, self._remote, tuple(self._limited_ids), unwilling_ids)
 
 
@@ -226,7 +232,11 @@
         """Return the key's candidates in its region, and those elsewhere."""
         region = self._region_of(request)
         by_id = self._endpoint_registry.by_id
-        collector = _CandidateCollector(region=region)
+        collector = _CandidateCollector(
+            region=region,
+            max_local=MANY_LOCAL_CANDIDATES if self.overload_control else LOCAL_CANDIDATES,
+            max_remote=MANY_REMOTE_CANDIDATES if self.overload_control else REMOTE_CANDIDATES,
+        )
         for endpoint_id in self._ranking(request):
             state = by_id[endpoint_id]
             if not collector.has_room_for(state) or endpoint_id in request.tried_endpoint_ids:
--- a/packages/node/src/plantainloft_node/placement/prediction.py
+++ b/packages/node/src/plantainloft_node/placement/prediction.py
@@ -9,6 +9,8 @@
 
 from collections import OrderedDict
 
+from plantainloft_node.placement.load_estimate import UsualLoad
+
 __all__ = ['ProcessingTimes', 'RecentKeys', 'WorkFactor', 'ZoneRoundTrips']
 
 # Weight of the newest answer in the moving averages: about 20 answers count.
@@ -33,7 +35,7 @@
 
 
 class ProcessingTimes:
-    """Mean processing times of a service's requests, in seconds.
+    """Mean processing times of a service's requests, in seconds, and its usual load.
 
     Requests for objects that the endpoint has cached and for others are averaged
     separately.
@@ -44,6 +46,7 @@
         self._cached_s: float | None = None
         self._uncached_s: float | None = None
         self._cold_s: float | None = None
+        self.usual_load = UsualLoad()
 
     def record(self, processing_s: float, *, cached: bool, cold: bool = False) -> None:
         """Record one answer's time without round trip and queueing.
--- a/packages/node/src/plantainloft_node/placement/selection.py
+++ b/packages/node/src/plantainloft_node/placement/selection.py
@@ -22,6 +22,7 @@
     'Selection',
     'earliest_completion',
     'earliest_in_time',
+    'full_load',
 ]
 
 # Requests that may be queued at an endpoint beyond its slots, as a ratio of its
@@ -124,24 +125,49 @@
     For overload control: a request that would be running or queued when its time is over is
     refused at once instead. Before any answer of the service was measured, nothing is known
     about that and none is refused for it.
+
+    An endpoint that is not likely to have the object cached has to have free slots, and to
+    be sooner by the time for which the extra work delays other requests there.
     """
     best: Selection | None = None
+    lowest_cost_s = 0.0
     reason = 'every endpoint is full'
     for rank, state in enumerate(candidates):
         load = state.load(now)
         predicted = predict_answer(state, request.key, load, now)
-        if load >= _load_limit(state, request.route, now, may_queue=not rank or predicted.cached):
+        # Of the key's first choice other instances have probably asked for the object.
+        is_home = not rank or predicted.cached
+        if load >= _load_limit(state, request.route, now, may_queue=is_home):
             continue
-        if predicted.is_measured and predicted.expected_s > request.remaining_s:
+        cost_s = predicted.expected_s
+        if not is_home:
+            cost_s += predicted.displaced_s
+        if predicted.is_measured and _is_too_late(state, load, cost_s, request.remaining_s):
             reason = 'no endpoint answers in time'
-            continue
-        if best is None or (predicted.cached and predicted.expected_s < best.expected_s):
+        elif best is None or cost_s < lowest_cost_s:
+            lowest_cost_s = cost_s
             best = Selection(endpoint=state, load=load, rank=rank, expected_s=predicted.expected_s)
     if best is None:
         return NoCapacity(reason=reason, load_summary=_format_loads(candidates, now))
     return best
 
 
+def full_load(state: EndpointState) -> float:
+    """Return the load at which ``state`` gets no requests of any priority."""
+    return state.record.slots * (1 + max(QUEUE_RATIO_BY_PRIORITY))
+
+
+def _is_too_late(state: EndpointState, load: float, cost_s: float, remaining_s: float) -> bool:
+    """Return whether a request can't be answered within ``remaining_s``.
+
+    The load of an endpoint that queues is known from old reports and was twice the estimate
+    in simulations, so the time in its queue is bounded by the worst case.
+    """
+    if cost_s > remaining_s:
+        return True
+    return load >= state.record.slots and _worst_case_answer_s(state, load) > remaining_s
+
+
 def _load_limit(state: EndpointState, route: Route, now: float, *, may_queue: bool) -> float:
     """Return the load at which ``state`` gets no more requests of ``route``."""
     if not may_queue:
--- a/packages/standins/src/plantainloft_standins/load_simulation.py
+++ b/packages/standins/src/plantainloft_standins/load_simulation.py
@@ -89,7 +89,8 @@
     rate of all workloads as a function of time. ``slowdown`` multiplies the service
     time as a function of the endpoint's number and of time. ``announcement`` is what an
     endpoint announces, by its region, number and time. An endpoint whose queue is full
-    asks for ``full_rest_s`` of rest.
+    asks for ``full_rest_s`` of rest. ``overload_control``: it is active at all instances, and
+    endpoints report their slowdown.
     """
 
     endpoints_by_region: dict[str, int]
@@ -107,6 +108,7 @@
         NO_ANNOUNCEMENT
     )
     full_rest_s: float = 0.0
+    overload_control: bool = False
     seed: int = 1
 
 
@@ -163,6 +165,13 @@
     def busy(self) -> int:
         return len(self.running) + len(self.waiting)
 
+    @property
+    def work_factor(self) -> float | None:
+        scenario = self._model.scenario
+        if not scenario.overload_control:
+            return None
+        return scenario.slowdown(self._number, self._model.now)
+
     @property
     def announcement(self) -> ModelAnnouncement:
         return self._model.scenario.announcement(self.region, self._number, self._model.now)
@@ -205,10 +214,14 @@
         self._cache.move_to_end(request.key)
         while len(self._cache) > self._model.scenario.cache_size:
             self._cache.popitem(last=False)
-        busy = self.busy
-        leaves = self.announcement.leaves
+        signals = EndpointSignals(
+            leaves=self.announcement.leaves,
+            busy=self.busy,
+            work_factor=self.work_factor,
+            is_complete=True,
+        )
         delay = self._model.one_way_delay_s(self.region, sender.region)
-        self._model.schedule(delay, lambda: sender.on_answer(request, self, busy, leaves=leaves))
+        self._model.schedule(delay, lambda: sender.on_answer(request, self, signals))
         self._start_next()
 
     def _start_next(self) -> None:
@@ -232,6 +245,7 @@
             region=region, instance=name, cold_over=COLD_OVER, cold_slack=COLD_SLACK
         )
         self.placement = Placement(settings=settings, endpoint_registry=self.endpoint_registry)
+        self.placement.overload_control = model.scenario.overload_control
         self._budget = RetryBudget(window_s=RETRY_WINDOW_S)
         self._state_by_request: dict[_Request, EndpointState] = {}
         for endpoint_id, endpoint in model.endpoint_by_id.items():
@@ -252,14 +266,13 @@
         )
         self._place_request(request)
 
-    def on_answer(self, request: _Request, endpoint: _Endpoint, busy: int, *, leaves: bool) -> None:
-        """Process an endpoint's answer, its load report and whether it leaves."""
+    def on_answer(self, request: _Request, endpoint: _Endpoint, signals: EndpointSignals) -> None:
+        """Process an endpoint's answer and what it reports."""
         state = self._state_by_request.pop(request, None)
         if state is None:
             return
-        signals = EndpointSignals(leaves=leaves, is_complete=True)
         state.record_signals(signals, sent_at=request.sent_at, now=self._model.now)
-        if leaves:
+        if signals.leaves:
             self._model.announcement_log.record_leaving(endpoint.id, self.name, self._model.now)
         state.in_flight -= 1
         state.health.record_success(self._model.now)
@@ -270,7 +283,7 @@
             self._model.now,
             had_free_slot=request.had_free_slot,
         )
-        state.record_load_report(busy=busy, now=self._model.now)
+        state.record_load_report(busy=signals.busy or 0, now=self._model.now)
         self._model.record_end(request, served=True)
 
     @property
--- a/tests/test_endpoint_choice.py
+++ b/tests/test_endpoint_choice.py
@@ -171,3 +171,72 @@
     measure_processing(registry)
     placement.overload_control = False
     assert chosen(placement, remaining_s=UNCACHED_S - 0.1)
+
+
+def busy_elsewhere(registry: EndpointRegistry, state: EndpointState, busy: int) -> None:
+    fill(registry, 1)
+    state.record_load_report(busy=busy, now=NOW)
+
+
+def test_a_full_endpoint_is_left_while_others_have_room(
+    registry: EndpointRegistry, placement: Placement
+) -> None:
+    """Failure: the busiest endpoint has three times the mean load and rejects requests."""
+    measure_processing(registry)
+    home = chosen(placement)
+    busy_elsewhere(registry, home, 4 * SLOTS)
+    assert chosen(placement) is not home
+    assert chosen(placement).region == 'ankara'
+
+
+def test_an_idle_endpoint_is_used_instead_of_a_long_queue(
+    registry: EndpointRegistry, placement: Placement
+) -> None:
+    """Failure: requests wait at their first choice while its neighbours are idle."""
+    measure_processing(registry)
+    home = chosen(placement)
+    for _ in range(200):
+        fill(registry, 0)
+    home.record_load_report(busy=2 * SLOTS, now=NOW)
+    assert chosen(placement) is not home
+
+
+def test_a_short_wait_is_preferred_to_work_on_an_uncached_object(
+    registry: EndpointRegistry, placement: Placement
+) -> None:
+    """Failure: objects are copied to endpoints that evict others for them."""
+    measure_processing(registry)
+    home = chosen(placement)
+    home.recent_keys.record(KEY, NOW)
+    busy_elsewhere(registry, home, SLOTS + 1)
+    assert chosen(placement) is home
+
+
+def test_of_two_endpoints_with_the_object_cached_the_faster_one_is_used(
+    registry: EndpointRegistry, placement: Placement
+) -> None:
+    """Failure: requests go to an endpoint that reports to be slow for now."""
+    measure_processing(registry)
+    home = chosen(placement)
+    other = chosen(placement, tried=frozenset((home.record.id,)))
+    for state in (home, other):
+        state.recent_keys.record(KEY, NOW)
+    assert chosen(placement) is home
+    report_work_factor(home, 2.5)
+    assert chosen(placement) is other
+
+
+def test_a_retry_goes_to_other_candidates(registry: EndpointRegistry, placement: Placement) -> None:
+    """Failure: the second attempt meets the same full endpoint."""
+    home = chosen(placement)
+    assert chosen(placement, tried=frozenset((home.record.id,))) is not home
+
+
+def test_without_overload_control_there_is_one_candidate_in_the_region(
+    registry: EndpointRegistry, placement: Placement
+) -> None:
+    """Failure: a deployment that does not use overload control spreads its objects."""
+    placement.overload_control = False
+    home = chosen(placement)
+    busy_elsewhere(registry, home, 4 * SLOTS)
+    assert chosen(placement).region == 'izmir'
