Uncached objects cost more in the choice of endpoints

The test on the load model now asks for more requests within their objectives, over eight seeds, which is stricter than the former count of all answers on three.

--- a/packages/node/src/plantainloft_node/placement/answer_prediction.py
+++ b/packages/node/src/plantainloft_node/placement/answer_prediction.py
@@ -11,8 +11,9 @@
 # The part of the time of work on an uncached object that a cached one saves.
 EXTRA_WORK_FRACTION = 0.67
 # Weight of the delay of others. Reported loads are about half of what a request meets in
-# simulations; with half the weight, fewer requests are in time, with twice, more are refused.
-DISPLACEMENT_WEIGHT = 4.0
+# simulations, and the delay grows with about the third power of it. With a weight of 4, fewer
+# requests are within their objectives than with one candidate.
+DISPLACEMENT_WEIGHT = 32.0
 
 
 class AnswerPrediction(NamedTuple):
--- a/tests/test_endpoint_choice.py
+++ b/tests/test_endpoint_choice.py
@@ -376,16 +376,16 @@
     )
 
 
-def test_more_is_answered_and_less_refused_by_endpoints_than_without() -> None:
-    """Failure: requests meet full endpoints, or time out there, while others have room."""
-    refused, answered = [], []
+def test_more_is_in_time_and_less_refused_by_endpoints_than_without() -> None:
+    """Failure: requests meet full endpoints, or are late there, while others have room."""
+    refused, in_time = [], []
     for overload_control in (False, True):
         models = [
             simulate(make_scenario(overload_control=overload_control, seed=seed))
-            for seed in (1, 2, 3)
+            for seed in range(1, 9)
         ]
         stats = [one for model in models for one in model.stats_by_workload.values()]
         refused.append(sum(model.shed for model in models))
-        answered.append(sum(one.within_objective + one.late for one in stats))
+        in_time.append(sum(one.within_objective for one in stats))
     assert refused[1] < refused[0]
-    assert answered[1] > answered[0]
+    assert in_time[1] > in_time[0]
