--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -2,8 +2,10 @@
 
 import itertools
 import logging
+import math
 from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 from http import HTTPStatus
 from typing import NamedTuple
 
@@ -24,8 +26,9 @@
     UpstreamRequest,
 )
 from plantainloft_node.placement.endpoints import EndpointState
+from plantainloft_node.placement.selection import full_load
 
-__all__ = ['EndpointRequest', 'Sender']
+__all__ = ['EndpointRequest', 'Sender', 'record_refusal_load']
 
 log = logging.getLogger(__name__)
 
@@ -45,7 +48,9 @@
     ``may_repeat``: it may be sent again although it may have run. ``priority`` is that of
     its route (0 is the highest). Unless ``allowed_regions`` is empty, its bytes may only
     pass through instances of these regions. ``on_send`` is called before the first byte is
-    sent.
+    sent. ``uses_refusal_load``: there are other candidates for the endpoint to be avoided
+    after a refusal. ``connection_share`` is the most connections that this instance may have to
+    the endpoint, ``None`` for any number.
     """
 
     request: UpstreamRequest
@@ -57,6 +62,8 @@
     priority: int = 0
     allowed_regions: frozenset[str] = frozenset()
     on_send: Callable[[], None] = _do_nothing
+    uses_refusal_load: bool = False
+    connection_share: int | None = None
 
 
 class Sender:
@@ -105,7 +112,7 @@
         self, state: EndpointState, endpoint_request: EndpointRequest
     ) -> AttemptOutcome:
         needs = ConnectionNeeds(endpoint_request.priority, endpoint_request.allowed_regions)
-        connection = await self._get_connection(state, needs)
+        connection = await self._get_connection(state, needs, endpoint_request.connection_share)
         if isinstance(connection, NotSent):
             return connection
         if not state.accepts_requests(anyio.current_time()):
@@ -134,15 +141,38 @@
         return replace(outcome, path=connection.path)
 
     async def _get_connection(
-        self, state: EndpointState, needs: ConnectionNeeds
+        self, state: EndpointState, needs: ConnectionNeeds, share: int | None
     ) -> UpstreamConnection | NotSent:
         connector = self._connector
+        incarnation = state.record.incarnation
         connection = await self._pool.acquire(
-            state.record.incarnation,
+            incarnation,
             anyio.current_time(),
             accepts=lambda idle: connector.may_use(idle, state, needs),
         )
-        return connection or await connector.connect(state, needs)
+        if connection is not None:
+            return connection
+        if share is not None and self._pool.open_count(incarnation) >= share:
+            # Idle connections that are left can't carry this request.
+            await self._pool.close_idle(incarnation)
+            if self._pool.open_count(incarnation) >= share:
+                return NotSent(reason='the share of connections is used', withdrawn=True)
+        return await self._open_connection(state, needs)
+
+    async def _open_connection(
+        self, state: EndpointState, needs: ConnectionNeeds
+    ) -> UpstreamConnection | NotSent:
+        incarnation = state.record.incarnation
+        self._pool.record_opening(incarnation)
+        opened: UpstreamConnection | NotSent | None = None
+        try:
+            opened = await self._connector.connect(state, needs)
+        finally:
+            if not isinstance(opened, UpstreamConnection):
+                self._pool.record_closed(incarnation)
+        if isinstance(opened, UpstreamConnection):
+            opened.call_when_closed(partial(self._pool.record_closed, incarnation))
+        return opened
 
     async def _send_and_receive(
         self,
@@ -157,6 +187,10 @@
         outcome = await self._receive_unless_silent(state, connection, endpoint_request)
         if isinstance(outcome, Answered) and outcome.body_source is not None:
             return outcome, True
+        share = endpoint_request.connection_share
+        if share is not None and self._pool.open_count(state.record.incarnation) > share:
+            # The share has become smaller.
+            return outcome, False
         return outcome, await self._return_to_pool(state, connection, outcome)
 
     async def _receive_unless_silent(
@@ -289,6 +323,8 @@
             if not outcome.signals.rest_s and not self._is_own_path(state, outcome):
                 state.health.record_failure(now)
         elif isinstance(outcome, NotRun):
+            if endpoint_request.uses_refusal_load:
+                record_refusal_load(state, outcome.signals, now)
             # Refusing is correct for an endpoint at capacity, or one that says when it
             # will have capacity again, and is not a failure.
             if not outcome.signals.rest_s and state.load(now) < state.record.slots:
@@ -316,12 +352,25 @@
             state.health.record_failure(now)
         else:
             state.health.record_success(now)
-        # Not the load that a refusal reports: with its first choice known to be full, a
-        # request would be refused rather than sent elsewhere.
+        # Not the load that a refusal reports, unless there are other candidates: with its
+        # first choice known to be full, a request would be refused rather than sent elsewhere.
         if outcome.signals.busy is not None:
             state.record_load_report(busy=outcome.signals.busy, now=now)
 
 
+def record_refusal_load(state: EndpointState, signals: EndpointSignals, now: float) -> None:
+    """Record the load of an endpoint that refused a request.
+
+    It counts as full if all its slots are busy, although its queue may be shorter than the
+    one that is used to decide.
+    """
+    if signals.busy is None:
+        return
+    is_full = signals.busy >= state.record.slots
+    busy = max(signals.busy, math.ceil(full_load(state))) if is_full else signals.busy
+    state.record_load_report(busy=busy, now=now)
+
+
 async def _stream_body(
     connection: UpstreamConnection,
     body: RequestBody,
--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -5,8 +5,16 @@
 from plantainloft_node.endpoint_limits.limiter import EndpointLimiter, LimitUsage
 from plantainloft_node.engine.dispatcher import Dispatcher
 from plantainloft_node.engine.forwarding_handler import ForwardingHandler
+from plantainloft_node.entry.capacity_control import CapacityControl
 from plantainloft_node.entry.endpoint_links import EndpointLinks
 from plantainloft_node.entry.metrics import Metrics
+from plantainloft_node.entry.overload_metrics import (
+    set_admission_gauges,
+    set_capacity_gauges,
+    set_capacity_plan_gauges,
+    set_endpoint_choice_gauges,
+    set_return_gauges,
+)
 from plantainloft_node.entry.replicated_state import ReplicatedState
 from plantainloft_node.fleet.membership import FleetMembership
 from plantainloft_node.limits.limiter import RequestLimiter
@@ -38,6 +46,7 @@
         self.endpoint_limiter: EndpointLimiter | None = None
         self.endpoint_links: EndpointLinks | None = None
         self.returns: ScheduledReturns | None = None
+        self.capacity: CapacityControl | None = None
         self.admission: AdmissionController | None = None
 
     def observe(self, route: str, outcome: str, seconds: float) -> None:
@@ -57,7 +66,6 @@
         metrics.set_gauge('members_up', len(self._members.peers_up(now)) + 1)
         metrics.set_gauge('requests_in_progress', forwarding_handler.requests_in_progress)
         self._set_retry_gauges(dispatcher, now)
-        self._set_capacity_plan_gauges(placement)
         metrics.set_gauge('spilled_share', placement.spilled_share(now))
         metrics.set_gauge('quarantined_requests', len(dispatcher.crash_registry.quarantined(now)))
         self._set_store_and_endpoint_gauges(now)
@@ -66,7 +74,7 @@
         self._set_announcement_gauges(now)
         self._set_link_gauges(now)
         self._set_store_return_gauges()
-        self._set_admission_gauges(now)
+        self._set_overload_gauges(placement, now)
         return metrics.text()
 
     def organisations(self) -> list[ListedOrganisation]:
@@ -111,6 +119,17 @@
         for outcome, count in count_by_outcome.items():
             self._metrics.set_gauge('store_rows_released', count, outcome=outcome)
 
+    def _set_overload_gauges(self, placement: Placement, now: float) -> None:
+        registry = self._replicated_state.endpoint_registry
+        set_endpoint_choice_gauges(self._metrics, placement, registry)
+        set_capacity_plan_gauges(self._metrics, placement)
+        if self.returns is not None:
+            set_return_gauges(self._metrics, self.returns, now)
+        if self.admission is not None:
+            set_admission_gauges(self._metrics, self.admission)
+        if self.capacity is not None:
+            set_capacity_gauges(self._metrics, self.capacity)
+
     def _set_organisation_gauges(self) -> None:
         """Set the gauges of the organisations with the highest demand."""
         by_demand = sorted(self.organisations(), key=lambda one: -one['fleet_wanted'])
@@ -140,32 +159,6 @@
             self._metrics.set_gauge('retries', usage.sent, service=service, outcome='sent')
             self._metrics.set_gauge('retries', usage.withheld, service=service, outcome='withheld')
 
-    def _set_capacity_plan_gauges(self, placement: Placement) -> None:
-        set_gauge = self._metrics.set_gauge
-        for service, plan in placement.capacity_planner.plan_by_service.items():
-            if plan.is_measured:
-                set_gauge('capacity_plan_utilisation', plan.max_utilisation, service=service)
-                for region, demand in plan.demand.items():
-                    set_gauge('capacity_plan_demand', demand, service=service, region=region)
-            for region, slots in plan.slots.items():
-                set_gauge('capacity_plan_slots', slots, service=service, region=region)
-            for region, share in placement.region_shares(service).items():
-                set_gauge('region_share', share, service=service, region=region)
-
-    def _set_admission_gauges(self, now: float) -> None:
-        self._set_return_gauges(now)
-        if self.admission is None:
-            return
-        set_gauge = self._metrics.set_gauge
-        set_gauge('overload_control_active', int(self.admission.is_active))
-        for entry in self.admission.listing():
-            service = entry['service']
-            set_gauge('admission_room_per_second', entry['room'], service=service)
-            set_gauge('admission_load', entry['load'], service=service)
-            set_gauge('admissions', entry['admitted'], service=service, decision='admitted')
-            for reason, count in entry['rejected'].items():
-                set_gauge('admissions', count, service=service, decision=reason)
-
     def _set_announcement_gauges(self, now: float) -> None:
         announcements = self._replicated_state.endpoint_registry.announcements
         self._metrics.set_gauge('endpoints_leaving', announcements.leaving_count())
@@ -175,16 +168,6 @@
                 'sends_against_announcement', count, announcement=announcement, attempt=attempt
             )
 
-    def _set_return_gauges(self, now: float) -> None:
-        """Set the gauges of callers that were told to return; none while there are none."""
-        if self.returns is None:
-            return
-        for service, counts in self.returns.counts_by_service.items():
-            reserved_rate = self.returns.reserved_rate(service, now)
-            self._metrics.set_gauge('returns_reserved_per_second', reserved_rate, service=service)
-            for outcome, count in counts._asdict().items():
-                self._metrics.set_gauge('returns', count, service=service, outcome=outcome)
-
     def _set_link_gauges(self, now: float) -> None:
         if self.endpoint_links is None:
             return
--- a/packages/node/src/plantainloft_node/entry/periodic_updates.py
+++ b/packages/node/src/plantainloft_node/entry/periodic_updates.py
@@ -64,15 +64,16 @@
     def update(self, now: float) -> None:
         """Update everything that depends on the current time."""
         self._replicated_state.update(now)
+        self._update_overload_control()
         region_by_instance = self._members.region_by_limit_sharer(now)
         if self._started_at is None:
             self._started_at = now
         self._placement.update_instances(
             cold_limit_sharers(region_by_instance, uptime_s=now - self._started_at)
         )
-        self._retry_budgets.update(
-            instance_count=max_running_instances(self._members, now), now=now
-        )
+        running_instances = max_running_instances(self._members, now)
+        self._placement.running_instances = running_instances
+        self._retry_budgets.update(instance_count=running_instances, now=now)
         if self._placement.endpoint_limiter:
             self._placement.update_endpoint_limits(
                 fleet_view(self._members, region_by_instance, now), now
@@ -89,10 +90,14 @@
         )
         self._update_limits(now)
 
-    def _update_admission(self, zones: Mapping[str, ZoneDemand], now: float) -> None:
-        self._admission.is_active = is_overload_control_active(
+    def _update_overload_control(self) -> None:
+        is_active = is_overload_control_active(
             self._settings(), self._replicated_state.routing_state.route_table
         )
+        self._placement.overload_control = is_active
+        self._admission.is_active = is_active
+
+    def _update_admission(self, zones: Mapping[str, ZoneDemand], now: float) -> None:
         if not self._admission.is_active:
             return
         demand = estimate_demand(
@@ -100,7 +105,7 @@
             rates_by_zone={name: zone.rate_by_service for name, zone in zones.items()},
             own_rates=self._demand.rate_by_service,
             reporting_count=fleet_size(self._members, now).reporting,
-            running_count=max_running_instances(self._members, now),
+            running_count=self._placement.running_instances,
             now=now,
         )
         shares = self._returns.update_shares(self._demand.rate_by_service, now)
--- a/packages/node/src/plantainloft_node/placement/placement.py
+++ b/packages/node/src/plantainloft_node/placement/placement.py
@@ -7,6 +7,7 @@
 once.
 """
 
+from collections import Counter
 from collections.abc import Iterable, Mapping, Sequence
 from dataclasses import replace
 from itertools import takewhile
@@ -16,6 +17,11 @@
 from plantainloft_node.endpoint_limits.limiter import EndpointLimiter, FleetView
 from plantainloft_node.placement.capacity_plan import CapacityPlanner
 from plantainloft_node.placement.cold_rate_limit import cold_share
+from plantainloft_node.placement.connection_share import (
+    ConnectionView,
+    UnlimitedConnections,
+    connection_share,
+)
 from plantainloft_node.placement.endpoints import EndpointRegistry, EndpointState
 from plantainloft_node.placement.regions import RegionShares, target_region_shares
 from plantainloft_node.placement.rendezvous import rendezvous_score
@@ -25,6 +31,7 @@
     PlacementRequest,
     Selection,
     earliest_completion,
+    earliest_in_time,
 )
 from plantainloft_node.placement.spillover import SpilloverDecayLimiter
 
@@ -38,6 +45,13 @@
 # help a little in bursts, but leave fewer objects cached on every endpoint.
 LOCAL_CANDIDATES = 1
 REMOTE_CANDIDATES = 1
+# The same with overload control, which weighs the cost of an uncached object: with one
+# candidate, the busiest of endpoints with few slots has three times the mean load.
+MANY_LOCAL_CANDIDATES = 3
+MANY_REMOTE_CANDIDATES = 2
+# A new connection costs at least this: among candidates that are otherwise equal, one with an
+# idle connection is preferred. Predictions are no more exact than that.
+MIN_CONNECTION_SETUP_S = 0.02
 
 
 class PlacementSettings(NamedTuple):
@@ -76,8 +90,10 @@
 class _CandidateCollector:
     """Collects candidates from endpoints that are added in rank order."""
 
-    def __init__(self, *, region: str) -> None:
+    def __init__(self, *, region: str, max_local: int, max_remote: int) -> None:
         self._region = region
+        self._max_local = max_local
+        self._max_remote = max_remote
         self.local: list[EndpointState] = []
         self._remote: list[EndpointState] = []
         self._limited_ids: list[str] = []
@@ -87,8 +103,8 @@
     def has_room_for(self, state: EndpointState) -> bool:
         """Return whether there may be one more candidate in the region of ``state``."""
         if state.region == self._region:
-            return len(self.local) < LOCAL_CANDIDATES
-        return len(self._remote) < REMOTE_CANDIDATES
+            return len(self.local) < self._max_local
+        return len(self._remote) < self._max_remote
 
     def add(self, state: EndpointState, *, may_return: bool) -> None:
         """Add an endpoint; ``may_return``: it gets requests for the key after a rest."""
@@ -111,7 +127,7 @@
         """
         local = self.local
         if not local and not self._remote:
-            local = self._ramping[:LOCAL_CANDIDATES]
+            local = self._ramping[: self._max_local]
         return _Candidates(local, self._remote, tuple(self._limited_ids), unwilling_ids)
 
 
@@ -120,6 +136,13 @@
 
     def __init__(self, *, settings: PlacementSettings, endpoint_registry: EndpointRegistry) -> None:
         self.settings = settings
+        # Whether overload control is active; set periodically.
+        self.overload_control = False
+        # The number of instances that may be running; 0 while it is unknown.
+        self.running_instances = 0
+        self.connections: ConnectionView = UnlimitedConnections()
+        # Attempts without an endpoint under overload control, since the start.
+        self.refused_by_reason: Counter[str] = Counter()
         self._endpoint_registry = endpoint_registry
         self._region_by_instance: dict[str, str] = {}
         self._cold_share_by_id_and_rate: dict[tuple[str, float], int] = {}
@@ -154,7 +177,10 @@
             candidates = [
                 state for state in remote if state.load(now) < state.record.slots
             ] or candidates
-        choice = earliest_completion(candidates, request, now)
+        if self.overload_control:
+            choice = self._select_in_time(candidates, request, service_limits, now)
+        else:
+            choice = earliest_completion(candidates, request, now)
         if isinstance(choice, Selection):
             spilled = bool(local) and choice.endpoint in remote
             self._spillover_limiter.record_request(now, spilled=spilled)
@@ -244,7 +270,11 @@
         """Return the key's candidates in its region, and those elsewhere."""
         region = self._region_of(request)
         by_id = self._endpoint_registry.by_id
-        collector = _CandidateCollector(region=region)
+        collector = _CandidateCollector(
+            region=region,
+            max_local=MANY_LOCAL_CANDIDATES if self.overload_control else LOCAL_CANDIDATES,
+            max_remote=MANY_REMOTE_CANDIDATES if self.overload_control else REMOTE_CANDIDATES,
+        )
         for endpoint_id in self._ranking(request):
             state = by_id[endpoint_id]
             if not collector.has_room_for(state) or endpoint_id in request.tried_endpoint_ids:
@@ -261,6 +291,35 @@
             unwilling_ids = _unwilling_ids(ranked, now, region=region, first=collector.local[:1])
         return collector.candidates(unwilling_ids)
 
+    def _select_in_time(
+        self,
+        candidates: Sequence[EndpointState],
+        request: PlacementRequest,
+        service_limits: ServiceLimits,
+        now: float,
+    ) -> Selection | NoCapacity:
+        """Return the best of ``candidates`` to which there may be a connection."""
+        share = connection_share(service_limits.max_connections, instances=self.running_instances)
+
+        def setup_s(state: EndpointState) -> float:
+            if self.connections.has_idle(state.record.incarnation, now):
+                return 0.0
+            round_trips = self._endpoint_registry.round_trips
+            return max(MIN_CONNECTION_SETUP_S, round_trips.round_trip_s(state.record.zone))
+
+        connectable = [
+            state
+            for state in candidates
+            if self.connections.may_carry(state.record.incarnation, share=share, now=now)
+        ]
+        choice: Selection | NoCapacity = NoCapacity(reason='every share of connections is used')
+        if connectable:
+            choice = earliest_in_time(connectable, request, now, setup_s=setup_s)
+        if isinstance(choice, Selection):
+            return replace(choice, connection_share=share)
+        self.refused_by_reason[choice.reason] += 1
+        return choice
+
     def _idle_limited_endpoint(
         self,
         request: PlacementRequest,
@@ -289,7 +348,8 @@
                 state, request.route, service_limits, now
             ):
                 rank = self._ranking(request).index(state.record.id)
-                return Selection(endpoint=state, load=load, rank=rank)
+                expected_s = state.expected_s(request.key, load, now)
+                return Selection(endpoint=state, load=load, rank=rank, expected_s=expected_s)
         return None
 
     def _no_endpoint(
--- a/packages/node/src/plantainloft_node/placement/prediction.py
+++ b/packages/node/src/plantainloft_node/placement/prediction.py
@@ -9,7 +9,9 @@
 
 from collections import OrderedDict
 
-__all__ = ['ProcessingTimes', 'RecentKeys', 'ZoneRoundTrips']
+from plantainloft_node.placement.load_estimate import UsualLoad
+
+__all__ = ['ProcessingTimes', 'RecentKeys', 'WorkFactor', 'ZoneRoundTrips']
 
 # Weight of the newest answer in the moving averages: about 20 answers count.
 NEWEST_WEIGHT = 0.05
@@ -25,10 +27,15 @@
 # one that opens more slowly may only have met a busy endpoint.
 DECREASE_WEIGHT = 0.5
 INCREASE_WEIGHT = 0.02
+# The usual factor, also of an endpoint that reports none.
+USUAL_WORK_FACTOR = 1.0
+# Episodes of slow work last about 0.6 s. The mean of what is left of one falls linearly
+# with the age of the report.
+WORK_FACTOR_DECAY_S = 0.6
 
 
 class ProcessingTimes:
-    """Mean processing times of a service's requests, in seconds.
+    """Mean processing times of a service's requests, in seconds, and its usual load.
 
     Requests for objects that the endpoint has cached and for others are averaged
     separately.
@@ -38,12 +45,16 @@
         self._overall_s: float | None = None
         self._cached_s: float | None = None
         self._uncached_s: float | None = None
+        self._cold_s: float | None = None
+        self.usual_load = UsualLoad()
 
-    def record(self, processing_s: float, *, cached: bool) -> None:
+    def record(self, processing_s: float, *, cached: bool, cold: bool = False) -> None:
         """Record one answer's time without round trip and queueing.
 
-        ``cached``: the endpoint had the object cached.
+        ``cached``: the endpoint had the object cached. ``cold``: it was cold.
         """
+        if cold:
+            self._cold_s = _moving_average(self._cold_s, processing_s)
         self._overall_s = _moving_average(self._overall_s, processing_s)
         if cached:
             self._cached_s = _moving_average(self._cached_s, processing_s)
@@ -52,7 +63,7 @@
 
     @property
     def is_measured(self) -> bool:
-        """Whether any answer was recorded."""
+        """Whether any answer was measured; the expected times are a guess otherwise."""
         return self._overall_s is not None
 
     @property
@@ -67,6 +78,10 @@
             return uncached_s
         return min(uncached_s, self._cached_s)
 
+    def expected_cold_s(self) -> float:
+        """Return the expected processing time of a request at a cold endpoint."""
+        return max(self._cold_s or 0.0, self.expected_s(cached=False))
+
 
 class RecentKeys:
     """Keys that one endpoint recently answered to this instance."""
@@ -87,6 +102,24 @@
         return answered_at is not None and now - answered_at < RECENT_KEY_TTL_S
 
 
+class WorkFactor:
+    """How long work takes on an endpoint's machine, as a multiple of the usual time."""
+
+    def __init__(self) -> None:
+        self._reported = USUAL_WORK_FACTOR
+        self._reported_at = 0.0
+
+    def record(self, factor: float, now: float) -> None:
+        """Record the factor that the endpoint has reported."""
+        self._reported = factor
+        self._reported_at = now
+
+    def current(self, now: float) -> float:
+        """Return the last reported factor, which decays to 1.0 with its age."""
+        weight = max(0.0, 1 - (now - self._reported_at) / WORK_FACTOR_DECAY_S)
+        return USUAL_WORK_FACTOR + weight * (self._reported - USUAL_WORK_FACTOR)
+
+
 class ZoneRoundTrips:
     """Round-trip times to availability zones, estimated from connection setup."""
 
--- a/packages/node/src/plantainloft_node/placement/selection.py
+++ b/packages/node/src/plantainloft_node/placement/selection.py
@@ -7,11 +7,12 @@
 object cached, as long as the queue is bounded.
 """
 
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from dataclasses import dataclass
 from typing import NamedTuple
 
 from plantainloft_core.routes import Route
+from plantainloft_node.placement.answer_prediction import predict_answer
 from plantainloft_node.placement.endpoints import EndpointState
 
 __all__ = [
@@ -20,6 +21,8 @@
     'PlacementRequest',
     'Selection',
     'earliest_completion',
+    'earliest_in_time',
+    'full_load',
 ]
 
 # Requests that may be queued at an endpoint beyond its slots, as a ratio of its
@@ -52,16 +55,18 @@
 
     ``limited_ids`` are the endpoints of the key's region that were left out because
     this instance has used its share of the request limit that they name, ``unwilling_ids``
-    those that have announced that they want no requests. ``expected_s`` is the expected time
-    from now to the answer, 0 if unknown.
+    those that have announced that they want no requests. ``expected_s`` is the time from
+    now to the expected end of the answer. ``connection_share`` is the most connections that this
+    instance may have to the endpoint, ``None`` for any number.
     """
 
     endpoint: EndpointState
     load: float
     rank: int
-    expected_s: float = 0.0
+    expected_s: float
     limited_ids: tuple[str, ...] = ()
     unwilling_ids: tuple[str, ...] = ()
+    connection_share: int | None = None
 
 
 @dataclass(frozen=True, slots=True, kw_only=True)
@@ -78,6 +83,10 @@
     retry_after_s: float | None = None
 
 
+def _no_setup_s(state: EndpointState) -> float:
+    return 0.0
+
+
 def earliest_completion(
     candidates: Sequence[EndpointState], request: PlacementRequest, now: float
 ) -> Selection | NoCapacity:
@@ -114,6 +123,63 @@
     return best
 
 
+def earliest_in_time(
+    candidates: Sequence[EndpointState],
+    request: PlacementRequest,
+    now: float,
+    *,
+    setup_s: Callable[[EndpointState], float] = _no_setup_s,
+) -> Selection | NoCapacity:
+    """Return the one of ``candidates`` that should answer first, if it is within the time left.
+
+    For overload control: a request that would be running or queued when its time is over is
+    refused at once instead. Before any answer of the service was measured, nothing is known
+    about that and none is refused for it.
+
+    An endpoint that is not likely to have the object cached has to have free slots, and to
+    be sooner by the time for which the extra work delays other requests there. ``setup_s`` is
+    the time until a connection to an endpoint is ready.
+    """
+    best: Selection | None = None
+    lowest_cost_s = 0.0
+    reason = 'every endpoint is full'
+    for rank, state in enumerate(candidates):
+        load = state.load(now)
+        predicted = predict_answer(state, request.key, load, now)
+        # Of the key's first choice other instances have probably asked for the object.
+        is_home = not rank or predicted.cached
+        if load >= _load_limit(state, request.route, now, may_queue=is_home):
+            continue
+        expected_s = predicted.expected_s + setup_s(state)
+        cost_s = expected_s
+        if not is_home:
+            cost_s += predicted.displaced_s
+        if predicted.is_measured and _is_too_late(state, load, expected_s, request.remaining_s):
+            reason = 'no endpoint answers in time'
+        elif best is None or cost_s < lowest_cost_s:
+            lowest_cost_s = cost_s
+            best = Selection(endpoint=state, load=load, rank=rank, expected_s=expected_s)
+    if best is None:
+        return NoCapacity(reason=reason, load_summary=_format_loads(candidates, now))
+    return best
+
+
+def full_load(state: EndpointState) -> float:
+    """Return the load at which ``state`` gets no requests of any priority."""
+    return state.record.slots * (1 + max(QUEUE_RATIO_BY_PRIORITY))
+
+
+def _is_too_late(state: EndpointState, load: float, expected_s: float, remaining_s: float) -> bool:
+    """Return whether a request can't be answered within ``remaining_s``.
+
+    The load of an endpoint that queues is known from old reports and was twice the estimate
+    in simulations, so the time in its queue is bounded by the worst case.
+    """
+    if expected_s > remaining_s:
+        return True
+    return load >= state.record.slots and _worst_case_answer_s(state, load) > remaining_s
+
+
 def _load_limit(state: EndpointState, route: Route, now: float, *, may_queue: bool) -> float:
     """Return the load at which ``state`` gets no more requests of ``route``."""
     if not may_queue:
