Settings: an instance's capacity

Instances differ by a factor of five in processor and of twenty in link capacity, and nothing told them so.

--- a/packages/node/src/plantainloft_node/entry/settings.py
+++ b/packages/node/src/plantainloft_node/entry/settings.py
@@ -3,6 +3,7 @@
 from typing import NamedTuple
 
 from plantainloft_core.outcomes import Invalid
+from plantainloft_node.capacity.settings import CapacitySettings, positive_finite_float
 from plantainloft_node.ini_schema import (
     Option,
     host_port_list,
@@ -28,6 +29,7 @@
 OFF = 'off'
 _BOUNDS = 'bounds'
 _LISTEN = 'listen'
+_CAPACITY = 'capacity'
 
 
 def duration(raw: str) -> float:
@@ -76,6 +78,7 @@
     limit_over: float
     limit_slack: float
     overload_control: str
+    capacity: CapacitySettings
     log_level: str
 
     @property
@@ -113,6 +116,7 @@
     Option(_BOUNDS, 'limit_over', non_negative_float, DEFAULT_LIMIT_SETTINGS.overshoot_ratio),
     Option(_BOUNDS, 'limit_slack', non_negative_float, DEFAULT_LIMIT_SETTINGS.overshoot_requests),
     Option('overload', 'control', one_of(AUTO, ON, OFF), AUTO),
+    *(Option(_CAPACITY, name, positive_finite_float, None) for name in CapacitySettings._fields),
     Option('log', 'level', one_of('DEBUG', 'INFO', 'WARNING', 'ERROR'), 'INFO'),
 )
 
@@ -149,5 +153,8 @@
         limit_over=found['bounds.limit_over'],
         limit_slack=found['bounds.limit_slack'],
         overload_control=found['overload.control'],
+        capacity=CapacitySettings(
+            **{name: found[f'{_CAPACITY}.{name}'] for name in CapacitySettings._fields}
+        ),
         log_level=found['log.level'],
     )
