Fleet: instances report capacity and use to each other

An instance that answers look-ups must know what others have. Nothing is sent while overload control is off.

--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -170,6 +170,7 @@
             polls_store=self.replicated_state.polls_successfully(),
             store_available_for_s=self.replicated_state.store_available_for_s(anyio.current_time()),
             usage_by_organisation=self.pipeline.limiter.usage_report(anyio.current_time()),
+            capacity=self.pipeline.capacity.reported(),
         )
 
     async def _wait_for_stop(self, signals: AsyncIterator[signal.Signals]) -> None:
--- a/packages/node/src/plantainloft_node/entry/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/entry/request_pipeline.py
@@ -7,6 +7,7 @@
 from plantainloft_node.engine.forwarding_handler import ForwardingHandler
 from plantainloft_node.engine.header_names import HeaderNames
 from plantainloft_node.engine.sender import Sender
+from plantainloft_node.entry.capacity_control import CapacityControl
 from plantainloft_node.entry.component_parameters import (
     limit_parameters,
     placement_settings,
@@ -36,12 +37,14 @@
     crash_detector: CrashDetector
     limiter: RequestLimiter
     endpoint_links: EndpointLinks
+    capacity: CapacityControl
 
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply the limits of reloaded settings."""
         self.placement.settings = placement_settings(settings)
         self.dispatcher.retry_budgets.limits = retry_limits(settings)
         self.limiter.settings = limit_parameters(settings)
+        self.capacity.apply_settings(settings)
 
 
 def build_request_pipeline(
@@ -95,4 +98,7 @@
         crash_detector=crash_detector,
         limiter=limiter,
         endpoint_links=endpoint_links,
+        capacity=CapacityControl(
+            settings=settings, route_table=lambda: replicated_state.routing_state.route_table
+        ),
     )
--- a/packages/node/src/plantainloft_node/fleet/datagrams.py
+++ b/packages/node/src/plantainloft_node/fleet/datagrams.py
@@ -19,13 +19,14 @@
     unpack_claims,
     unpack_limits,
 )
+from plantainloft_node.fleet.capacity_codec import CAPACITY_FORMAT_VERSION, unpack_capacities
 from plantainloft_node.fleet.report_codec import (
     DECODE_ERRORS,
     require_non_negative,
     require_type,
     unpack_report,
 )
-from plantainloft_node.fleet.reports import NO_USAGE, ZoneReport
+from plantainloft_node.fleet.reports import NO_USAGE, CapacityReport, ZoneReport
 from plantainloft_node.limits.organisation_usage import (
     OrganisationUsage,
     decode_usage,
@@ -77,7 +78,8 @@
     ``fleet_usage`` is each organisation's usage of its limits in all zones, as far
     as the sender knows, by organisation number. It is empty if not reported.
     ``endpoint_limits`` and ``limit_claims`` are what the sender knows of the request
-    limits of endpoints and of the instances that divide them.
+    limits of endpoints and of the instances that divide them, ``capacities`` what it knows
+    of the capacities of instances.
     """
 
     sender: str
@@ -86,6 +88,7 @@
     fleet_usage: Mapping[int, OrganisationUsage] = NO_USAGE
     endpoint_limits: tuple[LimitReport, ...] = ()
     limit_claims: tuple[GroupClaims, ...] = ()
+    capacities: tuple[CapacityReport, ...] = ()
 
 
 def pack_endpoint_limits(
@@ -153,6 +156,8 @@
 def _parse_datagram(raw: Any) -> Datagram:
     if raw[0] == ENDPOINT_LIMITS_FORMAT_VERSION:
         return _parse_endpoint_limits(*raw[1:])
+    if raw[0] == CAPACITY_FORMAT_VERSION:
+        return _parse_capacities(*raw[1:])
     if raw[0] != FORMAT_VERSION:
         raise ValueError(f'format version {raw[0]!r} is not supported')
     sender, wants_reports, items, packed_usage = raw[1:]
@@ -185,3 +190,12 @@
             for group, packed in groups
         ),
     )
+
+
+def _parse_capacities(sender: Any, packed_capacities: Any) -> Datagram:
+    return Datagram(
+        require_type(sender, str),
+        wants_reports=False,
+        reports=(),
+        capacities=unpack_capacities(packed_capacities),
+    )
--- a/packages/node/src/plantainloft_node/fleet/membership.py
+++ b/packages/node/src/plantainloft_node/fleet/membership.py
@@ -1,5 +1,6 @@
 """Fleet membership: the known entry instances and which of them are up."""
 
+from plantainloft_node.fleet.capacity_table import CapacityTable
 from plantainloft_node.fleet.heartbeat_table import (
     HeartbeatTable,
     ReportedUsage,
@@ -40,6 +41,7 @@
         self.liveness = LivenessTable()
         self.heartbeats = HeartbeatTable()
         self.zone_demands = ZoneDemandTable()
+        self.capacities = CapacityTable()
         self.reported_usage: ReportedUsage | None = None
         self._added_at_by_name: dict[str, float] = {}
         # Whether the list of all instances was read since this process started.
--- a/packages/node/src/plantainloft_node/fleet/report_planner.py
+++ b/packages/node/src/plantainloft_node/fleet/report_planner.py
@@ -19,6 +19,10 @@
 from typing import NamedTuple, TypeVar
 
 from plantainloft_node.endpoint_limits.registry import EndpointLimitRegistry
+from plantainloft_node.fleet.capacity_codec import (
+    MAX_CAPACITIES_PER_DATAGRAM,
+    pack_capacities,
+)
 from plantainloft_node.fleet.datagrams import (
     MAX_GROUPS_PER_DATAGRAM,
     MAX_LIMITS_PER_DATAGRAM,
@@ -43,6 +47,7 @@
 from plantainloft_node.fleet.report_codec import pack_report
 from plantainloft_node.fleet.report_receiver import ReportReceiver
 from plantainloft_node.fleet.reports import (
+    CapacityReport,
     FleetMember,
     Heartbeat,
     MemberStatus,
@@ -90,6 +95,7 @@
         """``own_heartbeat`` returns the current heartbeat of this instance."""
         self._endpoint_limits = endpoint_limits
         self._limit_rounds = itertools.count()
+        self._capacity_rounds = itertools.count()
         self._crash_registry = crash_registry
         self._members = members
         self._report_receiver = report_receiver
@@ -138,7 +144,8 @@
                 members_by_zone.values(), now, include_not_due=include_not_due
             )
             datagrams += self._datagrams([own], remote_addresses, wants_reports=False)
-        return datagrams + self._endpoint_limit_datagrams(datagrams, now)
+        capacities = self._capacity_datagrams(datagrams, now, is_full=is_relay or bool(subscribers))
+        return datagrams + self._endpoint_limit_datagrams(datagrams, now) + capacities
 
     def datagrams_for_subscribers(self, now: float) -> list[OutgoingDatagram]:
         """Return the datagrams to send now to subscribers that are not relays."""
@@ -176,6 +183,37 @@
         addresses = dict.fromkeys(datagram.address for datagram in datagrams)
         return [OutgoingDatagram(address, packed) for address in addresses]
 
+    def _capacity_datagrams(
+        self, datagrams: Iterable[OutgoingDatagram], now: float, *, is_full: bool
+    ) -> list[OutgoingDatagram]:
+        """Return the capacity of this instance, for each receiver of ``datagrams``.
+
+        If ``is_full``, also what is known of others: its availability zone in each round,
+        and as many of the rest in turn as fit.
+        """
+        own_capacity = self._own_heartbeat().capacity
+        if own_capacity is None:
+            return []
+        local_member = self._members.local_member
+        reports = [CapacityReport(member_key(local_member), own_capacity, 0.0)]
+        if is_full:
+            reports += self._other_capacities(now)
+        packed = pack_capacities(local_member.name, reports)
+        addresses = dict.fromkeys(datagram.address for datagram in datagrams)
+        return [OutgoingDatagram(address, packed) for address in addresses]
+
+    def _other_capacities(self, now: float) -> list[CapacityReport]:
+        registry = self._members.registry
+        in_zone: list[CapacityReport] = []
+        elsewhere: list[CapacityReport] = []
+        for report in self._members.capacities.reports(now):
+            member = registry.get(registry.name_of(report.key) or '')
+            if member is not None:
+                is_own_zone = member.zone == self._members.local_member.zone
+                (in_zone if is_own_zone else elsewhere).append(report)
+        left = max(1, MAX_CAPACITIES_PER_DATAGRAM - 1 - len(in_zone))
+        return in_zone + _rotated(elsewhere, next(self._capacity_rounds) * left)
+
     def _own_report(self, now: float, *, is_full: bool) -> PackedReport:
         self._sequence += 1
         heartbeat = self._own_heartbeat()
--- a/packages/node/src/plantainloft_node/fleet/report_receiver.py
+++ b/packages/node/src/plantainloft_node/fleet/report_receiver.py
@@ -89,6 +89,8 @@
             self._members.reported_usage = ReportedUsage(datagram.fleet_usage, now)
         if datagram.endpoint_limits and self._is_sent_from(datagram.sender, host):
             self._endpoint_limits.merge(datagram.endpoint_limits, datagram.limit_claims, now)
+        if datagram.capacities and self._is_sent_from(datagram.sender, host):
+            self._members.capacities.merge(datagram.capacities, now)
         for item in datagram.reports:
             member = item.report.heartbeat.member
             if member.name == datagram.sender and _host(member.heartbeat_address) == host:
--- a/packages/node/src/plantainloft_node/fleet/reports.py
+++ b/packages/node/src/plantainloft_node/fleet/reports.py
@@ -5,11 +5,20 @@
 from typing import NamedTuple
 
 from plantainloft_core.store_position import UNKNOWN_ERA, StorePosition
+from plantainloft_node.capacity.usage import InstanceCapacity
 from plantainloft_node.limits.organisation_usage import OrganisationUsage
 from plantainloft_node.placement.rendezvous import rendezvous_score
 from plantainloft_node.quarantine.crash_records import CrashReport
 
-__all__ = ['NO_USAGE', 'FleetMember', 'Heartbeat', 'MemberStatus', 'ZoneReport', 'member_key']
+__all__ = [
+    'NO_USAGE',
+    'CapacityReport',
+    'FleetMember',
+    'Heartbeat',
+    'MemberStatus',
+    'ZoneReport',
+    'member_key',
+]
 
 NO_USAGE: Mapping[int, OrganisationUsage] = MappingProxyType({})
 
@@ -40,7 +49,9 @@
     whether it polls the store and reaches it. ``store_available_for_s`` is how long the
     store has been available as far as the instance knows, in seconds, or ``None``
     while it is unavailable. ``usage_by_organisation`` is what the organisations of
-    its callers use of their limits, by organisation number.
+    its callers use of their limits, by organisation number. ``capacity`` is what the
+    instance has and uses; ``None`` while overload control is off. It is sent in datagrams
+    of its own.
     """
 
     member: FleetMember
@@ -53,6 +64,7 @@
     usage_by_organisation: Mapping[int, OrganisationUsage] = NO_USAGE
     era: int = UNKNOWN_ERA
     holds_rows: bool = False
+    capacity: InstanceCapacity | None = None
 
 
 class MemberStatus(NamedTuple):
@@ -68,6 +80,17 @@
     age_s: float
 
 
+class CapacityReport(NamedTuple):
+    """The capacity of an instance and its use, as of ``age_s`` seconds ago.
+
+    ``key`` is the ``member_key`` of the instance.
+    """
+
+    key: int
+    capacity: InstanceCapacity
+    age_s: float
+
+
 class ZoneReport(NamedTuple):
     """A heartbeat, and the sender's view of its availability zone.
 
--- a/packages/standins/src/plantainloft_standins/fleet_simulation.py
+++ b/packages/standins/src/plantainloft_standins/fleet_simulation.py
@@ -12,6 +12,7 @@
 from functools import partial
 from typing import NamedTuple
 
+from plantainloft_node.capacity.usage import InstanceCapacity
 from plantainloft_node.endpoint_limits.registry import EndpointLimitRegistry
 from plantainloft_node.fleet.heartbeats import HEARTBEAT_INTERVAL_S, URGENT_ROUND_DELAY_S
 from plantainloft_node.fleet.membership import FleetMember, FleetMembership, Heartbeat
@@ -70,6 +71,8 @@
 class ModelInstance:
     """The parts of an entry instance that exchange datagrams with its peers."""
 
+    capacity: InstanceCapacity | None = None
+
     def __init__(
         self,
         *,
@@ -111,7 +114,7 @@
         heartbeat = Heartbeat(
             self.members.local_member, True, self.draining, {}, self.rate_by_service
         )
-        return heartbeat._replace(usage_by_organisation=usage)
+        return heartbeat._replace(usage_by_organisation=usage, capacity=self.capacity)
 
 
 class FleetModel(EventQueue):
