Look-ups name instances in proportion to their capacity

Every instance of a zone was named in every answer, so that one with a twentieth of the link got as many callers as the others. Where capacities differ and overload control is on, each answer is now a systematic sample with probabilities in proportion to the smallest of processor, link and memory; its position moves by the golden ratio. Instances near a limit are named less often, at a limit not at all. An instance with more than half of the capacity of its zone is named more than once in an answer, as no answer of different addresses can give it its share.

--- /dev/null
+++ b/packages/node/src/plantainloft_node/capacity/guard.py
@@ -0,0 +1,41 @@
+"""Keeps an instance below its limits: fewer look-ups name it, and it refuses newcomers.
+
+Near a limit, look-up answers name the instance less often, and beyond it not at all.
+Callers keep answers for seconds and keep their connections, so an instance beyond a limit
+also refuses new requests, those of the least urgent priority first.
+"""
+
+from plantainloft_node.capacity.usage import CapacityUse
+
+__all__ = ['named_share', 'pressure']
+
+# The fractions of capacity up to which an instance is to be used: beyond 0.85 of a link or
+# of the memory, bursts of a second exceed it; descriptors do not come in bursts.
+MAX_LINK_USE = 0.85
+MAX_MEMORY_USE = 0.85
+MAX_FD_USE = 0.9
+# Callers with an objective of 0.7 s lose a seventh of it at each turn of the event loop.
+MAX_LOOP_DELAY_S = 0.1
+# The pressure at a limit.
+AT_LIMIT = 1.0
+# The delay of the event loop rises steeply once the processor is full. Above its limit it
+# counts so much less that 0.2 s is as far beyond it as a link of 0.935.
+LOOP_EXCESS_WEIGHT = 0.1
+# From this pressure on, look-ups name the instance less often: reports and cached answers
+# are up to 4 s old, in which demand grows by about a fifth.
+NEAR_LIMIT = 0.8
+
+
+def pressure(use: CapacityUse) -> float:
+    """Return how near to its limits an instance is; 1.0 is at the limit."""
+    loop_pressure = use.loop_delay_s / MAX_LOOP_DELAY_S
+    if loop_pressure > AT_LIMIT:
+        loop_pressure = AT_LIMIT + (loop_pressure - AT_LIMIT) * LOOP_EXCESS_WEIGHT
+    return max(
+        use.link / MAX_LINK_USE, use.memory / MAX_MEMORY_USE, use.fds / MAX_FD_USE, loop_pressure
+    )
+
+
+def named_share(use: CapacityUse) -> float:
+    """Return how often look-ups name an instance, as a share of what its capacity allows."""
+    return min(1.0, max(0.0, (AT_LIMIT - pressure(use)) / (AT_LIMIT - NEAR_LIMIT)))
--- a/packages/node/src/plantainloft_node/capacity/usage.py
+++ b/packages/node/src/plantainloft_node/capacity/usage.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     'BITS_PER_BYTE',
+    'BITS_PER_MBIT',
     'NO_USE',
     'CapacityUse',
     'InstanceCapacity',
--- a/packages/node/src/plantainloft_node/entry/lookups.py
+++ b/packages/node/src/plantainloft_node/entry/lookups.py
@@ -10,7 +10,10 @@
 
 from plantainloft_core.routes import CallerLimits
 from plantainloft_node.engine.exchange import Exchange, ExchangeHandler
+from plantainloft_node.entry.capacity_control import CapacityControl
+from plantainloft_node.fleet.lookup_shares import LookupPositions, sample, weights_by_capacity
 from plantainloft_node.fleet.membership import FleetMember, FleetMembership
+from plantainloft_node.fleet.reports import member_key
 
 __all__ = ['LocalHandler', 'LookupHandler', 'ReadyHandler', 'front_addresses']
 
@@ -56,8 +59,16 @@
     """Answers look-ups with the addresses of the entry instances to connect to."""
 
     def __init__(
-        self, *, members: FleetMembership, ready: Callable[[], bool], ttl_s: Callable[[], float]
+        self,
+        *,
+        members: FleetMembership,
+        ready: Callable[[], bool],
+        ttl_s: Callable[[], float],
+        capacity: CapacityControl,
     ) -> None:
+        """``capacity`` is that of this instance."""
+        self._capacity = capacity
+        self._positions = LookupPositions(instance=members.local_member.name)
         self._members = members
         self._ready = ready
         self._ttl_s = ttl_s
@@ -70,12 +81,34 @@
         serving = self._members.serving_peers(anyio.current_time())
         if self._ready():
             serving.append(self._members.local_member)
-        addresses = front_addresses(serving, region=region, zone=zone)
+        addresses = self._addresses_by_capacity(serving, region=region, zone=zone)
+        if addresses is None:
+            addresses = front_addresses(serving, region=region, zone=zone)
         if not addresses:
             return _UNAVAILABLE, b'{}'
         ttl = f'{self._ttl_s():g}s'
         return HTTPStatus.OK, json.dumps({'addresses': addresses, 'ttl': ttl}).encode()
 
+    def _addresses_by_capacity(
+        self, serving: list[FleetMember], *, region: str, zone: str
+    ) -> list[str] | None:
+        """Return a selection by capacity; ``None`` if capacities are equal or don't count."""
+        own = self._capacity.reported()
+        if own is None or len(serving) < MIN_ADDRESSES_IN_ZONE:
+            return None
+        candidates = _ordered_candidates(serving, region=region, zone=zone)
+        now = anyio.current_time()
+        known = self._members.capacities
+        local_member = self._members.local_member
+        capacities = [
+            own if one == local_member else known.get(member_key(one), now) for one in candidates
+        ]
+        weights = weights_by_capacity(capacities, self._capacity.meter.request_cost)
+        if weights is None:
+            return None
+        named = sample(weights, self._positions.next_position())
+        return [candidates[index].caller_address for index in named]
+
 
 def front_addresses(serving: list[FleetMember], *, region: str, zone: str) -> list[str]:
     """Return the addresses for callers in ``region`` and ``zone``, at most 64.
@@ -87,8 +120,12 @@
     - If the region has none, all instances, so that the callers of a region do
       not all connect to the same one.
     """
+    ordered = _ordered_candidates(serving, region=region, zone=zone)
+    return [member.caller_address for member in ordered[:MAX_ADDRESSES]]
+
+
+def _ordered_candidates(serving: list[FleetMember], *, region: str, zone: str) -> list[FleetMember]:
     in_region = [member for member in serving if member.region == region]
     in_zone = [member for member in in_region if member.zone == zone]
     selected = in_zone if len(in_zone) >= MIN_ADDRESSES_IN_ZONE else in_region or serving
-    ordered = sorted(selected, key=lambda member: (member.zone != zone, member.name))
-    return [member.caller_address for member in ordered[:MAX_ADDRESSES]]
+    return sorted(selected, key=lambda member: (member.zone != zone, member.name))
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -128,7 +128,10 @@
     def _start_listeners(self, tasks: TaskGroup) -> None:
         settings = self._settings
         lookups = LookupHandler(
-            members=self.members, ready=self.ready, ttl_s=lambda: self._settings.lookup_ttl_s
+            members=self.members,
+            ready=self.ready,
+            ttl_s=lambda: self._settings.lookup_ttl_s,
+            capacity=self.pipeline.capacity,
         )
         listen = self._listeners.listen
         tasks.start_soon(listen, settings.caller_address, self.pipeline.forwarding_handler)
