Engine: what is held for slow callers and endpoints can be bounded

A caller that pipelined 16 requests and read nothing had up to 16 responses of 64 to 128 KiB held for it, and request bodies held for one slow endpoint had no bound.

--- a/packages/node/src/plantainloft_node/engine/caller_connection.py
+++ b/packages/node/src/plantainloft_node/engine/caller_connection.py
@@ -12,6 +12,7 @@
 import h11
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
+from plantainloft_node.capacity.held_bytes import CallerTraffic
 from plantainloft_node.engine.exchange import Connection, Exchange, ExchangeHandler
 from plantainloft_node.engine.request_body import BodyTooLargeError
 
@@ -45,7 +46,9 @@
         stream: SocketStream,
         handler: ExchangeHandler,
         clock: Callable[[], float],
+        traffic: CallerTraffic | None = None,
     ) -> None:
+        self.traffic = traffic or CallerTraffic()
         self._stream = stream
         # The remote address is unavailable if the caller has already reset the connection.
         address = stream.extra(SocketAttribute.remote_address, ('', 0))
@@ -61,14 +64,18 @@
 
     async def run(self) -> None:
         """Read and answer requests until either side closes the connection."""
+        self.traffic.open_connections += 1
         try:
             await self._serve()
         finally:
+            self.traffic.open_connections -= 1
             await anyio.aclose_forcefully(self._stream)
 
     async def send(self, encoded: bytes) -> None:
         """Send encoded bytes of the current response."""
-        await self._stream.send(encoded)
+        with self.traffic.sending(self._stop_reading, self._clock()):
+            await self._stream.send(encoded)
+        self.traffic.link_bytes += len(encoded)
 
     def closes_after(self, exchange: Exchange) -> bool:
         """Return whether the connection closes after the response of ``exchange``.
@@ -166,6 +173,7 @@
             timeout_s = limits.header_timeout_s if partial else limits.idle_timeout_s
             with anyio.move_on_after(timeout_s):
                 received = await self._stream.receive(READ_BYTES)
+                self.traffic.link_bytes += len(received)
                 protocol.receive_data(received)
                 return True
             if self.idle and not partial:
@@ -177,7 +185,7 @@
     async def _start_exchange(
         self, protocol: h11.Connection, head: h11.Request, tasks: TaskGroup
     ) -> Exchange:
-        while len(self._open_exchanges) >= MAX_PIPELINED_REQUESTS:
+        while not self.traffic.may_start(len(self._open_exchanges), at_most=MAX_PIPELINED_REQUESTS):
             self._exchange_ended = anyio.Event()
             await self._exchange_ended.wait()
         if protocol.they_are_waiting_for_100_continue:
--- a/packages/node/src/plantainloft_node/engine/exchange.py
+++ b/packages/node/src/plantainloft_node/engine/exchange.py
@@ -1,11 +1,13 @@
 """One request of a caller with its response, and the interface of its handler."""
 
 from abc import ABC, abstractmethod
+from contextlib import AbstractContextManager
 
 import anyio
 import h11
 
 from plantainloft_core.routes import CallerLimits
+from plantainloft_node.capacity.held_bytes import CallerTraffic
 from plantainloft_node.engine.headers import Headers, find_header
 from plantainloft_node.engine.request_body import RequestBody
 
@@ -15,10 +17,12 @@
 class Connection(ABC):
     """The connection of a caller, as an exchange uses it.
 
-    ``peer_host`` is the caller's network address, without the port.
+    ``peer_host`` is the caller's network address, without the port. ``traffic`` counts the
+    bytes of all connections.
     """
 
     peer_host: str
+    traffic: CallerTraffic
 
     @abstractmethod
     async def send(self, encoded: bytes) -> None:
@@ -75,9 +79,14 @@
     async def respond(self, status: int, headers: Headers, body: bytes = b'') -> None:
         """Send a complete response."""
         framed = [*headers, (b'content-length', str(len(body)).encode())]
-        await self.start_response(status, framed)
-        await self.write_body(body)
-        await self.end_response()
+        with self.holding(len(body)):
+            await self.start_response(status, framed)
+            await self.write_body(body)
+            await self.end_response()
+
+    def holding(self, size: int) -> AbstractContextManager[None]:
+        """Count ``size`` bytes of the response as held for the caller within the context."""
+        return self._connection.traffic.holding(size)
 
     async def start_response(self, status: int, headers: Headers) -> None:
         """Send the response head once all earlier responses have been sent."""
--- a/packages/node/src/plantainloft_node/engine/responses.py
+++ b/packages/node/src/plantainloft_node/engine/responses.py
@@ -188,7 +188,9 @@
             await exchange.respond(head.status, headers, outcome.body)
             return
         try:
-            await self._stream(exchange, outcome, outcome.body_source)
+            # Each further chunk replaces the one before, which the caller has taken.
+            with exchange.holding(len(outcome.body)):
+                await self._stream(exchange, outcome, outcome.body_source)
         except BrokenAnswerError as exc:
             # Ending the response normally would hide that its rest is missing, so
             # the caller's connection is closed instead.
--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -9,13 +9,19 @@
 
 import anyio
 
+from plantainloft_node.capacity.held_bytes import EndpointBacklog
 from plantainloft_node.endpoint_signals.signals import EndpointSignals, decode_signals
 from plantainloft_node.engine.attempts import Answered, AttemptOutcome, Failed, NotRun, NotSent
 from plantainloft_node.engine.connection_pool import ConnectionPool
 from plantainloft_node.engine.connector import ConnectionNeeds, EndpointConnector
 from plantainloft_node.engine.header_names import HeaderNames
 from plantainloft_node.engine.headers import find_header
-from plantainloft_node.engine.request_body import BodyTooLargeError, RequestBody
+from plantainloft_node.engine.request_body import (
+    MAX_BUFFERED_CHUNKS,
+    MAX_REPLAYABLE_BYTES,
+    BodyTooLargeError,
+    RequestBody,
+)
 from plantainloft_node.engine.upstream_connection import (
     CONNECTION_ERRORS,
     BrokenAnswerError,
@@ -32,6 +38,8 @@
 # A response up to this size is buffered until it is complete, so that it can be
 # replaced by a retry or a 502 if it breaks off; a longer one is streamed to the caller.
 MAX_BUFFERED_RESPONSE_BYTES = 65536
+# Chunks of a streamed body are as long as one read from the caller's connection.
+_MAX_STREAMED_BYTES = MAX_BUFFERED_CHUNKS * MAX_REPLAYABLE_BYTES
 _SUCCESS_STATUSES = range(HTTPStatus.OK, HTTPStatus.MULTIPLE_CHOICES)
 
 
@@ -63,8 +71,14 @@
     """Sends requests over pooled connections and reads the responses."""
 
     def __init__(
-        self, *, names: HeaderNames, pool: ConnectionPool, connector: EndpointConnector
+        self,
+        *,
+        names: HeaderNames,
+        pool: ConnectionPool,
+        connector: EndpointConnector,
+        backlog: EndpointBacklog | None = None,
     ) -> None:
+        self._backlog = backlog or EndpointBacklog()
         self._names = names
         self._pool = pool
         self._connector = connector
@@ -72,6 +86,18 @@
 
     async def send(self, state: EndpointState, endpoint_request: EndpointRequest) -> AttemptOutcome:
         """Send to ``state`` and wait for the response; may be cancelled at any time."""
+        size = _held_size(endpoint_request)
+        incarnation = state.record.incarnation
+        if not self._backlog.try_hold(incarnation, size):
+            return NotSent(reason='too many bytes are held for it', own_path=True)
+        try:
+            return await self._send_recorded(state, endpoint_request)
+        finally:
+            self._backlog.release(incarnation, size)
+
+    async def _send_recorded(
+        self, state: EndpointState, endpoint_request: EndpointRequest
+    ) -> AttemptOutcome:
         attempt_number = next(self._attempt_numbers)
         started_at = anyio.current_time()
         state.in_flight += 1
@@ -322,6 +348,12 @@
             state.record_load_report(busy=outcome.signals.busy, now=now)
 
 
+def _held_size(endpoint_request: EndpointRequest) -> int:
+    """Return the most bytes that are held at once of the body of a request."""
+    streamed = 0 if endpoint_request.streamed_body is None else _MAX_STREAMED_BYTES
+    return len(endpoint_request.request.body) + streamed
+
+
 async def _stream_body(
     connection: UpstreamConnection,
     body: RequestBody,
