Instances beyond a limit refuse new requests by priority

An instance went on accepting requests when its link was full, and callers keep answers of look-ups and connections for seconds. The bounds on held bytes are set at the same time, and callers that read too slowly are closed while the total is exceeded. Own capacities are rounded as in reports, or instances of equal capacity would seem to differ.

Active only while overload control is on and capacities differ.

--- a/packages/node/src/plantainloft_node/engine/forwarding_handler.py
+++ b/packages/node/src/plantainloft_node/engine/forwarding_handler.py
@@ -33,6 +33,12 @@
 # Without a configuration: its first rows arrive within one or two rounds of heartbeats,
 # in which instances report to each other.
 NO_CONFIGURATION_RETRY_S = 0.5
+# The reason of refusals while this instance is beyond its link, memory or processor.
+BEYOND_LIMIT = 'the instance is beyond its capacity'
+
+
+def _admit_all(_: int) -> bool:
+    return True
 
 
 class ForwardingHandler(ExchangeHandler):
@@ -46,7 +52,10 @@
         limiter: RequestLimiter,
         route_table: Callable[[], RouteTable],
         record_outcome: Callable[[str, str, float], None],
+        admits: Callable[[int], bool] = _admit_all,
     ) -> None:
+        """``admits`` returns whether a new request of a priority is admitted."""
+        self._admits = admits
         self._names = names
         self._dispatcher = dispatcher
         self._limiter = limiter
@@ -121,6 +130,11 @@
         attempts = Attempts(context=context)
         outcome: Answered | Refusal | Failed | Blocked | None = None
         cancelled = anyio.get_cancelled_exc_class()
+        if not self._admits(route.priority):
+            self._update_limit_usage(organisation, attempts, ran=False)
+            refusal = refusal_with_retry_after(BEYOND_LIMIT)
+            await self._responses.respond(exchange, route, refusal, attempts)
+            return
         try:
             with anyio.move_on_at(deadline):
                 body, body_complete = await exchange.body.read_replayable()
--- a/packages/node/src/plantainloft_node/entry/listeners.py
+++ b/packages/node/src/plantainloft_node/entry/listeners.py
@@ -5,6 +5,7 @@
 import anyio
 from anyio.abc import SocketStream
 
+from plantainloft_node.capacity.held_bytes import CallerTraffic
 from plantainloft_node.engine.caller_connection import CallerConnection
 from plantainloft_node.engine.exchange import ExchangeHandler
 
@@ -20,7 +21,8 @@
 class Listeners:
     """Accepts connections, and closes them gracefully when draining starts."""
 
-    def __init__(self) -> None:
+    def __init__(self, *, traffic: CallerTraffic) -> None:
+        self._traffic = traffic
         self._connections: set[CallerConnection] = set()
         self._draining = False
 
@@ -48,7 +50,9 @@
             connection.close_when_idle()
 
     async def _serve(self, stream: SocketStream, handler: ExchangeHandler) -> None:
-        connection = CallerConnection(stream=stream, handler=handler, clock=anyio.current_time)
+        connection = CallerConnection(
+            stream=stream, handler=handler, clock=anyio.current_time, traffic=self._traffic
+        )
         connection.close_requested = self._draining
         self._connections.add(connection)
         try:
--- a/packages/node/src/plantainloft_node/entry/periodic_updates.py
+++ b/packages/node/src/plantainloft_node/entry/periodic_updates.py
@@ -38,6 +38,7 @@
         self._crash_registry = pipeline.dispatcher.crash_registry
         self._retry_budgets = pipeline.dispatcher.retry_budgets
         self._limiter = pipeline.limiter
+        self._pipeline = pipeline
         # The time (monotonic) of the first update; ``None`` before.
         self._started_at: float | None = None
 
@@ -74,6 +75,7 @@
         demand = [DemandReport(zone.region, zone.rate_by_service) for zone in zones]
         self._placement.update_region_shares(demand_by_region(demand))
         self._update_limits(now)
+        self._pipeline.update_capacity(now)
 
     def _update_limits(self, now: float) -> None:
         organisations = self._replicated_state.routing_state.route_table.organisations
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -52,7 +52,6 @@
         self._load_settings = load_settings
         self._settings = settings
         self._draining = False
-        self._listeners = Listeners()
         self.members = FleetMembership(local_member=local_member(settings))
         self._polling = PollingPolicy(members=self.members)
         self.replicated_state = ReplicatedState(
@@ -76,6 +75,7 @@
             quarantine=self.quarantine,
             members=self.members,
         )
+        self._listeners = Listeners(traffic=self.pipeline.capacity.traffic)
         self.report.limiter = self.pipeline.limiter
         self.report.endpoint_limiter = self.pipeline.placement.endpoint_limiter
 
--- a/packages/node/src/plantainloft_node/entry/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/entry/request_pipeline.py
@@ -26,6 +26,9 @@
 
 __all__ = ['RequestPipeline', 'build_request_pipeline']
 
+# A tunnel joins a connection of a peer to one of an endpoint.
+FDS_PER_TUNNEL = 2
+
 
 class RequestPipeline(NamedTuple):
     """The components that place, send and answer requests."""
@@ -46,6 +49,17 @@
         self.limiter.settings = limit_parameters(settings)
         self.capacity.apply_settings(settings)
 
+    def update_capacity(self, now: float) -> None:
+        """Measure what this instance uses of its capacity, and apply its limits."""
+        server = self.endpoint_links.server
+        own_fds = len(self.pool) + self.forwarding_handler.requests_in_progress
+        self.capacity.update(
+            tunnel_bytes=server.copied_bytes().total(),
+            endpoint_fds=own_fds + FDS_PER_TUNNEL * server.open_tunnels,
+            loop_delay_s=server.loop_delay_s,
+            now=now,
+        )
+
 
 def build_request_pipeline(
     *,
@@ -61,6 +75,11 @@
         settings=placement_settings(settings), endpoint_registry=replicated_state.endpoint_registry
     )
     pool = ConnectionPool()
+    capacity = CapacityControl(
+        settings=settings,
+        members=members,
+        route_table=lambda: replicated_state.routing_state.route_table,
+    )
     endpoint_links = build_endpoint_links(
         names=names,
         members=members,
@@ -77,7 +96,12 @@
     dispatcher = Dispatcher(
         names=names,
         placement=placement,
-        sender=Sender(names=names, pool=pool, connector=endpoint_links.connector),
+        sender=Sender(
+            names=names,
+            pool=pool,
+            connector=endpoint_links.connector,
+            backlog=capacity.backlog,
+        ),
         retry_budgets=RetryBudgets(limits=retry_limits(settings)),
         crash_detector=crash_detector,
         quarantine=quarantine,
@@ -89,6 +113,7 @@
         limiter=limiter,
         route_table=lambda: replicated_state.routing_state.route_table,
         record_outcome=report.observe,
+        admits=capacity.guard.admits,
     )
     return RequestPipeline(
         placement=placement,
@@ -98,7 +123,5 @@
         crash_detector=crash_detector,
         limiter=limiter,
         endpoint_links=endpoint_links,
-        capacity=CapacityControl(
-            settings=settings, route_table=lambda: replicated_state.routing_state.route_table
-        ),
+        capacity=capacity,
     )
--- a/packages/node/src/plantainloft_node/fleet/capacity_codec.py
+++ b/packages/node/src/plantainloft_node/fleet/capacity_codec.py
@@ -7,7 +7,7 @@
 
 import msgpack
 
-from plantainloft_node.capacity.settings import Capacity
+from plantainloft_node.capacity.settings import MAX_CAPACITY, Capacity
 from plantainloft_node.capacity.usage import CapacityUse, InstanceCapacity
 from plantainloft_node.fleet.report_codec import require_type
 from plantainloft_node.fleet.reports import CapacityReport
@@ -32,9 +32,8 @@
 _HUNDREDTHS = 100
 _KBIT_PER_MBIT = 1000
 _MAX_BYTE = 255
-# The largest capacities that are believed, in the units of the encoding: 256 cores, 4 TB,
-# 16 million descriptors, 400 Gbit/s. A larger one would draw all callers to one instance.
-_MAX_FIGURES = (25_600, 4_000_000, 16_000_000, 400_000_000)
+# Of the figures of a capacity.
+_UNITS = (_HUNDREDTHS, 1, 1, _KBIT_PER_MBIT)
 
 
 def pack_capacities(sender: str, reports: Sequence[CapacityReport]) -> bytes:
@@ -58,17 +57,12 @@
 
 def _pack(report: CapacityReport) -> bytes:
     limits, use = report.capacity
-    figures = (
-        _figure(limits.processor_cores, _HUNDREDTHS),
-        _figure(limits.memory_mb, 1),
-        _figure(limits.max_fds, 1),
-        _figure(limits.link_mbps, _KBIT_PER_MBIT),
-    )
+    figures = map(_figure, limits, _UNITS)
     return _CAPACITY_STRUCT.pack(
         report.key,
         # Rounded up, so that no report looks newer.
         min(_MAX_BYTE, math.ceil(report.age_s * _TENTHS_PER_SECOND)),
-        *(min(figure, maximum) for figure, maximum in zip(figures, _MAX_FIGURES, strict=True)),
+        *figures,
         *(min(_MAX_BYTE, round(part * _HUNDREDTHS)) for part in use),
     )
 
@@ -77,17 +71,13 @@
     return 0 if number is None else max(1, round(number * units))
 
 
+def _parse_figure(figure: int, units: int, maximum: float | None) -> float | None:
+    if maximum is not None and figure > maximum * units:
+        raise ValueError(f'capacity of {figure / units}, at most {maximum} expected')
+    return figure / units or None
+
+
 def _parse(key: int, age_tenths: int, *numbers: int) -> CapacityReport:
-    figures, percentages = numbers[: len(_MAX_FIGURES)], numbers[len(_MAX_FIGURES) :]
-    for figure, maximum in zip(figures, _MAX_FIGURES, strict=True):
-        if figure > maximum:
-            raise ValueError(f'capacity of {figure}, at most {maximum} expected')
-    cores, memory_mb, fds, link = figures
-    limits = Capacity(
-        processor_cores=cores / _HUNDREDTHS or None,
-        memory_mb=float(memory_mb) or None,
-        max_fds=float(fds) or None,
-        link_mbps=link / _KBIT_PER_MBIT or None,
-    )
-    use = CapacityUse(*(percentage / _HUNDREDTHS for percentage in percentages))
+    limits = Capacity(*map(_parse_figure, numbers, _UNITS, MAX_CAPACITY))
+    use = CapacityUse(*(part / _HUNDREDTHS for part in numbers[len(_UNITS) :]))
     return CapacityReport(key, InstanceCapacity(limits, use), age_tenths / _TENTHS_PER_SECOND)
--- a/packages/node/src/plantainloft_node/fleet/capacity_table.py
+++ b/packages/node/src/plantainloft_node/fleet/capacity_table.py
@@ -3,6 +3,7 @@
 from collections.abc import Iterable
 from typing import NamedTuple
 
+from plantainloft_node.capacity.settings import UNKNOWN_CAPACITY, Capacity
 from plantainloft_node.capacity.usage import NO_USE, InstanceCapacity
 from plantainloft_node.fleet.reports import CapacityReport
 
@@ -48,6 +49,11 @@
             return known.capacity._replace(use=NO_USE)
         return known.capacity
 
+    def differ_from(self, own: Capacity, now: float) -> bool:
+        """Return whether the known capacities, including ``own``, are not all alike."""
+        known = {report.capacity.limits for report in self.reports(now)}
+        return len((known | {own}) - {UNKNOWN_CAPACITY}) > 1
+
     def reports(self, now: float) -> list[CapacityReport]:
         """Return what is known, to be passed on to other instances."""
         self._remove_expired(now)
--- a/packages/node/src/plantainloft_node/tunnels/server.py
+++ b/packages/node/src/plantainloft_node/tunnels/server.py
@@ -54,6 +54,11 @@
         """The number of open tunnels."""
         return len(self._tunnels)
 
+    @property
+    def loop_delay_s(self) -> float:
+        """How late the event loop runs, in seconds."""
+        return self._loop_delay.mean_s
+
     def copied_bytes(self) -> Counter[str]:
         """Return the bytes copied so far, by direction."""
         return sum((tunnel.copied_bytes for tunnel in self._tunnels), self._ended_bytes)
--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -276,6 +276,7 @@
     table: RouteTable | None = None,
     tables: list[RouteTable] | None = None,
     limiter: RequestLimiter | None = None,
+    admits: Callable[[int], bool] = lambda _: True,
 ) -> AsyncIterator[tuple[ForwardingServer, list[ScriptedEndpoint]]]:
     """Run a handler that forwards to one scripted endpoint for each script.
 
@@ -320,6 +321,7 @@
             limiter=limiter or RequestLimiter(instance='e1', settings=LIMIT_SETTINGS),
             route_table=lambda: table_versions[-1],
             record_outcome=lambda name, outcome, seconds: None,
+            admits=admits,
         )
 
         async def serve_caller(stream: SocketStream) -> None:
--- a/tests/test_uneven_instances.py
+++ b/tests/test_uneven_instances.py
@@ -10,14 +10,33 @@
 import anyio
 import msgpack
 import pytest
+from entry_fixtures import (
+    ScriptedConnection,
+    answer_with,
+    get_request,
+    running_forwarding_server,
+    signed_ok_response,
+)
 from hypothesis import given
 from hypothesis import strategies as st
-from test_overload_switch import SETTINGS
+from test_overload_switch import SETTINGS, route_table_with
 
 from plantainloft_core.outcomes import Invalid
 from plantainloft_core.routes import RouteTable
-from plantainloft_node.capacity.settings import UNKNOWN_CAPACITY, Capacity
-from plantainloft_node.capacity.usage import CapacityUse, InstanceCapacity, RequestCost
+from plantainloft_node.capacity.guard import CapacityGuard, pressure
+from plantainloft_node.capacity.held_bytes import (
+    MAX_HELD_PER_ENDPOINT,
+    CallerTraffic,
+    EndpointBacklog,
+)
+from plantainloft_node.capacity.settings import UNKNOWN_CAPACITY, Capacity, CapacitySettings
+from plantainloft_node.capacity.usage import (
+    CapacityUse,
+    InstanceCapacity,
+    Readings,
+    RequestCost,
+    UsageMeter,
+)
 from plantainloft_node.entry.capacity_control import CapacityControl
 from plantainloft_node.entry.lookups import LookupHandler
 from plantainloft_node.entry.settings import EntrySettings, parse_entry_settings
@@ -255,7 +274,12 @@
     """The capacity of an instance as a test sets it."""
 
     def __init__(self, *, settings: EntrySettings, own: InstanceCapacity | None) -> None:
-        super().__init__(settings=settings, route_table=RouteTable)
+        local_member = FleetMember('e0', 1, 'r', 'z', 'e0:80', 'e0:90')
+        super().__init__(
+            settings=settings,
+            members=FleetMembership(local_member=local_member),
+            route_table=RouteTable,
+        )
         self.own = own
 
     def reported(self) -> InstanceCapacity | None:
@@ -297,3 +321,177 @@
     before = [f'e{number}:80' for number in range(6)]
     assert all(answer == before for answer in named) == as_before
     assert all(len(set(answer)) >= 2 for answer in named)
+
+
+def test_the_own_capacity_equals_the_one_that_others_read() -> None:
+    """Instances of equal capacity seemed to differ, because reports are rounded."""
+    own = CapacitySettings(0.3333, 1.1, 511.6, 1073741816.0, 33.33333).capacity
+    packed = pack_capacities('e1', [CapacityReport(1, InstanceCapacity(own), 0.0)])
+    datagram = unpack_datagram(packed)
+    assert datagram is not None
+    assert datagram.capacities[0].capacity.limits == own
+
+
+def refused_by_priority(link_use: float, *, active: bool = True) -> list[int]:
+    """Return how many of 100 requests of each priority from 0 to 3 are refused."""
+    guard = CapacityGuard()
+    guard.update(CapacityUse(link=link_use), active=active)
+    return [sum(not guard.admits(priority) for _ in range(100)) for priority in range(4)]
+
+
+def test_requests_are_refused_only_beyond_a_limit() -> None:
+    """Requests were refused by an instance with room, or while overload control was off."""
+    assert refused_by_priority(0.84) == [0, 0, 0, 0]
+    assert refused_by_priority(2.0, active=False) == [0, 0, 0, 0]
+    assert refused_by_priority(2.0) == [100, 100, 100, 100]
+
+
+@given(link_use=st.floats(0, 2))
+def test_a_more_urgent_priority_is_never_refused_more(link_use: float) -> None:
+    """Urgent requests were refused while less urgent ones were admitted."""
+    refused = refused_by_priority(link_use)
+    assert refused == sorted(refused)
+
+
+@pytest.mark.parametrize(
+    'use',
+    [
+        CapacityUse(link=0.86),
+        CapacityUse(memory=0.86),
+        CapacityUse(fds=0.91),
+        CapacityUse(loop_delay_s=0.11),
+    ],
+)
+def test_each_limit_is_guarded(use: CapacityUse) -> None:
+    """An instance at one of its limits went on as if it had room."""
+    assert pressure(use) > 1
+    assert pressure(CapacityUse(link=0.84, memory=0.84, fds=0.89, loop_delay_s=0.09)) < 1
+
+
+def test_use_and_costs_are_measured() -> None:
+    """The use of a link was reported in bytes of a link that is given in bits."""
+    meter = UsageMeter(settings=CapacitySettings(0.5, 2.0, 200.0, 4100.0, 8.0))
+    for second in range(60):
+        requests = 100 * second
+        meter.update(
+            Readings(
+                processor_s=requests * 0.002,
+                link_bytes=requests * 5000,
+                requests=requests,
+                held_bytes=20_000_000,
+                open_fds=410,
+                loop_delay_s=0.03,
+            ),
+            float(second),
+        )
+    assert meter.use == pytest.approx((0.4, 0.5, 0.25, 0.1, 0.03))
+    assert meter.request_cost == pytest.approx((0.004, 5000), rel=0.02)
+
+
+@pytest.mark.parametrize(('bounded', 'started'), [(False, 8), (True, 4)])
+@pytest.mark.anyio
+async def test_responses_held_for_a_connection_are_bounded(bounded: bool, started: int) -> None:
+    """A caller that pipelined and read nothing had 16 responses held for it."""
+    release = anyio.Event()
+
+    async def answer(connection: ScriptedConnection) -> None:
+        while True:
+            request = await connection.read_request()
+            if b'/files/0 ' in request:
+                await release.wait()
+            await connection.send(signed_ok_response(b'x' * 60_000))
+
+    requests = [get_request(b'/files/%d' % n, request_id=b'r%d' % n) for n in range(8)]
+    async with (
+        running_forwarding_server(answer, answer, answer) as (server, endpoints),
+        await server.connect() as stream,
+    ):
+        while not server.connections:
+            await anyio.sleep(0.01)
+        traffic = server.connections[0].traffic
+        traffic.bounded = bounded
+        await stream.send(b''.join(requests))
+        with anyio.fail_after(5):
+            while traffic.held_bytes < (started - 1) * 60_000:
+                await anyio.sleep(0.01)
+        await anyio.sleep(0.1)
+        assert sum(len(endpoint.requests) for endpoint in endpoints) == started
+        assert traffic.held_bytes == (started - 1) * 60_000
+        release.set()
+        received = 0
+        with anyio.fail_after(5):
+            while received < 8 * 60_000:
+                received += len(await stream.receive())
+            while traffic.held_bytes:
+                await anyio.sleep(0.01)
+        assert traffic.link_bytes >= received
+
+
+def test_only_callers_that_take_nothing_are_closed() -> None:
+    """Connections of slow but live callers were closed, or stalled ones kept for good."""
+    traffic = CallerTraffic()
+    closed: list[str] = []
+    with (
+        traffic.sending(lambda: closed.append('stalled'), 0.0),
+        traffic.sending(lambda: closed.append('slow'), 10.0),
+    ):
+        assert traffic.abort_stalled(13.0) == 1
+    assert closed == ['stalled']
+    assert traffic.abort_stalled(100.0) == 0
+
+
+def test_bytes_held_for_an_endpoint_are_bounded() -> None:
+    """Uploads to an endpoint that stopped reading filled the memory of the instance."""
+    backlog = EndpointBacklog()
+    backlog.bounded = True
+    half = MAX_HELD_PER_ENDPOINT // 2
+    assert backlog.try_hold('slow', 2 * MAX_HELD_PER_ENDPOINT)
+    assert not backlog.try_hold('slow', 1)
+    backlog.release('slow', 2 * MAX_HELD_PER_ENDPOINT)
+    assert all(backlog.try_hold('slow', half) for _ in range(2))
+    assert not backlog.try_hold('slow', half)
+    assert backlog.try_hold('other', half)
+    backlog.bounded = False
+    assert backlog.try_hold('slow', half)
+
+
+@pytest.mark.anyio
+async def test_a_request_beyond_the_limit_reaches_no_endpoint() -> None:
+    """A refused request had run, or its caller was not told when to return."""
+    async with running_forwarding_server(
+        answer_with(b''), admits=lambda priority: priority < 1
+    ) as (server, (endpoint,)):
+        answer = await server.send_request(get_request())
+    assert answer.startswith(b'HTTP/1.1 503')
+    assert b'retry-after: 0.' in answer.lower()
+    assert endpoint.requests == []
+
+
+def test_control_follows_the_configuration_and_the_differences() -> None:
+    """Bounds applied to a fleet of equal instances, or did not end with overload control."""
+    settings = settings_with('link_mbps = 8')
+    assert isinstance(settings, EntrySettings)
+    tables = [route_table_with('idempotent')]
+    local_member = FleetMember('e0', 1, 'r', 'z', 'e0:80', 'e0:90')
+    members = FleetMembership(local_member=local_member)
+    control = CapacityControl(settings=settings, members=members, route_table=lambda: tables[-1])
+
+    def bounded_at(now: float) -> bool:
+        # 8 Mbit/s are a million bytes a second.
+        control.traffic.link_bytes = int(now * 1_000_000)
+        control.update(tunnel_bytes=0, endpoint_fds=0, loop_delay_s=0.0, now=now)
+        assert control.traffic.bounded == control.backlog.bounded == control.guard.active
+        return control.traffic.bounded
+
+    assert not any(bounded_at(float(now)) for now in range(3))
+    assert control.reported() is None
+    tables.append(route_table_with('download'))
+    assert not bounded_at(3.0)
+    peer = CapacityReport(7, InstanceCapacity(LARGE), 0.0)
+    members.capacities.merge([peer], 3.0)
+    assert bounded_at(4.0)
+    assert control.guard.is_beyond_limit
+    assert not control.guard.admits(3)
+    tables.pop()
+    assert not bounded_at(5.0)
+    assert control.guard.admits(3)
