--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -2,9 +2,11 @@
 
 import anyio
 
+from plantainloft_node.capacity.guard import pressure
 from plantainloft_node.endpoint_limits.limiter import EndpointLimiter, LimitUsage
 from plantainloft_node.engine.dispatcher import Dispatcher
 from plantainloft_node.engine.forwarding_handler import ForwardingHandler
+from plantainloft_node.entry.capacity_control import CapacityControl
 from plantainloft_node.entry.endpoint_links import EndpointLinks
 from plantainloft_node.entry.metrics import Metrics
 from plantainloft_node.entry.replicated_state import ReplicatedState
@@ -35,6 +37,7 @@
         self.limiter: RequestLimiter | None = None
         self.endpoint_limiter: EndpointLimiter | None = None
         self.endpoint_links: EndpointLinks | None = None
+        self.capacity: CapacityControl | None = None
 
     def observe(self, route: str, outcome: str, seconds: float) -> None:
         """Record one answered request and its duration."""
@@ -61,6 +64,7 @@
         self._set_announcement_gauges(now)
         self._set_link_gauges(now)
         self._set_store_return_gauges()
+        self._set_capacity_gauges()
         return metrics.text()
 
     def organisations(self) -> list[ListedOrganisation]:
@@ -101,6 +105,24 @@
         for outcome, count in count_by_outcome.items():
             self._metrics.set_gauge('store_rows_released', count, outcome=outcome)
 
+    def _set_capacity_gauges(self) -> None:
+        capacity = self.capacity
+        reported = None if capacity is None else capacity.reported()
+        if capacity is None or reported is None:
+            return
+        set_gauge = self._metrics.set_gauge
+        for resource, limit in reported.limits._asdict().items():
+            if limit is not None:
+                set_gauge('capacity', limit, resource=resource)
+        for resource, use in reported.use._asdict().items():
+            set_gauge('capacity_use', use, resource=resource)
+        for priority, count in capacity.guard.refused_by_priority.items():
+            set_gauge('capacity_refused', count, priority=str(priority))
+        set_gauge('capacity_pressure', pressure(reported.use))
+        set_gauge('held_bytes', capacity.traffic.held_bytes)
+        set_gauge('stalled_callers_closed', capacity.traffic.aborted_count)
+        set_gauge('endpoint_backlog_rejected', capacity.backlog.rejected_count)
+
     def _set_organisation_gauges(self) -> None:
         """Set the gauges of the organisations with the highest demand."""
         by_demand = sorted(self.organisations(), key=lambda one: -one['fleet_wanted'])
--- a/packages/node/src/plantainloft_node/entry/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/entry/request_pipeline.py
@@ -87,6 +87,7 @@
         pool=pool,
     )
     report.endpoint_links = endpoint_links
+    report.capacity = capacity
 
     def record_crash(attempt: EndpointAttempt, now: float) -> None:
         replicated_state.endpoint_registry.record_process_ended(attempt.incarnation, now)
--- a/tests/test_uneven_instances.py
+++ b/tests/test_uneven_instances.py
@@ -19,6 +19,15 @@
 )
 from hypothesis import given
 from hypothesis import strategies as st
+from platform_standin import (
+    OPERATOR_TABLE,
+    EntryProcessHandle,
+    entry_host,
+    http_get,
+    make_configuration,
+    running_store,
+    wait_until_equal,
+)
 from test_overload_switch import SETTINGS, route_table_with
 
 from plantainloft_core.outcomes import Invalid
@@ -495,3 +504,40 @@
     tables.pop()
     assert not bounded_at(5.0)
     assert control.guard.admits(3)
+
+
+@pytest.mark.anyio
+async def test_real_instances_name_each_other_by_capacity(tmp_path: Path) -> None:
+    """Real instances never learned each other's capacity, and named each other alike."""
+    async with running_store() as (store, _):
+        store.put(OPERATOR_TABLE, 'config', make_configuration(3))
+        small, large = (
+            EntryProcessHandle(
+                number=number,
+                store_address=store.address,
+                work_dir=tmp_path,
+                seeds=f'{entry_host(1)}:7801',
+            )
+            for number in (1, 2)
+        )
+        path = '/v1/resolve?name=x&region=ankara&zone=ank-a'
+
+        async def times_large_is_named() -> int:
+            answer = await http_get(small.lookup_address, path)
+            return answer.count(large.caller_address.encode())
+
+        try:
+            for entry, link_mbps in ((small, 5), (large, 100)):
+                with entry.settings_path.open('a') as settings_file:
+                    settings_file.write(
+                        f'[overload]\ncontrol = on\n[capacity]\nlink_mbps = {link_mbps}\n'
+                    )
+                entry.start()
+            # An answer names the small one once in 21 addresses, as 5 is to 105 Mbit/s.
+            await wait_until_equal(times_large_is_named, 20)
+            metrics = await http_get(large.metrics_address, '/metrics')
+            assert b'plantainloft_capacity{resource="link_mbps"} 100' in metrics
+            assert b'plantainloft_capacity_use{resource="link"}' in metrics
+        finally:
+            small.kill()
+            large.kill()
