--- a/packages/node/src/plantainloft_node/entry/lookups.py
+++ b/packages/node/src/plantainloft_node/entry/lookups.py
@@ -4,13 +4,16 @@
 from abc import abstractmethod
 from collections.abc import Callable
 from http import HTTPStatus
+from typing import NamedTuple
 from urllib.parse import parse_qs
 
 import anyio
 
 from plantainloft_core.routes import CallerLimits
+from plantainloft_node.capacity.usage import InstanceCapacity
 from plantainloft_node.engine.exchange import Exchange, ExchangeHandler
 from plantainloft_node.entry.capacity_control import CapacityControl
+from plantainloft_node.entry.component_parameters import UPDATE_INTERVAL_S
 from plantainloft_node.fleet.lookup_shares import LookupPositions, sample, weights_by_capacity
 from plantainloft_node.fleet.membership import FleetMember, FleetMembership
 from plantainloft_node.fleet.reports import member_key
@@ -19,6 +22,8 @@
 
 MAX_ADDRESSES = 64
 MIN_ADDRESSES_IN_ZONE = 2
+# Regions and zones whose weights are kept. Callers may name any text as their zone.
+MAX_PLACES = 64
 JSON_TYPE = (b'content-type', b'application/json')
 _UNAVAILABLE = HTTPStatus.SERVICE_UNAVAILABLE
 
@@ -55,6 +60,14 @@
         return (HTTPStatus.OK if self._ready() else _UNAVAILABLE), b'{}'
 
 
+class _Weighed(NamedTuple):
+    """The weights of ``candidates``, which are used until ``until``."""
+
+    candidates: list[FleetMember]
+    weights: list[float] | None
+    until: float
+
+
 class LookupHandler(LocalHandler):
     """Answers look-ups with the addresses of the entry instances to connect to."""
 
@@ -69,6 +82,7 @@
         """``capacity`` is that of this instance."""
         self._capacity = capacity
         self._positions = LookupPositions(instance=members.local_member.name)
+        self._weighed_by_place: dict[tuple[str, str], _Weighed] = {}
         self._members = members
         self._ready = ready
         self._ttl_s = ttl_s
@@ -97,17 +111,29 @@
         if own is None or len(serving) < MIN_ADDRESSES_IN_ZONE:
             return None
         candidates = _ordered_candidates(serving, region=region, zone=zone)
+        weights = self._weights(candidates, own, place=(region, zone))
+        if weights is None:
+            return None
+        named = sample(weights, self._positions.next_position())
+        return [candidates[index].caller_address for index in named]
+
+    def _weights(
+        self, candidates: list[FleetMember], own: InstanceCapacity, *, place: tuple[str, str]
+    ) -> list[float] | None:
         now = anyio.current_time()
+        weighed = self._weighed_by_place.get(place)
+        if weighed is not None and now < weighed.until and weighed.candidates == candidates:
+            return weighed.weights
         known = self._members.capacities
         local_member = self._members.local_member
         capacities = [
             own if one == local_member else known.get(member_key(one), now) for one in candidates
         ]
         weights = weights_by_capacity(capacities, self._capacity.meter.request_cost)
-        if weights is None:
-            return None
-        named = sample(weights, self._positions.next_position())
-        return [candidates[index].caller_address for index in named]
+        if len(self._weighed_by_place) >= MAX_PLACES:
+            self._weighed_by_place.clear()
+        self._weighed_by_place[place] = _Weighed(candidates, weights, now + UPDATE_INTERVAL_S)
+        return weights
 
 
 def front_addresses(serving: list[FleetMember], *, region: str, zone: str) -> list[str]:
