--- a/packages/node/src/plantainloft_node/entry/overload_metrics.py
+++ b/packages/node/src/plantainloft_node/entry/overload_metrics.py
@@ -40,7 +40,7 @@
                 set_gauge('capacity_plan_demand', demand, service=service, region=region)
         for region, slots in plan.slots.items():
             set_gauge('capacity_plan_slots', slots, service=service, region=region)
-        for region, share in placement.region_shares(service).items():
+        for region, share in placement.shares_by_service[service].current().items():
             set_gauge('region_share', share, service=service, region=region)
 
 
--- a/packages/node/src/plantainloft_node/entry/periodic_updates.py
+++ b/packages/node/src/plantainloft_node/entry/periodic_updates.py
@@ -49,6 +49,7 @@
         self._crash_registry = pipeline.dispatcher.crash_registry
         self._retry_budgets = pipeline.dispatcher.retry_budgets
         self._limiter = pipeline.limiter
+        self._pipeline = pipeline
         # The time (monotonic) of the first update; ``None`` before.
         self._started_at: float | None = None
 
@@ -89,6 +90,7 @@
             demand_by_region(demand), now, is_overload_control_active=self._admission.is_active
         )
         self._update_limits(now)
+        self._pipeline.update_capacity(now)
 
     def _update_overload_control(self) -> None:
         is_active = is_overload_control_active(
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -52,7 +52,6 @@
         self._load_settings = load_settings
         self._settings = settings
         self._draining = False
-        self._listeners = Listeners()
         self.members = FleetMembership(local_member=local_member(settings))
         self._polling = PollingPolicy(members=self.members)
         self.replicated_state = ReplicatedState(
@@ -76,6 +75,7 @@
             quarantine=self.quarantine,
             members=self.members,
         )
+        self._listeners = Listeners(traffic=self.pipeline.capacity.traffic)
         self.report.limiter = self.pipeline.limiter
         self.report.endpoint_limiter = self.pipeline.placement.endpoint_limiter
 
@@ -130,7 +130,10 @@
     def _start_listeners(self, tasks: TaskGroup) -> None:
         settings = self._settings
         lookups = LookupHandler(
-            members=self.members, ready=self.ready, ttl_s=lambda: self._settings.lookup_ttl_s
+            members=self.members,
+            ready=self.ready,
+            ttl_s=lambda: self._settings.lookup_ttl_s,
+            capacity=self.pipeline.capacity,
         )
         listen = self._listeners.listen
         tasks.start_soon(listen, settings.caller_address, self.pipeline.forwarding_handler)
@@ -170,6 +173,7 @@
             polls_store=self.replicated_state.polls_successfully(),
             store_available_for_s=self.replicated_state.store_available_for_s(anyio.current_time()),
             usage_by_organisation=self.pipeline.limiter.usage_report(anyio.current_time()),
+            capacity=self.pipeline.capacity.reported(),
         )
 
     async def _wait_for_stop(self, signals: AsyncIterator[signal.Signals]) -> None:
--- a/packages/node/src/plantainloft_node/entry/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/entry/request_pipeline.py
@@ -8,6 +8,7 @@
 from plantainloft_node.engine.header_names import HeaderNames
 from plantainloft_node.engine.request_admission import RequestAdmission
 from plantainloft_node.engine.sender import Sender
+from plantainloft_node.entry.capacity_control import CapacityControl
 from plantainloft_node.entry.component_parameters import (
     limit_parameters,
     placement_settings,
@@ -29,6 +30,9 @@
 
 __all__ = ['RequestPipeline', 'build_request_pipeline']
 
+# A tunnel joins a connection of a peer to one of an endpoint.
+FDS_PER_TUNNEL = 2
+
 
 class RequestPipeline(NamedTuple):
     """The components that place, send and answer requests."""
@@ -42,6 +46,7 @@
     endpoint_links: EndpointLinks
     returns: ReturnPlanning
     admission: AdmissionController
+    capacity: CapacityControl
 
     def apply_settings(self, settings: EntrySettings) -> None:
         """Apply the limits of reloaded settings."""
@@ -49,6 +54,18 @@
         self.placement.settings = placement_settings(settings)
         self.dispatcher.retry_budgets.limits = retry_limits(settings)
         self.limiter.settings = limit_parameters(settings)
+        self.capacity.apply_settings(settings)
+
+    def update_capacity(self, now: float) -> None:
+        """Measure what this instance uses of its capacity, and apply its limits."""
+        server = self.endpoint_links.server
+        own_fds = len(self.pool) + self.forwarding_handler.requests_in_progress
+        self.capacity.update(
+            tunnel_bytes=server.copied_bytes().total(),
+            endpoint_fds=own_fds + FDS_PER_TUNNEL * server.open_tunnels,
+            loop_delay_s=server.loop_delay_s,
+            now=now,
+        )
 
 
 def build_request_pipeline(
@@ -66,6 +83,11 @@
     )
     pool = ConnectionPool()
     placement.connections = pool
+    capacity = CapacityControl(
+        settings=settings,
+        members=members,
+        route_table=lambda: replicated_state.routing_state.route_table,
+    )
     endpoint_links = build_endpoint_links(
         names=names,
         members=members,
@@ -73,6 +95,7 @@
         pool=pool,
     )
     report.endpoint_links = endpoint_links
+    report.capacity = capacity
 
     def record_crash(attempt: EndpointAttempt, now: float) -> None:
         replicated_state.endpoint_registry.record_process_ended(attempt.incarnation, now)
@@ -92,7 +115,12 @@
     dispatcher = Dispatcher(
         names=names,
         placement=placement,
-        sender=Sender(names=names, pool=pool, connector=endpoint_links.connector),
+        sender=Sender(
+            names=names,
+            pool=pool,
+            connector=endpoint_links.connector,
+            backlog=capacity.backlog,
+        ),
         retry_budgets=RetryBudgets(limits=retry_limits(settings)),
         crash_detector=crash_detector,
         quarantine=quarantine,
@@ -105,6 +133,7 @@
         limiter=limiter,
         route_table=lambda: replicated_state.routing_state.route_table,
         record_outcome=report.observe,
+        admits=capacity.guard.admits,
     )
     return RequestPipeline(
         placement=placement,
@@ -116,4 +145,5 @@
         endpoint_links=endpoint_links,
         returns=returns,
         admission=admission,
+        capacity=capacity,
     )
--- a/packages/node/src/plantainloft_node/fleet/datagrams.py
+++ b/packages/node/src/plantainloft_node/fleet/datagrams.py
@@ -19,13 +19,14 @@
     unpack_claims,
     unpack_limits,
 )
+from plantainloft_node.fleet.capacity_codec import CAPACITY_FORMAT_VERSION, unpack_capacities
 from plantainloft_node.fleet.report_codec import (
     DECODE_ERRORS,
     require_non_negative,
     require_type,
     unpack_report,
 )
-from plantainloft_node.fleet.reports import NO_USAGE, ZoneReport
+from plantainloft_node.fleet.reports import NO_USAGE, CapacityReport, ZoneReport
 from plantainloft_node.limits.organisation_usage import (
     OrganisationUsage,
     decode_usage,
@@ -83,7 +84,8 @@
     as the sender knows, by organisation number. It is empty if not reported.
     ``endpoint_limits`` and ``limit_claims`` are what the sender knows of the request
     limits of endpoints and of the instances that divide them. ``promises`` are the
-    promises to refused callers that it announces.
+    promises to refused callers that it announces, ``capacities`` what it knows of the
+    capacities of instances.
     """
 
     sender: str
@@ -93,6 +95,7 @@
     endpoint_limits: tuple[LimitReport, ...] = ()
     limit_claims: tuple[GroupClaims, ...] = ()
     promises: tuple[PromiseReport, ...] = ()
+    capacities: tuple[CapacityReport, ...] = ()
 
 
 def pack_endpoint_limits(
@@ -158,13 +161,15 @@
 
 
 def _parse_datagram(raw: Any) -> Datagram:
-    require_type(raw, list)
-    if raw[0] == ENDPOINT_LIMITS_FORMAT_VERSION:
+    version = require_type(raw, list)[0]
+    if version == ENDPOINT_LIMITS_FORMAT_VERSION:
         return _parse_endpoint_limits(*raw[1:])
-    if raw[0] == PROMISES_FORMAT_VERSION:
+    if version == PROMISES_FORMAT_VERSION:
         return _parse_promises(*raw[1:])
-    if raw[0] != FORMAT_VERSION:
-        raise ValueError(f'format version {raw[0]!r} is not supported')
+    if version == CAPACITY_FORMAT_VERSION:
+        return _parse_capacities(*raw[1:])
+    if version != FORMAT_VERSION:
+        raise ValueError(f'format version {version!r} is not supported')
     sender, wants_reports, items, packed_usage = raw[1:]
     reports = tuple(
         ReceivedReport(
@@ -204,3 +209,12 @@
         reports=(),
         promises=unpack_promises(services, packed),
     )
+
+
+def _parse_capacities(sender: Any, packed_capacities: Any) -> Datagram:
+    return Datagram(
+        require_type(sender, str),
+        wants_reports=False,
+        reports=(),
+        capacities=unpack_capacities(packed_capacities),
+    )
--- a/packages/node/src/plantainloft_node/fleet/membership.py
+++ b/packages/node/src/plantainloft_node/fleet/membership.py
@@ -3,6 +3,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+from plantainloft_node.fleet.capacity_table import CapacityTable
 from plantainloft_node.fleet.heartbeat_table import (
     HeartbeatTable,
     ReportedUsage,
@@ -54,6 +55,7 @@
         self.liveness = LivenessTable()
         self.heartbeats = HeartbeatTable()
         self.zone_demands = ZoneDemandTable()
+        self.capacities = CapacityTable()
         self.reported_usage: ReportedUsage | None = None
         self._added_at_by_name: dict[str, float] = {}
         self._limit_sharers: _LimitSharers | None = None
--- a/packages/node/src/plantainloft_node/placement/placement.py
+++ b/packages/node/src/plantainloft_node/placement/placement.py
@@ -148,7 +148,8 @@
         self._cold_share_by_id_and_rate: dict[tuple[str, float], int] = {}
         self._ranking_by_key: dict[tuple[str, str], list[str]] = {}
         self._ranked_revision = -1
-        self._shares_by_service: dict[str, RegionShares] = {}
+        # The shares in effect of this region's requests.
+        self.shares_by_service: dict[str, RegionShares] = {}
         self.capacity_planner = CapacityPlanner(own_region=settings.region)
         self._failing_services: frozenset[str] = frozenset()
         self._spillover_limiter = SpilloverDecayLimiter(window_s=settings.shift_window_s)
@@ -243,20 +244,15 @@
                     slots=slots,
                     demand=demand_by_region.get(service, {}),
                 )
-            shares = self._shares_by_service.get(service)
+            shares = self.shares_by_service.get(service)
             if shares is None:
                 shares = RegionShares(
                     own_region=self.settings.region, max_step=self.settings.max_share_step
                 )
-                self._shares_by_service[service] = shares
+                self.shares_by_service[service] = shares
             moves_traffic = not is_overload_control_active or planner.has_had_demand(service)
             shares.update(target, slots, moves_traffic=moves_traffic)
 
-    def region_shares(self, service: str) -> dict[str, float]:
-        """Return the share (0..1) of each region in the requests of ``service``."""
-        shares = self._shares_by_service.get(service)
-        return {} if shares is None else shares.current()
-
     def record_sent(self, state: EndpointState, now: float) -> None:
         """Count a request sent to ``state`` against the limits that apply to it."""
         if state.is_cold(now):
@@ -372,7 +368,7 @@
     def _region_of(self, request: PlacementRequest) -> str:
         """Return the region in which the request's key should run."""
         allowed = request.route.regions
-        shares = self._shares_by_service.get(request.service)
+        shares = self.shares_by_service.get(request.service)
         region = shares.region_of(request.key) if shares else None
         if region is None:
             region = self.settings.region
