--- a/tests/test_capacity_plan.py
+++ b/tests/test_capacity_plan.py
@@ -316,7 +316,7 @@
     placement = placement_of_two_regions()
     demand = {'ankara': 10.0, 'bursa': 30.0}
     placement.update_region_shares({'a': demand})
-    assert placement.region_shares('a') == target_region_shares(
+    assert placement.shares_by_service['a'].current() == target_region_shares(
         own_region='bursa', slots={'ankara': 36.0, 'bursa': 4.0}, demand=demand
     )
     assert not placement.capacity_planner.plan_by_service
@@ -340,9 +340,9 @@
     """The small region started with the former shares and left them by small steps only."""
     placement = placement_of_two_regions()
     placement.update_region_shares({})
-    former = placement.region_shares('a')
+    former = placement.shares_by_service['a'].current()
     placement.update_region_shares({}, 1.0, is_overload_control_active=True)
-    planned = placement.region_shares('a')
+    planned = placement.shares_by_service['a'].current()
     assert planned['bursa'] == pytest.approx(0.2)
     assert former['bursa'] > planned['bursa']
     demand = {'a': {'ankara': 10.0, 'bursa': 30.0}}
@@ -351,7 +351,7 @@
         placement.update_region_shares(
             demand, 1.25 + number * UPDATE_S, is_overload_control_active=True
         )
-        history.append(placement.region_shares('a'))
+        history.append(placement.shares_by_service['a'].current())
     for before, after in pairwise(history):
         assert abs(after['bursa'] - before['bursa']) <= placement.settings.max_share_step + 1e-9
 
