--- a/tests/test_capacity_plan.py
+++ b/tests/test_capacity_plan.py
@@ -4,16 +4,15 @@
 import math
 import random
 from itertools import pairwise
-from typing import NamedTuple, cast
+from typing import NamedTuple
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
 from plantainloft_core.discovery import EndpointRecord
-from plantainloft_node.entry.metrics_report import MetricsReport
-from plantainloft_node.entry.replicated_state import ReplicatedState
-from plantainloft_node.fleet.membership import FleetMembership
+from plantainloft_node.entry.metrics import Metrics
+from plantainloft_node.entry.overload_metrics import set_capacity_plan_gauges
 from plantainloft_node.placement.capacity_plan import (
     PEAK_UTILISATION,
     TARGET_UTILISATION,
@@ -326,11 +325,9 @@
     """An operator could not see what share of a region's requests runs elsewhere."""
     placement = placement_of_two_regions()
     placement.update_region_shares({}, 1.0, is_overload_control_active=True)
-    report = MetricsReport(
-        replicated_state=cast('ReplicatedState', None), members=cast('FleetMembership', None)
-    )
-    report._set_capacity_plan_gauges(placement)
-    text = report._metrics.text()
+    metrics = Metrics()
+    set_capacity_plan_gauges(metrics, placement)
+    text = metrics.text()
     assert 'capacity_plan_demand' not in text
     assert 'plantainloft_region_share{region="ankara",service="a"} 0.8' in text
     assert 'plantainloft_capacity_plan_slots{region="bursa",service="a"} 4' in text
