--- a/packages/node/src/plantainloft_node/placement/selection.py
+++ b/packages/node/src/plantainloft_node/placement/selection.py
@@ -154,7 +154,7 @@
         cost_s = expected_s
         if not is_home:
             cost_s += predicted.displaced_s
-        if predicted.is_measured and _is_too_late(state, load, expected_s, request.remaining_s):
+        if predicted.is_measured and _is_too_late(state, load, cost_s, request.remaining_s):
             reason = 'no endpoint answers in time'
         elif best is None or cost_s < lowest_cost_s:
             lowest_cost_s = cost_s
@@ -169,13 +169,13 @@
     return state.record.slots * (1 + max(QUEUE_RATIO_BY_PRIORITY))
 
 
-def _is_too_late(state: EndpointState, load: float, expected_s: float, remaining_s: float) -> bool:
+def _is_too_late(state: EndpointState, load: float, cost_s: float, remaining_s: float) -> bool:
     """Return whether a request can't be answered within ``remaining_s``.
 
     The load of an endpoint that queues is known from old reports and was twice the estimate
     in simulations, so the time in its queue is bounded by the worst case.
     """
-    if expected_s > remaining_s:
+    if cost_s > remaining_s:
         return True
     return load >= state.record.slots and _worst_case_answer_s(state, load) > remaining_s
 
