--- a/packages/node/src/plantainloft_node/engine/attempts.py
+++ b/packages/node/src/plantainloft_node/engine/attempts.py
@@ -209,7 +209,7 @@
             self.misdirected_count += 1
         else:
             self.sent_count += 1
-        self.may_have_run = may_have_run_before or isinstance(outcome, Failed)
+        self.may_have_run = may_have_run_before or isinstance(outcome, Answered | Failed)
         if not isinstance(outcome, Answered):
             self._failure_reasons.append(f'{endpoint_id}: {outcome.reason}')
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -228,6 +228,20 @@
         assert status_of(await server.send_request(post_request(b'x'))) == 502
 
 
+async def test_a_request_that_was_answered_5xx_is_not_refused_for_want_of_another_endpoint() -> (
+    None
+):
+    """Failure: a request that had run was told by 503 that it had not."""
+
+    async def respond_500(connection: ScriptedConnection) -> None:
+        await connection.read_request()
+        await connection.send(b'HTTP/1.1 500 No\r\nContent-Length: 0\r\n\r\n')
+
+    async with running_forwarding_server(respond_500) as (server, (endpoint,)):
+        assert status_of(await server.send_request(get_request())) == 502
+    assert len(endpoint.requests) == 1
+
+
 async def test_an_invalid_http_response_becomes_502() -> None:
     async def send_garbage(connection: ScriptedConnection) -> None:
         await connection.read_request()
