Admission: only the time in an endpoint's queue counts as waiting

Opening a connection and the slow work of a cold endpoint counted too, so that requests beyond their share were rejected while slots were free.

--- a/packages/node/src/plantainloft_node/engine/request_admission.py
+++ b/packages/node/src/plantainloft_node/engine/request_admission.py
@@ -17,6 +17,7 @@
 )
 from plantainloft_node.overload.controller import AdmissionController
 from plantainloft_node.overload.returns import Promise
+from plantainloft_node.placement.answer_prediction import predict_answer
 from plantainloft_node.placement.selection import Selection
 
 __all__ = ['RequestAdmission']
@@ -83,14 +84,18 @@
         if self._controller is None or request is None or attempts.attempt_count:
             return None
         route = admitted.route
-        unqueued_s = selection.endpoint.expected_s(attempts.context.affinity_key, 0.0, now)
+        endpoint, key = selection.endpoint, attempts.context.affinity_key
+        # The time to open a connection and the slow work of a cold endpoint are in
+        # ``selection.expected_s``, but they are not spent in the queue.
+        queued_s = predict_answer(endpoint, key, selection.load, now).expected_s
+        unqueued_s = predict_answer(endpoint, key, 0.0, now).expected_s
         arrival = Arrival(
             priority=route.priority,
             objective_s=route.latency_objective_s,
             objective_left_s=admitted.exchange.received_at + route.latency_objective_s - now,
             remaining_s=admitted.deadline - now,
             expected_s=selection.expected_s,
-            wait_s=max(0.0, selection.expected_s - unqueued_s),
+            wait_s=max(0.0, queued_s - unqueued_s),
             has_promise=attempts.admission.has_promise,
         )
         decision = self._controller.decide(request, arrival, now)
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -6,6 +6,7 @@
 from collections.abc import Mapping
 from typing import NamedTuple
 
+import anyio
 import pytest
 from entry_fixtures import (
     HEADER_NAMES,
@@ -17,6 +18,7 @@
     running_forwarding_server,
     signed_ok_response,
 )
+from entry_fixtures import SERVICE as SERVER_SERVICE
 
 from plantainloft_core.discovery import EndpointRecord
 from plantainloft_ctl.scarcity import aggregate_scarcity, format_groups, format_scarcity_table
@@ -438,6 +440,24 @@
     assert controller.listing()[0]['rejected'] == {'not in time': 1}
 
 
+@pytest.mark.anyio
+async def test_opening_a_connection_does_not_count_as_waiting_in_a_queue() -> None:
+    """Failure: slots stayed free since a request beyond its share needed a new connection."""
+    controller = make_controller(FakePlanner(), load=2.0)
+    controller.is_active = True
+    table = make_route_table(make_route(idempotent=True, prefix='/files/', priority=2))
+    admission = RequestAdmission(names=HEADER_NAMES, controller=controller)
+    async with running_forwarding_server(serve, table=table, admission=admission) as (server, _):
+        server.placement.overload_control = True
+        server.placement.connections = server.pool
+        now = anyio.current_time()
+        controller.begin(CallerRequest(b'caller', SERVER_SERVICE, 2, '', now + 3.0), now)
+        no_room = ServiceDemand(ServiceCapacity(0.0, 0.0, 0.0), {}, used=2.0)
+        controller.update({SERVER_SERVICE: no_room}, now)
+        answer = await server.send_request(get_request())
+    assert answer.startswith(b'HTTP/1.1 200')
+
+
 def test_the_command_adds_up_what_instances_list() -> None:
     """Failure: operators saw only how many requests an instance refused, not whose or why."""
     controller = make_controller(FakePlanner(), load=2.0)
