--- a/packages/node/src/plantainloft_node/engine/dispatcher.py
+++ b/packages/node/src/plantainloft_node/engine/dispatcher.py
@@ -102,8 +102,6 @@
         route = admitted.route
         round_robin = self._round_robin_by_route.setdefault(route.name, SmoothWeightedRoundRobin())
         service = round_robin.next_service(route.shares)
-        self.retry_budgets.record_request(service, anyio.current_time())
-        self.demand.record_request(service)
         return await self._send_controlled(
             admitted, service, route_table, attempts, send_once=send_once
         )
@@ -130,7 +128,12 @@
         send_once: bool,
     ) -> Answered | Refusal | Failed:
         """Send the request, and settle its promise and its retries when it has ended."""
-        promise = self.admission.begin(admitted, service, attempts, now=anyio.current_time())
+        now = anyio.current_time()
+        promise = self.admission.begin(admitted, service, attempts, now=now)
+        if promise is not None and attempts.admission.has_promise:
+            service = promise.service
+        self.retry_budgets.record_request(service, now)
+        self.demand.record_request(service)
         outcome: Answered | Refusal | Failed | None = None
         try:
             outcome = await self._send_until_final(
--- a/packages/node/src/plantainloft_node/engine/request_admission.py
+++ b/packages/node/src/plantainloft_node/engine/request_admission.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from plantainloft_core.routes import Route
 from plantainloft_node.engine.admitted_request import AdmittedRequest
 from plantainloft_node.engine.attempts import Attempts, Failed, Refusal
 from plantainloft_node.engine.header_names import HeaderNames
@@ -43,7 +44,11 @@
     def begin(
         self, admitted: AdmittedRequest, service: str, attempts: Attempts, *, now: float
     ) -> Promise | None:
-        """Return the promise on which the caller returns, if any."""
+        """Return the promise on which the caller returns, if any.
+
+        ``attempts.admission.has_promise`` is set if the request may go to the service of the
+        promise, and it must be sent there then: no other service has room reserved for it.
+        """
         controller = self._controller
         if controller is None or not controller.is_active:
             return None
@@ -59,8 +64,10 @@
             caller_deadline=admitted.caller_deadline,
         )
         promise = controller.begin(request, now)
+        if promise is not None and _has_service(route, promise.service):
+            request = request._replace(service=promise.service)
+            attempts.admission.has_promise = True
         attempts.admission.request = request
-        attempts.admission.has_promise = promise is not None
         return promise
 
     def record_outcome(self, promise: Promise | None, *, served: bool) -> None:
@@ -136,6 +143,10 @@
         return _refusal(reason, rejected, attempts)
 
 
+def _has_service(route: Route, service: str) -> bool:
+    return any(share.service == service and share.weight > 0 for share in route.shares)
+
+
 def _refusal(reason: str, rejected: Reject, attempts: Attempts) -> Refusal:
     attempts.admission.rejected_for = rejected.reason.value
     return Refusal(
--- a/packages/node/src/plantainloft_node/overload/controller.py
+++ b/packages/node/src/plantainloft_node/overload/controller.py
@@ -150,11 +150,14 @@
         self._log_throttle = LogThrottle(interval_s=LOG_INTERVAL_S)
 
     def begin(self, request: CallerRequest, now: float) -> Promise | None:
-        """Count a new request, and return the promise on which its caller returns, if any."""
-        self._service(request.service).shares.record_demand(request.organisation, now)
+        """Count a new request, and return the promise on which its caller returns, if any.
+
+        It counts as a request of the service at which room was promised.
+        """
         promise = self._planner.claim(request.digest, now)
-        if promise is not None:
-            self._service(request.service).returned += 1
+        service = self._service(request.service if promise is None else promise.service)
+        service.shares.record_demand(request.organisation, now)
+        service.returned += promise is not None
         return promise
 
     def record_outcome(self, promise: Promise, *, served: bool) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -21,6 +21,7 @@
 from entry_fixtures import SERVICE as SERVER_SERVICE
 
 from plantainloft_core.discovery import EndpointRecord
+from plantainloft_core.routes import WeightedService
 from plantainloft_ctl.scarcity import aggregate_scarcity, format_groups, format_scarcity_table
 from plantainloft_node.engine.request_admission import RequestAdmission
 from plantainloft_node.overload.admission import (
@@ -440,6 +441,25 @@
     assert controller.listing()[0]['rejected'] == {'not in time': 1}
 
 
+@pytest.mark.anyio
+async def test_a_returning_caller_goes_to_the_service_that_promised_it_room() -> None:
+    """Failure: a route's split sent it to another service, ahead of the newcomers there."""
+    planner = FakePlanner()
+    planner.promises[b'caller'] = Promise(b'caller', SERVER_SERVICE, due_at=0.0)
+    controller = make_controller(planner, load=2.0)
+    controller.is_active = True
+    shares = (WeightedService(SERVICE, 1.0), WeightedService(SERVER_SERVICE, 1.0))
+    table = make_route_table(make_route(idempotent=True, prefix='/files/', shares=shares))
+    limits = table.services_by_name[SERVER_SERVICE]
+    table = table._replace(services_by_name={SERVICE: limits, SERVER_SERVICE: limits})
+    admission = RequestAdmission(names=HEADER_NAMES, controller=controller)
+    async with running_forwarding_server(serve, table=table, admission=admission) as (server, _):
+        answer = await server.send_request(get_request())
+    assert answer.startswith(b'HTTP/1.1 200')
+    returned = {entry['service']: entry['returned'] for entry in controller.listing()}
+    assert returned == {SERVICE: 0, SERVER_SERVICE: 1}
+
+
 @pytest.mark.anyio
 async def test_opening_a_connection_does_not_count_as_waiting_in_a_queue() -> None:
     """Failure: slots stayed free since a request beyond its share needed a new connection."""
