--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -242,6 +242,21 @@
     assert len(endpoint.requests) == 1
 
 
+async def test_the_connection_of_a_long_5xx_response_is_closed_before_a_retry() -> None:
+    """Failure: each retry after such a response left one more connection open for good."""
+
+    async def respond_500(connection: ScriptedConnection) -> None:
+        await connection.read_request()
+        head = b'HTTP/1.1 500 No\r\nContent-Length: 900000\r\n\r\n'
+        await connection.send(head + b'x' * 100_000)
+        await connection.read_request()
+
+    async with running_forwarding_server(respond_500) as (server, _):
+        await server.send_request(get_request())
+        incarnation = server.endpoint_registry.by_id['i0'].record.incarnation
+        assert server.pool.open_count(incarnation) == 0
+
+
 async def test_an_invalid_http_response_becomes_502() -> None:
     async def send_garbage(connection: ScriptedConnection) -> None:
         await connection.read_request()
