--- a/packages/node/src/plantainloft_node/engine/request_admission.py
+++ b/packages/node/src/plantainloft_node/engine/request_admission.py
@@ -4,6 +4,7 @@
 
 import anyio
 
+from plantainloft_core.routes import Route
 from plantainloft_node.engine.admitted_request import AdmittedRequest
 from plantainloft_node.engine.attempts import Attempts, Failed, Refusal
 from plantainloft_node.engine.header_names import HeaderNames
@@ -17,6 +18,7 @@
 )
 from plantainloft_node.overload.controller import AdmissionController
 from plantainloft_node.overload.returns import Promise
+from plantainloft_node.placement.answer_prediction import predict_answer
 from plantainloft_node.placement.selection import Selection
 
 __all__ = ['RequestAdmission']
@@ -42,7 +44,11 @@
     def begin(
         self, admitted: AdmittedRequest, service: str, attempts: Attempts, *, now: float
     ) -> Promise | None:
-        """Return the promise on which the caller returns, if any."""
+        """Return the promise on which the caller returns, if any.
+
+        ``attempts.admission.has_promise`` is set if the request may go to the service of the
+        promise, and it must be sent there then: no other service has room reserved for it.
+        """
         controller = self._controller
         if controller is None or not controller.is_active:
             return None
@@ -58,8 +64,10 @@
             caller_deadline=admitted.caller_deadline,
         )
         promise = controller.begin(request, now)
+        if promise is not None and _has_service(route, promise.service):
+            request = request._replace(service=promise.service)
+            attempts.admission.has_promise = True
         attempts.admission.request = request
-        attempts.admission.has_promise = promise is not None
         return promise
 
     def record_outcome(self, promise: Promise | None, *, served: bool) -> None:
@@ -83,14 +91,18 @@
         if self._controller is None or request is None or attempts.attempt_count:
             return None
         route = admitted.route
-        unqueued_s = selection.endpoint.expected_s(attempts.context.affinity_key, 0.0, now)
+        endpoint, key = selection.endpoint, attempts.context.affinity_key
+        # The time to open a connection and the slow work of a cold endpoint are in
+        # ``selection.expected_s``, but they are not spent in the queue.
+        queued_s = predict_answer(endpoint, key, selection.load, now).expected_s
+        unqueued_s = predict_answer(endpoint, key, 0.0, now).expected_s
         arrival = Arrival(
             priority=route.priority,
             objective_s=route.latency_objective_s,
             objective_left_s=admitted.exchange.received_at + route.latency_objective_s - now,
             remaining_s=admitted.deadline - now,
             expected_s=selection.expected_s,
-            wait_s=max(0.0, selection.expected_s - unqueued_s),
+            wait_s=max(0.0, queued_s - unqueued_s),
             has_promise=attempts.admission.has_promise,
         )
         decision = self._controller.decide(request, arrival, now)
@@ -131,6 +143,10 @@
         return _refusal(reason, rejected, attempts)
 
 
+def _has_service(route: Route, service: str) -> bool:
+    return any(share.service == service and share.weight > 0 for share in route.shares)
+
+
 def _refusal(reason: str, rejected: Reject, attempts: Attempts) -> Refusal:
     attempts.admission.rejected_for = rejected.reason.value
     return Refusal(
