--- a/packages/node/src/plantainloft_node/fleet/heartbeats.py
+++ b/packages/node/src/plantainloft_node/fleet/heartbeats.py
@@ -95,9 +95,10 @@
 
     async def send_to_zone(self, packed: bytes) -> None:
         """Send a datagram to the other instances of this availability zone that are up."""
-        own_zone = self._members.local_member.zone
-        for member in self._members.peers_up(anyio.current_time()):
-            if member.zone == own_zone:
+        local = self._members.local_member
+        now = anyio.current_time()
+        for member in self._members.registry.by_zone()[local.zone]:
+            if member != local and self._members.is_up(member.name, now):
                 await self._send(OutgoingDatagram(member.heartbeat_address, packed))
 
     async def _send_rounds(self) -> None:
