Pool: idle connections are closed also by a cancelled request

close_idle took all of them out of the pool, and a cancellation ended it after the first: the others counted as open for good, until the share of connections to the endpoint was used up.

--- a/packages/node/src/plantainloft_node/engine/connection_pool.py
+++ b/packages/node/src/plantainloft_node/engine/connection_pool.py
@@ -3,6 +3,8 @@
 from collections import Counter
 from collections.abc import Callable, Collection
 
+import anyio
+
 from plantainloft_node.engine.upstream_connection import UpstreamConnection
 from plantainloft_node.placement.connection_share import ConnectionView
 
@@ -99,9 +101,14 @@
         return any(connection.is_open() for connection in others) if others else None
 
     async def close_idle(self, incarnation: str) -> None:
-        """Close the idle connections to an endpoint."""
-        for connection in self._idle_by_incarnation.pop(incarnation, []):
-            await connection.close()
+        """Close the idle connections to an endpoint.
+
+        Completes also while the caller is being cancelled, for example by its deadline: a
+        connection that is in the pool no longer but not closed would count as open for good.
+        """
+        with anyio.CancelScope(shield=True):
+            for connection in self._idle_by_incarnation.pop(incarnation, []):
+                await connection.close()
 
     async def close_unusable_tunnels(self, now: float) -> None:
         """Close idle connections through peers that can't be used any more.
--- a/tests/test_endpoint_choice.py
+++ b/tests/test_endpoint_choice.py
@@ -1,7 +1,10 @@
 """Choice of endpoints by expected completion time, and the connections to them."""
 
+from functools import partial
+
 import anyio
 import pytest
+from anyio.abc import SocketAttribute
 from entry_fixtures import SERVICE, make_route
 
 from plantainloft_core.discovery import EndpointRecord
@@ -12,7 +15,11 @@
 from plantainloft_node.engine.connector import ConnectionNeeds, DirectConnector
 from plantainloft_node.engine.header_names import HeaderNames
 from plantainloft_node.engine.sender import EndpointRequest, Sender, record_refusal_load
-from plantainloft_node.engine.upstream_connection import UpstreamConnection, UpstreamRequest
+from plantainloft_node.engine.upstream_connection import (
+    UpstreamConnection,
+    UpstreamRequest,
+    connect,
+)
 from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.placement.answer_prediction import predict_answer
 from plantainloft_node.placement.connection_share import ConnectionView, connection_share
@@ -334,6 +341,30 @@
     assert pool.total_open() == 0
 
 
+@pytest.mark.anyio
+async def test_idle_connections_are_closed_by_a_cancelled_request(
+    registry: EndpointRegistry,
+) -> None:
+    """Failure: after timeouts, connections that are gone use up the share of an endpoint."""
+    pool = ConnectionPool()
+    incarnation = registry.by_id['a0'].record.incarnation
+    listener = await anyio.create_tcp_listener(local_host='127.0.0.1')
+    host, port = listener.extra(SocketAttribute.local_address)[:2]
+    async with listener:
+        for _ in range(3):
+            connection = await connect(f'{host}:{port}')
+            pool.record_opening(incarnation)
+            connection.call_when_closed(partial(pool.record_closed, incarnation))
+            await pool.release(incarnation, connection)
+        with anyio.move_on_after(0.01):
+            try:
+                await anyio.sleep_forever()
+            finally:
+                await pool.close_idle(incarnation)
+        assert len(pool) == 0
+        assert pool.total_open() == 0
+
+
 def test_a_refusal_shows_that_an_endpoint_is_full(
     registry: EndpointRegistry, placement: Placement
 ) -> None:
