--- a/packages/node/src/plantainloft_node/fleet/lookup_shares.py
+++ b/packages/node/src/plantainloft_node/fleet/lookup_shares.py
@@ -78,6 +78,9 @@
         return None
     rates = [None if one is None else request_rate(one.limits, cost) for one in capacities]
     known_rates = [rate for rate in rates if rate is not None]
+    if not known_rates:
+        # Only descriptors are known, which allow no rate.
+        return None
     mean = sum(known_rates) / len(known_rates)
     by_capacity = [mean if rate is None else rate for rate in rates]
     uses = [NO_USE if one is None else one.use for one in capacities]
--- a/tests/test_uneven_instances.py
+++ b/tests/test_uneven_instances.py
@@ -250,6 +250,12 @@
     assert weights[1] == pytest.approx((weights[0] + weights[2]) / 2)
 
 
+def test_look_ups_are_answered_when_only_descriptors_are_known() -> None:
+    """Look-ups failed with a division by zero where ``max_fds`` was the only setting."""
+    capacities = [InstanceCapacity(Capacity(max_fds=number)) for number in (4100.0, 10933.0)]
+    assert weights_by_capacity(capacities, RequestCost(0.0016, 8000)) is None
+
+
 def test_an_instance_at_a_limit_is_left_out_unless_no_two_others_remain() -> None:
     """Callers went on choosing an instance whose link was full, or got no address at all."""
     full = InstanceCapacity(LARGE, CapacityUse(link=0.9))
