--- a/packages/node/src/plantainloft_node/engine/dispatcher.py
+++ b/packages/node/src/plantainloft_node/engine/dispatcher.py
@@ -159,6 +159,9 @@
                 is_last = send_once or _is_final(outcome)
                 if is_last or not self._may_retry_executed(admitted, service, attempts):
                     return outcome
+                if isinstance(outcome, Answered) and outcome.body_source is not None:
+                    # The rest of a long error response is not read.
+                    await outcome.body_source.close()
             elif not self._may_retry_unexecuted(admitted, service, attempts, outcome):
                 return self.admission.refuse(
                     attempts,
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -667,3 +667,22 @@
             raw_socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack('ii', 1, 0))
             raw_socket.close()
         assert status_of(await server.send_request(get_request())) == 200
+
+
+async def test_a_long_error_response_is_closed_before_a_retry() -> None:
+    """Failure: its connection counted as open for good, and used up the endpoint's share."""
+
+    async def fail_at_length(connection: ScriptedConnection) -> None:
+        await connection.read_request()
+        await connection.send(
+            b'HTTP/1.1 500 Error\r\nContent-Length: 200000\r\n\r\n' + b'x' * 200_000
+        )
+        await connection.read_request()
+
+    async with running_forwarding_server(fail_at_length, fail_at_length) as (server, endpoints):
+        answer = await server.send_request(get_request(), timeout_s=2.0)
+        assert status_of(answer) == 500
+        assert sum(len(endpoint.requests) for endpoint in endpoints) == 2
+        with anyio.fail_after(2):
+            while server.pool.total_open():
+                await anyio.sleep(0.01)
