Overload control: estimates are probed, admission is updated twice a second

Found by the review of endpoint choice: an estimate of the uncached time that came near a route's timeout in a slow episode refused all uncached requests, also at idle endpoints, and was never measured again.

A request that is not sent for the bytes held for its endpoint no longer counts as a failed connection. Reported loads are bounded before their power is taken. Admission goes over all endpoints and instances and is updated every half second.

--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -96,7 +96,7 @@
         size = _held_size(endpoint_request)
         incarnation = state.record.incarnation
         if not self._backlog.try_hold(incarnation, size):
-            return NotSent(reason='too many bytes are held for it', own_path=True)
+            return NotSent(reason='too many bytes are held for it', withdrawn=True)
         try:
             return await self._send_recorded(state, endpoint_request)
         finally:
--- a/packages/node/src/plantainloft_node/entry/periodic_updates.py
+++ b/packages/node/src/plantainloft_node/entry/periodic_updates.py
@@ -25,6 +25,10 @@
 
 __all__ = ['PeriodicUpdates']
 
+# Admission is updated at every second update: it goes over all endpoints and instances, and
+# reports of load and demand come about twice a second.
+ADMISSION_INTERVAL_S = 2 * UPDATE_INTERVAL_S - 0.1
+
 
 class PeriodicUpdates:
     """Updates shares, ejections, limits and the list of instances at a fixed interval."""
@@ -50,6 +54,7 @@
         self._retry_budgets = pipeline.dispatcher.retry_budgets
         self._limiter = pipeline.limiter
         self._pipeline = pipeline
+        self._admission_due_at = float('-inf')
         # The time (monotonic) of the first update; ``None`` before.
         self._started_at: float | None = None
 
@@ -100,8 +105,9 @@
         self._admission.is_active = is_active
 
     def _update_admission(self, zones: Mapping[str, ZoneDemand], now: float) -> None:
-        if not self._admission.is_active:
+        if not self._admission.is_active or now < self._admission_due_at:
             return
+        self._admission_due_at = now + ADMISSION_INTERVAL_S
         demand = estimate_demand(
             registry=self._replicated_state.endpoint_registry,
             rates_by_zone={name: zone.rate_by_service for name, zone in zones.items()},
--- a/packages/node/src/plantainloft_node/placement/load_estimate.py
+++ b/packages/node/src/plantainloft_node/placement/load_estimate.py
@@ -18,6 +18,9 @@
 # Weight of the newest report in the mean over all endpoints: about 50 reports count.
 USUAL_LOAD_WEIGHT = 0.02
 
+# Reported loads beyond it are not plausible, and their powers could not be represented.
+MAX_LOAD_PER_SLOT = 10.0
+
 
 class UsualLoad:
     """Mean load per slot over the endpoints of a service."""
@@ -27,7 +30,8 @@
 
     def record(self, busy: int, slots: int) -> None:
         """Record the report of an endpoint."""
-        self.per_slot += USUAL_LOAD_WEIGHT * (busy / max(1, slots) - self.per_slot)
+        reported = min(MAX_LOAD_PER_SLOT, busy / max(1, slots))
+        self.per_slot += USUAL_LOAD_WEIGHT * (reported - self.per_slot)
 
 
 class LoadEstimate:
--- a/packages/node/src/plantainloft_node/placement/selection.py
+++ b/packages/node/src/plantainloft_node/placement/selection.py
@@ -154,7 +154,8 @@
         cost_s = expected_s
         if not is_home:
             cost_s += predicted.displaced_s
-        if predicted.is_measured and _is_too_late(state, load, cost_s, request.remaining_s):
+        is_too_late = _is_too_late(state, load, cost_s, request.remaining_s)
+        if predicted.is_measured and is_too_late and state.processing.allows_refusal():
             reason = 'no endpoint answers in time'
         elif best is None or cost_s < lowest_cost_s:
             lowest_cost_s = cost_s
--- a/tests/test_endpoint_choice.py
+++ b/tests/test_endpoint_choice.py
@@ -31,6 +31,7 @@
     PlacementSettings,
     Selection,
 )
+from plantainloft_node.placement.prediction import REFUSALS_PER_PROBE, ProcessingTimes
 from plantainloft_standins.load_simulation import Scenario, Workload, simulate
 
 NOW = 1000.0
@@ -407,6 +408,15 @@
     )
 
 
+def test_an_estimate_that_refuses_all_requests_is_measured_again() -> None:
+    """Failure: after a slow episode all requests were refused for good, at idle endpoints."""
+    times = ProcessingTimes()
+    times.record(9.0, cached=False)
+    assert not all(times.allows_refusal() for _ in range(REFUSALS_PER_PROBE))
+    times.record(0.3, cached=False)
+    assert times.allows_refusal()
+
+
 def test_more_is_in_time_and_less_refused_by_endpoints_than_without() -> None:
     """Failure: requests meet full endpoints, or are late there, while others have room."""
     refused, in_time = [], []
