--- a/packages/node/src/plantainloft_node/overload/return_schedule.py
+++ b/packages/node/src/plantainloft_node/overload/return_schedule.py
@@ -2,7 +2,6 @@
 
 import math
 from collections import Counter
-from typing import NamedTuple
 
 from plantainloft_node.overload.returns import ServiceCapacity
 
@@ -34,20 +33,42 @@
 _ROUNDING = math.sqrt(3) - 1
 
 
-class _Deal(NamedTuple):
-    """This instance's tickets of a bucket, by their numbers in it.
+class _Deal:
+    """This instance's part of a bucket, for returning requests.
 
     A service takes as many tickets of a bucket as it can start requests then, in the order
-    of their numbers. ``returns_part`` (0..1) is the part of them that is not for newcomers.
+    of their numbers. Tickets are spread evenly over the unit interval, and each instance takes
+    those in its share of it. Instances whose views of the capacity differ disagree only about
+    the tickets with the highest numbers.
     """
 
-    tickets: tuple[int, ...]
-    returns_part: float
+    def __init__(self, *, capacity: ServiceCapacity, share_start: float, bucket: int) -> None:
+        own_rate = capacity.rate * capacity.own_share
+        newcomer_part = min(NEWCOMER_PART, capacity.demand_rate / own_rate) if own_rate > 0 else 1.0
+        self._returns_part = 1.0 - newcomer_part
+        self._share = capacity.own_share
+        # Shares are at most 1, so that the offset is positive for any present time.
+        self._offset = bucket * _ROTATION + 1.0 - share_start
+        self._bucket = bucket
+        self._rate = capacity.rate
+        # Most buckets pass without a refusal, and tickets take time to go over.
+        self._room: int | None = None
+
+    @property
+    def room(self) -> int:
+        """The number of this instance's tickets."""
+        if self._room is None:
+            self._room = sum(
+                math.modf(self._offset + ticket * _GOLDEN_RATIO)[0] < self._share
+                for ticket in range(_ticket_count(self._bucket, self._rate * self._returns_part))
+            )
+        return self._room
 
-    def room(self, bucket: int, rate: float) -> int:
-        """Return how many of the tickets count if the service starts ``rate`` a second."""
-        count = _ticket_count(bucket, rate * self.returns_part)
-        return sum(ticket < count for ticket in self.tickets)
+    def reduce(self, rate: float) -> None:
+        """Leave out the tickets that don't count if the service starts ``rate`` a second."""
+        if rate < self._rate:
+            self._rate = rate
+            self._room = None
 
 
 class ReturnSchedule:
@@ -68,7 +89,6 @@
         self._next_bucket = self._bucket(started_at + HORIZON_S) + 1
         self._reduced_at_rate = 0.0
         self._deal_by_bucket: dict[int, _Deal] = {}
-        self._room_by_bucket: dict[int, int] = {}
         self._promised: Counter[int] = Counter()
         self._refused_at_by_priority: dict[int, float] = {}
         self._is_open = False
@@ -84,9 +104,9 @@
         self._reduce(capacity.rate)
         last = self._bucket(now) + HORIZON_BUCKETS
         for bucket in range(max(self._next_bucket, self._bucket(now)), last + 1):
-            deal = _deal(capacity, share_start, bucket)
-            self._deal_by_bucket[bucket] = deal
-            self._room_by_bucket[bucket] = len(deal.tickets)
+            self._deal_by_bucket[bucket] = _Deal(
+                capacity=capacity, share_start=share_start, bucket=bucket
+            )
         self._next_bucket = max(self._next_bucket, last + 1)
 
     def close(self, now: float) -> None:
@@ -108,7 +128,7 @@
         if yields and not self._has_room_for_less_urgent(buckets):
             return None
         for bucket in buckets:
-            if self._room_by_bucket.get(bucket, 0) > self._promised.get(bucket, 0):
+            if self._room(bucket) > self._promised.get(bucket, 0):
                 self._promised[bucket] += 1
                 return (bucket + 0.5) * BUCKET_S - self._clock_offset_s - now
         return None
@@ -119,6 +139,10 @@
         buckets = range(first, first + BUCKETS_PER_S)
         return float(sum(self._promised.get(bucket, 0) for bucket in buckets))
 
+    def _room(self, bucket: int) -> int:
+        deal = self._deal_by_bucket.get(bucket)
+        return 0 if deal is None else deal.room
+
     def _bucket_time(self, at: float) -> float:
         return (at + self._clock_offset_s) / BUCKET_S
 
@@ -131,18 +155,15 @@
             self._reduced_at_rate = max(rate, self._reduced_at_rate)
             return
         self._reduced_at_rate = rate
-        for bucket, deal in self._deal_by_bucket.items():
-            self._room_by_bucket[bucket] = min(
-                self._room_by_bucket[bucket], deal.room(bucket, rate)
-            )
+        for deal in self._deal_by_bucket.values():
+            deal.reduce(rate)
 
     def _drop_past(self, now: float) -> None:
         current = self._bucket(now)
-        # Rooms and promises are only of buckets that were dealt out.
+        # Promises are only of buckets that were dealt out.
         past = tuple(bucket for bucket in self._deal_by_bucket if bucket < current)
         for bucket in past:
             self._deal_by_bucket.pop(bucket)
-            self._room_by_bucket.pop(bucket)
             self._promised.pop(bucket, None)
         self._refused_at_by_priority = {
             priority: at
@@ -157,31 +178,11 @@
         )
 
     def _has_room_for_less_urgent(self, buckets: range) -> bool:
-        dealt = sum(self._room_by_bucket.get(bucket, 0) for bucket in buckets)
+        dealt = sum(self._room(bucket) for bucket in buckets)
         promised = sum(self._promised.get(bucket, 0) for bucket in buckets)
         return promised < dealt * LESS_URGENT_PART
 
 
-def _deal(capacity: ServiceCapacity, share_start: float, bucket: int) -> _Deal:
-    """Return this instance's tickets among those for returning requests in ``bucket``.
-
-    Tickets are spread evenly over the unit interval, and each instance takes those in its
-    share of it. Instances whose views of the capacity differ disagree only about the
-    tickets with the highest numbers.
-    """
-    own_rate = capacity.rate * capacity.own_share
-    newcomer_part = min(NEWCOMER_PART, capacity.demand_rate / own_rate) if own_rate > 0 else 1.0
-    returns_part = 1.0 - newcomer_part
-    # Shares are at most 1, so that the offset is positive for any present time.
-    offset = bucket * _ROTATION + 1.0 - share_start
-    tickets = tuple(
-        ticket
-        for ticket in range(_ticket_count(bucket, capacity.rate * returns_part))
-        if math.modf(offset + ticket * _GOLDEN_RATIO)[0] < capacity.own_share
-    )
-    return _Deal(tickets, returns_part)
-
-
 def _ticket_count(bucket: int, rate: float) -> int:
     """Return ``rate`` by bucket, rounded such that the mean over many buckets is exact."""
     return math.floor(rate * BUCKET_S + math.modf(bucket * _ROUNDING)[0])
--- a/packages/node/src/plantainloft_node/overload/service_demand.py
+++ b/packages/node/src/plantainloft_node/overload/service_demand.py
@@ -44,8 +44,13 @@
 
 def _slots_and_requests(registry: EndpointRegistry, service: str, now: float) -> tuple[int, float]:
     """Return the usable slots of ``service`` and the requests at their endpoints."""
-    usable = [one for one in registry.endpoints_of(service) if _is_usable(registry, one, now)]
-    return sum(one.record.slots for one in usable), sum(one.load(now) for one in usable)
+    slots = 0
+    requests = 0.0
+    for state in registry.endpoints_of(service):
+        if _is_usable(registry, state, now):
+            slots += state.record.slots
+            requests += state.load(now)
+    return slots, requests
 
 
 def _is_usable(registry: EndpointRegistry, state: EndpointState, now: float) -> bool:
