--- a/packages/node/src/plantainloft_node/entry/overload_metrics.py
+++ b/packages/node/src/plantainloft_node/entry/overload_metrics.py
@@ -58,7 +58,7 @@
 
 
 def set_return_gauges(metrics: Metrics, returns: ScheduledReturns, now: float) -> None:
-    """Set the gauges of callers that were told to return; none while there are none."""
+    """Set the gauges of callers that were asked to return; none while there are none."""
     for service, counts in returns.counts_by_service.items():
         reserved_rate = returns.reserved_rate(service, now)
         metrics.set_gauge('returns_reserved_per_second', reserved_rate, service=service)
--- a/packages/node/src/plantainloft_node/entry/return_planning.py
+++ b/packages/node/src/plantainloft_node/entry/return_planning.py
@@ -1,4 +1,4 @@
-"""The components that tell refused callers when to return, and how they are wired."""
+"""The components that schedule the returns of refused callers, and how they are wired."""
 
 import time
 from collections import Counter
@@ -75,13 +75,13 @@
         peers = members.peers()
         running = [peer for peer in peers if not members.liveness.has_shut_down(peer.name, now)]
         running.append(local)
-    heard = [one for one in running if one is local or members.is_up(one.name, now)]
+    reporting = [one for one in running if one is local or members.is_up(one.name, now)]
     return FleetReports(
         own_zone=local.zone,
         own_rates=own_rates,
         rates_by_zone=_rates_by_zone(members, own_rates, now),
         instances_by_zone=Counter(one.zone for one in running),
-        heard_by_zone=Counter(one.zone for one in heard),
+        reporting_by_zone=Counter(one.zone for one in reporting),
         zone_position=sum(one.zone == local.zone and one.name < local.name for one in running),
     )
 
--- a/packages/node/src/plantainloft_node/overload/admission.py
+++ b/packages/node/src/plantainloft_node/overload/admission.py
@@ -25,7 +25,7 @@
 
 # The part of its slack for which a request may queue, by priority and by what its group has
 # of its fair share: the rest of the queue is left to those that come before it. The least
-# is nothing: slots that are free anyhow are used by whoever asks.
+# is nothing: slots that are free anyhow are used by any request.
 QUEUE_PARTS = MappingProxyType(
     {
         Standing.BELOW_SHARE: (1.0, 1.0, 0.75),
@@ -37,7 +37,7 @@
 # slot becomes free anyhow: requests that join after it can still be on time.
 LATE_QUEUE = 0.2
 # While nearly all requests can only be late, as at the start, when no object is cached,
-# nobody needs the queue: without one, slots would be idle between arrivals.
+# none needs the queue to be short: without one, slots would be idle between arrivals.
 LATE_QUEUE_OF_ALL = 1.0
 
 
--- a/packages/node/src/plantainloft_node/overload/controller.py
+++ b/packages/node/src/plantainloft_node/overload/controller.py
@@ -1,4 +1,4 @@
-"""Admission control of an instance: decisions, refusals and what operators are told of them."""
+"""Admission control of an instance: decisions, refusals and the listing for operators."""
 
 import logging
 import math
--- a/packages/node/src/plantainloft_node/overload/promise_exchange.py
+++ b/packages/node/src/plantainloft_node/overload/promise_exchange.py
@@ -19,7 +19,7 @@
 
 log = logging.getLogger(__name__)
 
-# The least delay that callers are told is 0.15 s: after the first sending of an announcement.
+# The shortest Retry-After is 0.15 s: after the first sending of an announcement.
 # Each batch costs processor time at every instance of the zone.
 BATCH_INTERVAL_S = 0.1
 # Announcements beyond it are dropped, the oldest first: at hundreds of promises a batch, an
--- a/packages/node/src/plantainloft_node/overload/return_planner.py
+++ b/packages/node/src/plantainloft_node/overload/return_planner.py
@@ -30,7 +30,7 @@
 class ReturnCounts(NamedTuple):
     """What became of refused callers of a service since the start.
 
-    ``promised`` and ``unpromised``: callers that were told to return, with room reserved
+    ``promised`` and ``unpromised``: callers that were asked to return, with room reserved
     and without. ``returned``: promises claimed here. ``served`` and ``unserved``: what
     became of these. ``missed``: promises made here and not claimed in time anywhere.
     """
@@ -126,7 +126,7 @@
         self._logged_at = now
         for service, counts in self.counts_by_service.items():
             log.info(
-                'Returns: %d callers of %s were promised room, %d told to return without.',
+                'Returns: %d callers of %s were promised room, %d got a Retry-After without.',
                 counts.promised,
                 service,
                 counts.unpromised,
--- a/packages/node/src/plantainloft_node/overload/return_schedule.py
+++ b/packages/node/src/plantainloft_node/overload/return_schedule.py
@@ -1,4 +1,4 @@
-"""When the refused callers of one service are told to return, in buckets of time."""
+"""Room for the returns of refused callers of one service, in buckets of time."""
 
 import math
 from collections import Counter
@@ -15,7 +15,7 @@
 BUCKETS_PER_S = 10
 HORIZON_BUCKETS = round(HORIZON_S / BUCKET_S)
 # Part of the capacity that promises leave to newcomers: they can still be on time, while a
-# returning caller has already lost the delay that it was told.
+# returning caller has already lost the time that it has waited.
 NEWCOMER_PART = 0.25
 # Part of the room that less urgent requests may take while more urgent ones are refused too.
 LESS_URGENT_PART = 0.8
--- a/packages/node/src/plantainloft_node/overload/return_shares.py
+++ b/packages/node/src/plantainloft_node/overload/return_shares.py
@@ -26,9 +26,9 @@
 class FleetReports(NamedTuple):
     """What an instance knows of the fleet.
 
-    ``rates_by_zone``: requests a second by availability zone and service; zones that are
-    not heard of are missing. ``instances_by_zone``: how many instances may be running, this
-    one included. ``heard_by_zone``: from how many of these there are reports.
+    ``rates_by_zone``: requests a second by availability zone and service; zones without
+    recent reports are missing. ``instances_by_zone``: how many instances may be running, this
+    one included. ``reporting_by_zone``: from how many of these there are reports.
     ``zone_position``: place of this instance, from 0, among those of its zone.
     """
 
@@ -36,7 +36,7 @@
     own_rates: _Rates
     rates_by_zone: Mapping[str, _Rates]
     instances_by_zone: Mapping[str, int]
-    heard_by_zone: Mapping[str, int]
+    reporting_by_zone: Mapping[str, int]
     zone_position: int
 
 
@@ -81,7 +81,7 @@
         return {service: self._limited(service, share) for service, share in shares.items()}
 
     def _limited(self, service: str, share: ReturnShare) -> ReturnShare:
-        """Limit a share to what it was when all zones were heard of: a silent one grows too."""
+        """Limit a share to what it was when all zones reported: a silent one grows too."""
         whole = self._whole_shares.get(service, share)
         return share._replace(size=min(share.size, whole.size))
 
@@ -115,7 +115,7 @@
         """Count the instances whose demand is part of the known one."""
         # A silent zone counts with its last demand, which therefore remains its own.
         return sum(
-            min(reports.heard_by_zone.get(zone, 0), count)
+            min(reports.reporting_by_zone.get(zone, 0), count)
             if zone in reports.rates_by_zone
             else count
             for zone, count in reports.instances_by_zone.items()
--- a/packages/node/src/plantainloft_node/overload/returns.py
+++ b/packages/node/src/plantainloft_node/overload/returns.py
@@ -1,4 +1,4 @@
-"""What refused callers are told, as seen by the parts that refuse and admit requests."""
+"""The Retry-After of refused callers, as seen by the parts that refuse and admit requests."""
 
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
@@ -8,7 +8,7 @@
 
 
 class Promise(NamedTuple):
-    """A caller that was told to return: ``digest`` identifies it, times in seconds."""
+    """A caller that was asked to return: ``digest`` identifies it, times in seconds."""
 
     digest: bytes
     service: str
--- a/packages/node/src/plantainloft_node/overload/service_demand.py
+++ b/packages/node/src/plantainloft_node/overload/service_demand.py
@@ -22,7 +22,7 @@
 
     ``rates_by_zone`` are requests a second by zone and service, ``own_rates`` those of
     this instance. Of the ``running_count`` instances that may be running (0 if unknown),
-    ``reporting_count`` are heard; parts of the others stay reserved.
+    ``reporting_count`` report; parts of the others stay reserved.
     """
     estimates = {}
     for service in registry.ids_by_service:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -223,10 +223,7 @@
 def test_scarce_room_earns_nearly_the_best_credit_and_is_divided_fairly(
     load: float, seed: int
 ) -> None:
-    """Failure: with more requests than slots, most answers were late or went to one organisation.
-
-    The bounds are the targets for scarcity in docs/overload.md.
-    """
+    """Failure: with too few slots, most answers were late or went to one organisation."""
     requests = make_requests(load, duration_s=60.0, seed=seed)
     credit = Fleet(seed).run(requests)
     best = best_credit(requests)
--- a/tests/test_capacity_plan.py
+++ b/tests/test_capacity_plan.py
@@ -263,11 +263,9 @@
 def test_no_region_is_overloaded_by_waves_or_moves_while_others_have_room(
     move_at: float, seed: int
 ) -> None:
-    """The small region was overloaded while half of all slots were free.
-
-    A move at 58 s meets the steepest rise of the small region. The cap forbids to follow
-    both, see the next test.
-    """
+    """The small region was overloaded while half of all slots were free."""
+    # A move at 58 s meets the steepest rise of the small region. The cap forbids to follow
+    # both, see the next test.
     regions = SimulatedRegions(mean_utilisation=0.5, move_at=move_at, seed=seed)
     for moment in regions.play(110.0):
         assert max(moment.load.values()) <= 1.0, moment
--- a/tests/test_ordered_returns.py
+++ b/tests/test_ordered_returns.py
@@ -180,7 +180,7 @@
     reports = FleetReports('a', {SERVICE: 5.0}, both, count_by_zone, count_by_zone, 0)
     shares = ReturnShares()
     assert shares.update(reports, 0.0)[SERVICE].size == pytest.approx(0.125)
-    cut_off = reports._replace(rates_by_zone={'a': both['a']}, heard_by_zone={'a': 2})
+    cut_off = reports._replace(rates_by_zone={'a': both['a']}, reporting_by_zone={'a': 2})
     assert shares.update(cut_off, 1.0)[SERVICE].size == pytest.approx(0.125)
     assert ReturnShares().update(cut_off, 1.0)[SERVICE].size == pytest.approx(0.25)
     unreported = reports._replace(rates_by_zone={})
@@ -388,7 +388,7 @@
             own_rates=node.demand.rate_by_service,
             rates_by_zone=rates,
             instances_by_zone=self.count_by_zone,
-            heard_by_zone={zone: self.count_by_zone[zone] for zone in rates},
+            reporting_by_zone={zone: self.count_by_zone[zone] for zone in rates},
             zone_position=position // self.zone_count,
         )
 
