--- a/packages/node/src/plantainloft_node/entry/capacity_control.py
+++ b/packages/node/src/plantainloft_node/entry/capacity_control.py
@@ -33,8 +33,6 @@
         self._settings = settings
         self._members = members
         self._route_table = route_table
-        self._checked_table: RouteTable | None = None
-        self._is_active = False
         self.meter = UsageMeter(settings=settings.capacity)
         self.guard = CapacityGuard()
         self.traffic = CallerTraffic()
@@ -43,17 +41,11 @@
     def apply_settings(self, settings: EntrySettings) -> None:
         """Use reloaded settings."""
         self._settings = settings
-        self._checked_table = None
         self.meter.settings = settings.capacity
 
     def is_active(self) -> bool:
         """Return whether overload control is active."""
-        route_table = self._route_table()
-        if route_table is not self._checked_table:
-            # Each look-up asks, and the answer takes a pass over all routes.
-            self._checked_table = route_table
-            self._is_active = is_overload_control_active(self._settings, route_table)
-        return self._is_active
+        return is_overload_control_active(self._settings, self._route_table())
 
     def reported(self) -> InstanceCapacity | None:
         """Return what to report to other instances; ``None`` while overload control is off."""
