--- a/review/1/case.py
+++ b/review/1/case.py
@@ -6,8 +6,8 @@
 """
 
 import asyncio
+import json
 import os
-import sys
 import tempfile
 import time
 from collections import Counter
@@ -15,13 +15,13 @@
 from standins import (
     Backend,
     Entry,
-    Record,
     Store,
     call,
     limits,
     network_prefix,
     new_id,
     route,
+    run_case,
     service,
     wait_until_ready,
 )
@@ -46,8 +46,6 @@
         'info': {'service': 'desk', 'version': 'v1', 'zone': 'euw-a', 'slots': 'SLOTS'},
         'status': {'state': 'ready', 'seq': 1, 'cold_left': '0ms'},
     }
-    import json
-
     return json.dumps(document).replace('"SLOTS"', '9' * 400).encode()
 
 
@@ -146,16 +144,5 @@
     return int(is_broken)
 
 
-def main():
-    record = Record(os.path.dirname(os.path.abspath(__file__)))
-    try:
-        return asyncio.run(play(record))
-    except (OSError, TimeoutError) as exc:
-        record.write(f'could not run: {exc!r}')
-        return 2
-    finally:
-        record.close()
-
-
 if __name__ == '__main__':
-    sys.exit(main())
+    run_case(play, os.path.dirname(os.path.abspath(__file__)))
--- a/review/3/case.py
+++ b/review/3/case.py
@@ -10,7 +10,6 @@
 import asyncio
 import json
 import os
-import sys
 import tempfile
 import time
 
@@ -19,12 +18,12 @@
     SIGTERM,
     Backend,
     Entry,
-    Record,
     Store,
     call,
     limits,
     network_prefix,
     route,
+    run_case,
     service,
     wait_until_ready,
 )
@@ -157,16 +156,5 @@
                 entry.stop()
 
 
-def main():
-    record = Record(os.path.dirname(os.path.abspath(__file__)))
-    try:
-        return asyncio.run(play(record))
-    except (OSError, TimeoutError) as exc:
-        record.write(f'could not run: {exc!r}')
-        return 2
-    finally:
-        record.close()
-
-
 if __name__ == '__main__':
-    sys.exit(main())
+    run_case(play, os.path.dirname(os.path.abspath(__file__)))
--- a/review/lib/standins.py
+++ b/review/lib/standins.py
@@ -16,9 +16,11 @@
 import signal
 import socket
 import subprocess
+import sys
 import time
 import tomllib
 from pathlib import Path
+from urllib.parse import unquote_plus
 
 ROOT = Path(__file__).resolve().parents[2]
 PORTS = {'ready': 8140, 'directory': 8143, 'front': 8144, 'control': 8146}
@@ -211,7 +213,7 @@
         return 404, {}
 
     def _get(self, parameters):
-        first, last = _unquote(parameters.get('from', '')), _unquote(parameters.get('target', ''))
+        first, last = unquote_plus(parameters.get('from', '')), unquote_plus(parameters.get('target', ''))
         found = sorted(
             (
                 row
@@ -264,12 +266,6 @@
         return 200, {}
 
 
-def _unquote(text):
-    from urllib.parse import unquote_plus
-
-    return unquote_plus(text)
-
-
 # --- backends ---
 
 
@@ -517,4 +513,30 @@
     return {'resource_type': 'limits', 'metadata': {}, 'spec': spec}
 
 
+# --- running a case ---
+
+
+def run_case(play, folder):
+    """Run ``play`` with a record in ``folder`` and exit with the status that it returns.
+
+    The status is 2 if the case could not run. SIGTERM cancels it, so that the processes
+    that it has started are ended.
+    """
+    record = Record(folder)
+    try:
+        status = asyncio.run(_cancel_on_sigterm(play(record)))
+    except (OSError, TimeoutError, asyncio.CancelledError) as exc:
+        record.write(f'could not run: {exc!r}')
+        status = 2
+    finally:
+        record.close()
+    sys.exit(status)
+
+
+async def _cancel_on_sigterm(case):
+    task = asyncio.ensure_future(case)
+    asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+    return await task
+
+
 SIGTERM, SIGKILL = signal.SIGTERM, signal.SIGKILL
