Log: who ended the connection of a request without an answer

A request whose task was cancelled was logged as caller_left, whoever had ended its connection, and not at all once its answer had begun; lines of one kind beyond 40 a second were dropped. So the logs could not tell a stop that cuts requests from callers that leave.

Kind aborted: the request, its endpoint, its age, whether it may have run and what ended the connection (an earlier answer, a broken answer, a stalled caller, the end of the process). These lines are not limited in volume.

--- a/packages/ctl/src/plantainloft_ctl/losses.py
+++ b/packages/ctl/src/plantainloft_ctl/losses.py
@@ -24,7 +24,7 @@
 ]
 
 LATE = 'late'
-LOSS_KINDS = frozenset((LATE, 'refused', 'failed', 'caller_left'))
+LOSS_KINDS = frozenset((LATE, 'refused', 'failed', 'caller_left', 'aborted'))
 FAILED_ATTEMPT = 'late: after a failed try'
 HELD_BEFORE_SENDING = 'late: held before it was sent'
 COLD_ENDPOINT = 'late: cold endpoint'
--- a/packages/node/src/plantainloft_node/engine/caller_connection.py
+++ b/packages/node/src/plantainloft_node/engine/caller_connection.py
@@ -7,12 +7,14 @@
 
 import logging
 from collections.abc import Callable
+from functools import partial
 
 import anyio
 import h11
 from anyio.abc import SocketAttribute, SocketStream, TaskGroup
 
 from plantainloft_node.capacity.held_bytes import CallerTraffic
+from plantainloft_node.engine.connection_end import ConnectionEnd
 from plantainloft_node.engine.exchange import Connection, Exchange, ExchangeHandler
 from plantainloft_node.engine.request_body import BodyTooLargeError
 
@@ -73,7 +75,8 @@
 
     async def send(self, encoded: bytes) -> None:
         """Send encoded bytes of the current response."""
-        with self.traffic.sending(self._stop_reading, self._clock()):
+        abort = partial(self._stop_reading, ConnectionEnd.STALLED)
+        with self.traffic.sending(abort, self._clock()):
             await self._stream.send(encoded)
         self.traffic.link_bytes += len(encoded)
 
@@ -102,6 +105,7 @@
             with self._read_scope:
                 await self._read_until_closed(tasks)
             if not self._final_response_due:
+                self._stop_reading(ConnectionEnd.CALLER)
                 # The caller has disconnected: cancelling its requests frees the
                 # endpoints that work on them.
                 tasks.cancel_scope.cancel()
@@ -212,20 +216,22 @@
         try:
             await self._handler.handle(exchange)
         except RESPONSE_ERRORS:
-            self._stop_reading()
+            self._stop_reading(ConnectionEnd.BROKEN_ANSWER)
             return
         finally:
             exchange.body.discard()
         self._open_exchanges.remove(exchange)
         self._exchange_ended.set()
         if not exchange.keeps_alive():
-            self._stop_reading()
+            self._stop_reading(ConnectionEnd.ANSWER)
         elif self._open_exchanges:
             self._open_exchanges[0].earlier_responses_sent.set()
         elif self.close_requested:
-            self._stop_reading()
+            self._stop_reading(ConnectionEnd.ANSWER)
 
-    def _stop_reading(self) -> None:
+    def _stop_reading(self, end: ConnectionEnd) -> None:
+        if self.end is ConnectionEnd.PROCESS:
+            self.end = end
         if self._read_scope is not None:
             self._read_scope.cancel()
 
--- a/packages/node/src/plantainloft_node/engine/exchange.py
+++ b/packages/node/src/plantainloft_node/engine/exchange.py
@@ -8,6 +8,7 @@
 
 from plantainloft_core.routes import CallerLimits
 from plantainloft_node.capacity.held_bytes import CallerTraffic
+from plantainloft_node.engine.connection_end import ConnectionEnd
 from plantainloft_node.engine.headers import Headers, find_header
 from plantainloft_node.engine.request_body import RequestBody
 
@@ -18,11 +19,12 @@
     """The connection of a caller, as an exchange uses it.
 
     ``peer_host`` is the caller's network address, without the port. ``traffic`` counts the
-    bytes of all connections.
+    bytes of all connections. ``end`` tells why the requests that are open are cancelled.
     """
 
     peer_host: str
     traffic: CallerTraffic
+    end: ConnectionEnd = ConnectionEnd.PROCESS
 
     @abstractmethod
     async def send(self, encoded: bytes) -> None:
@@ -84,6 +86,11 @@
             await self.write_body(body)
             await self.end_response()
 
+    @property
+    def connection_end(self) -> ConnectionEnd:
+        """Why the connection has ended, once the request is cancelled."""
+        return self._connection.end
+
     def holding(self, size: int) -> AbstractContextManager[None]:
         """Count ``size`` bytes of the response as held for the caller within the context."""
         return self._connection.traffic.holding(size)
--- a/packages/node/src/plantainloft_node/engine/forwarding_handler.py
+++ b/packages/node/src/plantainloft_node/engine/forwarding_handler.py
@@ -121,29 +121,52 @@
         route_table: RouteTable,
         organisation: Organisation | None,
     ) -> None:
-        requested_s = self._requested_timeout_s(exchange)
-        deadline = exchange.received_at + min(requested_s, route.timeout_s)
         organisation_name = organisation.name if organisation else ''
         context = RequestContext(
             self._affinity_key(exchange), route_table.version, organisation_name
         )
         attempts = Attempts(context=context)
-        outcome: Answered | Refusal | Failed | Blocked | None = None
         cancelled = anyio.get_cancelled_exc_class()
+        try:
+            await self._respond(exchange, route, route_table, organisation, attempts)
+        except cancelled:
+            self._responses.record_cancelled(exchange, route, attempts)
+            raise
+
+    async def _respond(
+        self,
+        exchange: Exchange,
+        route: Route,
+        route_table: RouteTable,
+        organisation: Organisation | None,
+        attempts: Attempts,
+    ) -> None:
+        outcome = await self._obtain_response(exchange, route, route_table, organisation, attempts)
+        await self._responses.respond(exchange, route, outcome, attempts)
+
+    async def _obtain_response(
+        self,
+        exchange: Exchange,
+        route: Route,
+        route_table: RouteTable,
+        organisation: Organisation | None,
+        attempts: Attempts,
+    ) -> Answered | Refusal | Failed | Blocked:
+        requested_s = self._requested_timeout_s(exchange)
+        deadline = exchange.received_at + min(requested_s, route.timeout_s)
+        outcome: Answered | Refusal | Failed | Blocked | None = None
         if not self._admits(route.priority):
             self._update_limit_usage(organisation, attempts, ran=False)
-            refusal = self._dispatcher.admission.refuse(
+            return self._dispatcher.admission.refuse(
                 attempts, BEYOND_LIMIT, counted_as=RejectReason.NO_ENDPOINT
             )
-            await self._responses.respond(exchange, route, refusal, attempts)
-            return
         try:
             with anyio.move_on_at(deadline):
                 body, body_complete = await exchange.body.read_replayable()
                 admitted = AdmittedRequest(
                     exchange,
                     route,
-                    context.affinity_key,
+                    attempts.context.affinity_key,
                     deadline,
                     exchange.received_at + requested_s,
                     body,
@@ -151,17 +174,14 @@
                     organisation,
                 )
                 outcome = await self._dispatcher.dispatch(admitted, route_table, attempts)
-        except cancelled:
-            self._responses.record_disconnect(exchange, route, attempts)
-            raise
         finally:
             ran = isinstance(outcome, Answered) or attempts.may_have_run
             self._update_limit_usage(organisation, attempts, ran=ran)
         if outcome is None:
-            outcome = self._dispatcher.admission.refuse(
+            return self._dispatcher.admission.refuse(
                 attempts, DEADLINE_EXCEEDED, counted_as=RejectReason.EXPIRED
             )
-        await self._responses.respond(exchange, route, outcome, attempts)
+        return outcome
 
     def _update_limit_usage(
         self, organisation: Organisation | None, attempts: Attempts, *, ran: bool
--- a/packages/node/src/plantainloft_node/engine/responses.py
+++ b/packages/node/src/plantainloft_node/engine/responses.py
@@ -11,6 +11,7 @@
 from plantainloft_core.organisations import DIGEST_PREFIX_DIGITS, digest_key
 from plantainloft_core.routes import Route
 from plantainloft_node.engine.attempts import Answered, Attempts, Failed, Refusal
+from plantainloft_node.engine.connection_end import ConnectionEnd
 from plantainloft_node.engine.exchange import Exchange
 from plantainloft_node.engine.header_names import HeaderNames
 from plantainloft_node.engine.headers import Headers, forwardable_headers
@@ -66,13 +67,19 @@
         self._log_outcome(exchange, 'refused', {'reason': refusal.reason, 'version': 0})
         await self.respond_refused(exchange, refusal)
 
-    def record_disconnect(self, exchange: Exchange, route: Route, attempts: Attempts) -> None:
-        """Record that the caller disconnected before the response."""
+    def record_cancelled(self, exchange: Exchange, route: Route, attempts: Attempts) -> None:
+        """Record that the connection ended before the response did."""
         elapsed_s = anyio.current_time() - exchange.received_at
-        self._record_outcome(route.name, 'caller_left', elapsed_s)
+        end = exchange.connection_end
+        kind = 'caller_left' if end is ConnectionEnd.CALLER else 'aborted'
+        self._record_outcome(route.name, kind, elapsed_s)
         fields = _log_fields(route, attempts, elapsed_s)
         fields['waiting_for'] = attempts.current_endpoint_id
-        self._log_outcome(exchange, 'caller_left', fields)
+        if end is not ConnectionEnd.CALLER:
+            fields['ended_by'] = end.value
+            fields['may_have_run'] = attempts.may_have_run
+            fields['response_started'] = exchange.response_started
+        self._log_outcome(exchange, kind, fields)
 
     async def respond_no_route(self, exchange: Exchange, *, version: int) -> None:
         """Respond 404: no route of configuration ``version`` matches."""
--- a/packages/node/src/plantainloft_node/entry/structured_logging.py
+++ b/packages/node/src/plantainloft_node/entry/structured_logging.py
@@ -16,6 +16,8 @@
 SAMPLED_LINES_PER_S = 2.0
 OTHER_LINES_PER_S = 40.0
 SAMPLED_LOG_KINDS = frozenset(('answered',))
+# Every request that this instance ends without an answer has a line.
+UNLIMITED_LOG_KINDS = frozenset(('aborted',))
 
 
 class JsonFormatter(logging.Formatter):
@@ -57,6 +59,8 @@
     def filter(self, record: logging.LogRecord) -> bool:
         """Return whether to write ``record``."""
         kind = getattr(record, 'kind', 'note')
+        if kind in UNLIMITED_LOG_KINDS:
+            return True
         lines_per_s = SAMPLED_LINES_PER_S if kind in SAMPLED_LOG_KINDS else OTHER_LINES_PER_S
         elapsed_s = record.created - self._last_seen_by_kind.get(kind, 0.0)
         tokens = min(
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -736,3 +736,25 @@
         with anyio.fail_after(2):
             while server.pool.total_open():
                 await anyio.sleep(0.01)
+
+
+async def test_a_request_that_ends_with_its_process_is_not_logged_as_one_whose_caller_left(
+    caplog: pytest.LogCaptureFixture,
+) -> None:
+    """Guards against a loss of this instance's own that looks like a caller's choice."""
+    caplog.set_level('INFO')
+    arrived = anyio.Event()
+
+    async def hang(connection: ScriptedConnection) -> None:
+        await connection.read_request()
+        arrived.set()
+        await anyio.sleep_forever()
+
+    async with running_forwarding_server(hang) as (server, _):
+        stream = await server.connect()
+        await stream.send(get_request(request_id=b'r8'))
+        await arrived.wait()
+    await stream.aclose()
+    fields = logged_fields(caplog)['aborted']
+    assert (fields['request'], fields['waiting_for'], fields['ended_by']) == ('r8', 'i0', 'process')
+    assert fields['may_have_run']
