Stops: an instance that stops passes on only what it can finish

What callers saw: all requests that were open shortly before the end of the grace period ended without an answer.

Cause: an instance that stops took every request until 0.7 s before the end of the grace period, whatever its deadline, and cancelled all of them then.

Change: StopAdmission. A request is passed on, at first or again, only if its deadline comes before the end, or if twice the longest recent duration of its route ends before it. What is refused is refused at once with Retry-After 0, as not run, and closes its connection, so that the caller is served elsewhere after a round trip. A request that may have run is never refused.

--- a/packages/node/src/plantainloft_node/engine/caller_connection.py
+++ b/packages/node/src/plantainloft_node/engine/caller_connection.py
@@ -82,6 +82,10 @@
             await self._stream.send(encoded)
         self.traffic.link_bytes += len(encoded)
 
+    def close_after_accepted(self) -> None:
+        """Accept no more requests: close after the responses to those that are accepted."""
+        self.state.close_after_accepted()
+
     def starts_last_response(self, number: int) -> bool:
         """Decide when the response to request ``number`` starts; return whether it is the last."""
         return self.state.starts_last_response(number)
--- a/packages/node/src/plantainloft_node/engine/dispatcher.py
+++ b/packages/node/src/plantainloft_node/engine/dispatcher.py
@@ -176,6 +176,8 @@
         self, admitted: AdmittedRequest, service: str, route_table: RouteTable, attempts: Attempts
     ) -> Answered | NotSent | NotRun | Failed | _Unplaced:
         now = anyio.current_time()
+        if not self._may_finish(admitted, now):
+            return _Unplaced(self.admission.stop.refuse(attempts))
         remaining_s = admitted.deadline - now
         placement_request = PlacementRequest(
             admitted.route,
@@ -317,12 +319,19 @@
         now = anyio.current_time()
         if now >= admitted.deadline:
             return False
+        if not self._may_finish(admitted, now):
+            attempts.record_withheld_retry('stopping')
+            return False
         if self.retry_budgets.try_acquire(service, now):
             attempts.record_granted_retry()
             return True
         attempts.record_withheld_retry('budget')
         return False
 
+    def _may_finish(self, admitted: AdmittedRequest, now: float) -> bool:
+        """Return whether the process still runs when the request has been answered."""
+        return self.admission.stop.admits(admitted.route.name, deadline=admitted.deadline, now=now)
+
     def _build_endpoint_request(
         self,
         admitted: AdmittedRequest,
--- a/packages/node/src/plantainloft_node/engine/exchange.py
+++ b/packages/node/src/plantainloft_node/engine/exchange.py
@@ -30,6 +30,10 @@
     async def send(self, encoded: bytes) -> None:
         """Send encoded bytes of the current response."""
 
+    @abstractmethod
+    def close_after_accepted(self) -> None:
+        """Accept no more requests: close after the responses to those that are accepted."""
+
     @abstractmethod
     def starts_last_response(self, number: int) -> bool:
         """Decide when the response to request ``number`` starts; return whether it is the last."""
@@ -89,6 +93,10 @@
             await self.write_body(body)
             await self.end_response()
 
+    def close_connection(self) -> None:
+        """Close the connection after this response and those that are due already."""
+        self._connection.close_after_accepted()
+
     @property
     def connection_end(self) -> ConnectionEnd:
         """Why the connection has ended, once the request is cancelled."""
--- a/packages/node/src/plantainloft_node/engine/forwarding_handler.py
+++ b/packages/node/src/plantainloft_node/engine/forwarding_handler.py
@@ -57,6 +57,7 @@
         self._admits = admits
         self._names = names
         self._dispatcher = dispatcher
+        self._stop_admission = dispatcher.admission.stop
         self._limiter = limiter
         self._route_table = route_table
         self._responses = ResponseSender(
@@ -132,6 +133,10 @@
         except cancelled:
             self._responses.record_cancelled(exchange, route, attempts)
             raise
+        finally:
+            if attempts.may_have_run:
+                now = anyio.current_time()
+                self._stop_admission.durations.record(route.name, now - exchange.received_at, now)
 
     async def _respond(
         self,
@@ -155,6 +160,11 @@
         requested_s = self._requested_timeout_s(exchange)
         deadline = exchange.received_at + min(requested_s, route.timeout_s)
         outcome: Answered | Refusal | Failed | Blocked | None = None
+        now = anyio.current_time()
+        if not self._stop_admission.admits(route.name, deadline=deadline, now=now):
+            self._update_limit_usage(organisation, attempts, ran=False)
+            exchange.close_connection()
+            return self._stop_admission.refuse(attempts)
         if not self._admits(route.priority):
             self._update_limit_usage(organisation, attempts, ran=False)
             return self._dispatcher.admission.refuse(
--- a/packages/node/src/plantainloft_node/engine/request_admission.py
+++ b/packages/node/src/plantainloft_node/engine/request_admission.py
@@ -9,6 +9,7 @@
 from plantainloft_node.engine.attempts import Attempts, Failed, Refusal
 from plantainloft_node.engine.header_names import HeaderNames
 from plantainloft_node.engine.headers import find_cookie
+from plantainloft_node.engine.stop_admission import StopAdmission
 from plantainloft_node.overload.admission import (
     Admit,
     Arrival,
@@ -40,6 +41,7 @@
         """Set up admission; without ``controller``, overload control is always off."""
         self._names = names
         self._controller = controller
+        self.stop = StopAdmission()
 
     def begin(
         self, admitted: AdmittedRequest, service: str, attempts: Attempts, *, now: float
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -218,6 +218,7 @@
         await self.pipeline.endpoint_links.server.start_draining()
         lookups_expire_at = started_at + LOOKUP_CACHE_TTLS * self._settings.lookup_ttl_s
         deadline = started_at + self._settings.grace_s - SHUTDOWN_MARGIN_S
+        self.pipeline.finish_until(deadline)
         now = started_at
         while now < lookups_expire_at or (self._has_work() and now < deadline):
             await anyio.sleep(UPDATE_INTERVAL_S)
--- a/packages/node/src/plantainloft_node/entry/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/entry/request_pipeline.py
@@ -56,6 +56,10 @@
         self.limiter.settings = limit_parameters(settings)
         self.capacity.apply_settings(settings)
 
+    def finish_until(self, ends_at: float) -> None:
+        """Pass on only requests that can be finished until ``ends_at`` (monotonic)."""
+        self.dispatcher.admission.stop.ends_at = ends_at
+
     def update_capacity(self, now: float) -> None:
         """Measure what this instance uses of its capacity, and apply its limits."""
         server = self.endpoint_links.server
--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -30,6 +30,7 @@
 from plantainloft_node.engine.header_names import HeaderNames
 from plantainloft_node.engine.request_admission import RequestAdmission
 from plantainloft_node.engine.sender import Sender
+from plantainloft_node.engine.stop_admission import StopAdmission
 from plantainloft_node.limits.limiter import LimitSettings, RequestLimiter
 from plantainloft_node.links.monitor import LinkMonitor
 from plantainloft_node.placement.endpoints import EndpointRegistry
@@ -215,6 +216,7 @@
     crash_registry: CrashRegistry
     placement: Placement
     retry_budgets: RetryBudgets
+    stop_admission: StopAdmission
 
     def set_limit_sharers(self, *names: str) -> None:
         """Set the instances among which the request limits of endpoints are divided."""
@@ -324,6 +326,7 @@
     retry_budgets = RetryBudgets(limits=RETRY_LIMITS)
     # The process has been running for longer than a window.
     retry_budgets.update(instance_count=1, now=anyio.current_time() - 2 * RETRY_LIMITS.window_s)
+    request_admission = admission or RequestAdmission(names=HEADER_NAMES, controller=None)
     async with anyio.create_task_group() as tasks:
         connector = await ConnectorChoice.make(endpoint_registry, tasks)
         forwarding_handler = ForwardingHandler(
@@ -335,7 +338,7 @@
                 retry_budgets=retry_budgets,
                 crash_detector=crash_detector,
                 quarantine=quarantine,
-                admission=admission,
+                admission=request_admission,
             ),
             limiter=limiter or RequestLimiter(instance='e1', settings=LIMIT_SETTINGS),
             route_table=lambda: table_versions[-1],
@@ -372,6 +375,7 @@
                 quarantine.crash_registry,
                 placement,
                 retry_budgets,
+                request_admission.stop,
             ),
             endpoints,
         )
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -865,3 +865,28 @@
     fields = logged_fields(caplog)['aborted']
     assert (fields['request'], fields['waiting_for'], fields['ended_by']) == ('r8', 'i0', 'process')
     assert fields['may_have_run']
+
+
+async def test_an_instance_that_stops_refuses_what_it_can_not_finish() -> None:
+    """Guards against a request that is cut when the process ends."""
+    async with running_forwarding_server(echo) as (server, (endpoint,)):
+        stop_admission = server.stop_admission
+        stop_admission.ends_at = anyio.current_time() + 0.5
+        async with await server.connect() as stream:
+            await stream.send(get_request() + get_request(request_id=b'r2'))
+            answer = await read_until_closed(stream)
+    assert answer.count(b'HTTP/1.1 503') == 2
+    assert answer.count(b'retry-after: 0.00') == 2
+    assert answer.count(b'connection: close') == 1
+    assert not endpoint.requests
+
+
+async def test_an_instance_that_stops_sends_no_retry_that_it_can_not_finish() -> None:
+    """Guards against a retry that is cut, and against a false promise in its place."""
+    async with running_forwarding_server(close_at_once, close_at_once) as (server, endpoints):
+        stop_admission = server.stop_admission
+        admits_first = iter((True, True, False))
+        stop_admission.admits = lambda *_, **__: next(admits_first)
+        answer = await server.send_request(get_request())
+    assert status_of(answer) == 502
+    assert sum(len(endpoint.requests) for endpoint in endpoints) == 1
--- /dev/null
+++ b/tests/test_stop_admission.py
@@ -0,0 +1,54 @@
+"""Which requests an instance that stops still passes on, decided without a network."""
+
+import pytest
+
+from plantainloft_node.engine.attempts import Attempts, Failed, Refusal, RequestContext
+from plantainloft_node.engine.stop_admission import StopAdmission
+
+STARTED_AT = 1000.0
+ENDS_AT = 1005.0
+
+
+def stopping(*durations_s: float) -> StopAdmission:
+    """Return the decision of an instance that stops after requests of ``durations_s``."""
+    admission = StopAdmission()
+    for duration_s in durations_s:
+        admission.durations.record('files', duration_s, STARTED_AT)
+    admission.ends_at = ENDS_AT
+    return admission
+
+
+def test_an_instance_that_does_not_stop_admits_everything() -> None:
+    assert StopAdmission().admits('files', deadline=1e9, now=STARTED_AT)
+
+
+@pytest.mark.parametrize('now', [STARTED_AT, STARTED_AT + 2.0, STARTED_AT + 4.5])
+def test_a_request_whose_deadline_comes_before_the_end_is_admitted(now: float) -> None:
+    assert stopping(4.0).admits('files', deadline=ENDS_AT - 0.2, now=now)
+
+
+def test_a_request_of_a_route_without_recent_requests_may_take_until_its_deadline() -> None:
+    """Guards against taking an unknown duration for a short one."""
+    assert not stopping(0.1).admits('notices', deadline=ENDS_AT + 1.0, now=STARTED_AT)
+
+
+@pytest.mark.parametrize(('now', 'is_admitted'), [(STARTED_AT, True), (ENDS_AT - 1.0, False)])
+def test_a_request_that_may_outlast_the_process_is_not_admitted(
+    now: float, is_admitted: bool
+) -> None:
+    """Guards against passing on what is cut at the end of the grace period."""
+    assert stopping(0.2, 1.0, 0.3).admits('files', deadline=1e9, now=now) is is_admitted
+
+
+def test_durations_of_long_ago_do_not_count() -> None:
+    admission = stopping(4.0)
+    admission.durations.record('files', 0.1, STARTED_AT + 70.0)
+    assert admission.durations.longest_s('files', STARTED_AT + 70.0) == 0.1
+
+
+def test_a_request_that_may_have_run_is_not_refused_with_a_promise() -> None:
+    """Guards against a false promise that a request did not run."""
+    attempts = Attempts(context=RequestContext('key', 1))
+    assert stopping().refuse(attempts) == Refusal(reason='the instance stops', retry_after_s=0.0)
+    attempts.record_send()
+    assert stopping().refuse(attempts) == Failed(reason='the instance stops')
--- /dev/null
+++ b/tests/test_stops.py
@@ -0,0 +1,104 @@
+"""Stops of real entry processes while callers go on using them."""
+
+import random
+import signal
+import time
+from collections.abc import AsyncIterator
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import NamedTuple
+
+import anyio
+import pytest
+from entry_fixtures import ScriptedEndpoint
+from platform_standin import (
+    OPERATOR_TABLE,
+    EntryProcessHandle,
+    answer_every_request,
+    make_configuration,
+    running_store,
+    start_entry_processes,
+    start_listed_endpoints,
+)
+from stop_ledger import Caller, CallerHabit, Stop, StopLedger, Work
+
+pytestmark = pytest.mark.anyio
+
+GRACE_S = 3.0
+TIMEOUT_S = 2.5
+# Callers keep the answers of look-ups, and use the address of an instance that stops.
+USED_AFTER_STOP_S = 2.0
+ONE_AT_A_TIME = CallerHabit(requests_per_connection=1, gap_s=0.02)
+PIPELINING = CallerHabit(pipelined=2, gap_s=0.15)
+
+
+class StopScene(NamedTuple):
+    """Two entry processes, of which the second one stops."""
+
+    ledger: StopLedger
+    stopping: EntryProcessHandle
+
+
+@asynccontextmanager
+async def stop_scene(
+    entry_processes: list[EntryProcessHandle], work_dir: Path
+) -> AsyncIterator[StopScene]:
+    async with running_store() as (store, tasks):
+        ledger = StopLedger(rng=random.Random(65))
+        endpoints = [ScriptedEndpoint(script=answer_every_request) for _ in range(4)]
+        await start_listed_endpoints(store, tasks, endpoints, slots=64)
+        store.put(OPERATOR_TABLE, 'config', make_configuration(3, timeout=f'{TIMEOUT_S}s'))
+        addresses = [store.address, store.address]
+        await start_entry_processes(entry_processes, store_addresses=addresses, work_dir=work_dir)
+        for endpoint in endpoints:
+            endpoint.script = ledger.serve
+        yield StopScene(ledger, entry_processes[1])
+        for handle in entry_processes:
+            handle.kill()
+
+
+async def stop_under_load(scene: StopScene, habit: CallerHabit, *, callers: int) -> None:
+    """Stop the instance while ``callers`` use it, and wait until it has ended."""
+    entries = [scene.stopping.caller_address]
+    async with anyio.create_task_group() as tasks:
+        for _ in range(callers):
+            caller = Caller(ledger=scene.ledger, habit=habit, entries=entries, timeout_s=TIMEOUT_S)
+            tasks.start_soon(caller.run)
+        await anyio.sleep(1.0)
+        scene.ledger.stops.append(Stop(entries[0], time.monotonic(), GRACE_S))
+        scene.stopping.signal(signal.SIGTERM)
+        await anyio.sleep(USED_AFTER_STOP_S)
+        entries.clear()
+        with anyio.fail_after(GRACE_S):
+            assert await scene.stopping.wait_for_exit() == 0
+
+
+def assert_nothing_was_lost(ledger: StopLedger) -> None:
+    assert ledger.lost() == []
+    assert ledger.run_though_refused() == []
+    assert ledger.run_twice() == []
+    assert ledger.replaced() == []
+
+
+async def test_requests_that_come_late_are_not_cut_at_the_end_of_the_grace_period(
+    entry_processes: list[EntryProcessHandle], tmp_path: Path
+) -> None:
+    """Guards against passing on requests that can't be finished before the process ends."""
+    async with stop_scene(entry_processes, tmp_path) as scene:
+        rng = scene.ledger.rng
+        scene.ledger.draw_work = lambda: Work(seconds=rng.uniform(0.5, 2.0))
+        await stop_under_load(scene, ONE_AT_A_TIME, callers=24)
+    assert_nothing_was_lost(scene.ledger)
+
+
+async def test_pipelined_requests_behind_the_last_answer_are_not_passed_on(
+    entry_processes: list[EntryProcessHandle], tmp_path: Path
+) -> None:
+    """Guards against passing on a request behind an answer that closes the connection."""
+    async with stop_scene(entry_processes, tmp_path) as scene:
+        rng = scene.ledger.rng
+        scene.ledger.draw_work = lambda: Work(
+            seconds=rng.uniform(0.05, 0.3), body_bytes=300_000, sending_s=0.25
+        )
+        await stop_under_load(scene, PIPELINING, callers=24)
+    assert_nothing_was_lost(scene.ledger)
