Caller connections: the last response survives bytes behind it

What callers saw: a caller that had sent something behind the last request of a connection, or sent it while the last response was on its way, got a reset and lost what it had not read yet.

Cause: the connection was closed right after the last byte of the response was written. A socket that is closed with unread bytes, or gets some later, resets its connection, and the kernel drops what it has not sent.

Change: after the last response only the sending side is closed. The rest is read and dropped until the caller closes as well, for a second at most.

--- a/packages/node/src/plantainloft_node/engine/caller_connection.py
+++ b/packages/node/src/plantainloft_node/engine/caller_connection.py
@@ -27,6 +27,8 @@
 # Unanswered requests per connection, beyond which reading pauses. Clients that
 # behave like browsers send only a few.
 MAX_PIPELINED_REQUESTS = 16
+# How long a connection outlives its last response while the caller has not closed it.
+LINGER_S = 1.0
 # Raised when either side has closed or reset the connection.
 DISCONNECT_ERRORS = (
     OSError,
@@ -109,6 +111,12 @@
             # The caller has disconnected: cancelling its requests frees the
             # endpoints that work on them.
             tasks.cancel_scope.cancel()
+        if self.end is ConnectionEnd.ANSWER:
+            # Closing a connection while bytes arrive on it resets it, and the caller may
+            # lose the end of the last response.
+            with anyio.move_on_after(LINGER_S), suppress(*DISCONNECT_ERRORS):
+                await self._stream.send_eof()
+                await self._reader.discard()
 
     async def _read_until_closed(self, tasks: TaskGroup) -> None:
         # Handled here because the task group would wrap the error in an exception
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -450,6 +450,30 @@
     assert len(endpoint.requests) == 1
 
 
+async def test_bytes_that_arrive_behind_the_last_answer_do_not_destroy_it() -> None:
+    """Guards against closing with a reset, which drops what the caller has not read yet."""
+    async with (
+        running_forwarding_server(answer_in_pieces) as (server, _),
+        await server.connect() as stream,
+    ):
+        await stream.send(get_request(extra_headers=b'Connection: close\r\n'))
+        await anyio.sleep(0.8)
+        await stream.send(get_request(request_id=b'r2'))
+        await anyio.sleep(0.1)
+        received = await read_until_closed(stream)
+    assert received.endswith(b'x' * 200_000)
+
+
+async def test_a_connection_that_its_caller_leaves_open_is_closed_all_the_same() -> None:
+    """Guards against connections that accumulate while their callers do not close them."""
+    async with running_forwarding_server(echo) as (server, _), await server.connect() as stream:
+        await stream.send(get_request(extra_headers=b'Connection: close\r\n'))
+        assert status_of(await read_until_closed(stream)) == 200
+        with anyio.fail_after(5):
+            while server.connections[0].traffic.open_connections:
+                await anyio.sleep(0.05)
+
+
 async def test_pipelined_requests_that_run_are_answered_before_their_connection_closes() -> None:
     """Guards against an answer that closes its connection while requests behind it run."""
     async with (
