Tunnels: a user that reads nothing delays no stop

An instance that stops asks the users of its tunnels, one after the other, to give them up. A frame to a user that reads nothing waits without a limit, and with it the stop: the process was killed at the end of its grace period, with all requests that were open. The retirement of unwelcome tunnels waited in the same way.

All users are asked at once, and each attempt ends after 0.2 s. The new test hung before (TimeoutError after 2 s).

--- a/packages/node/src/plantainloft_node/tunnels/server.py
+++ b/packages/node/src/plantainloft_node/tunnels/server.py
@@ -2,6 +2,7 @@
 
 import logging
 from collections import Counter
+from collections.abc import Iterable
 
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
@@ -76,8 +77,7 @@
     async def start_draining(self) -> None:
         """Open no more tunnels, and ask the users of the open ones to give them up."""
         self._draining = True
-        for tunnel in tuple(self._tunnels):
-            await tunnel.retire()
+        await _retire(self._tunnels)
 
     async def _serve_safely(self, stream: SocketStream) -> None:
         try:
@@ -164,9 +164,7 @@
         """Retire tunnels that another peer serves better, until cancelled."""
         while True:
             await self._loop_delay.measure()
-            for tunnel in tuple(self._tunnels):
-                if self._is_unwelcome(tunnel):
-                    await tunnel.retire()
+            await _retire(filter(self._is_unwelcome, self._tunnels))
 
     def _is_unwelcome(self, tunnel: Tunnel) -> bool:
         is_too_slow = tunnel.request.priority > allowed_priority(self._loop_delay.mean_s)
@@ -186,6 +184,12 @@
             )
 
 
+async def _retire(tunnels: Iterable[Tunnel]) -> None:
+    async with anyio.create_task_group() as tasks:
+        for tunnel in tunnels:
+            tasks.start_soon(tunnel.retire)
+
+
 def _log_answer(request: OpenRequest, result: OpenResult) -> None:
     fields = {
         'tunnel': request.tunnel,
--- a/packages/node/src/plantainloft_node/tunnels/tunnel.py
+++ b/packages/node/src/plantainloft_node/tunnels/tunnel.py
@@ -17,6 +17,8 @@
 READ_BYTES = 65536
 # How long a tunnel outlives the endpoint's connection.
 LINGER_S = 2.0
+# A user that reads slowly is asked to give up the tunnel at the next opportunity.
+RETIRE_TIMEOUT_S = 0.2
 STREAM_ERRORS = (*CONNECTION_ERRORS, anyio.EndOfStream, anyio.IncompleteRead)
 
 
@@ -68,9 +70,10 @@
         """Ask the user to send no further request; requests in progress are completed."""
         if self._is_retired:
             return
-        self._is_retired = True
         try:
-            await self._send_frame(FrameKind.RETIRE)
+            with anyio.move_on_after(RETIRE_TIMEOUT_S):
+                await self._send_frame(FrameKind.RETIRE)
+                self._is_retired = True
         except CONNECTION_ERRORS as exc:
             log.debug('Tunnels: tunnel %s not retired: %r.', self.request.tunnel, exc)
 
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -195,6 +195,27 @@
         assert len(pair.endpoints[0].requests) == 1
 
 
+async def test_a_tunnel_whose_user_reads_nothing_delays_no_shutdown(pairs: PairList) -> None:
+    """Guards against a process that is killed at the end of its grace period."""
+
+    async def answer_without_end(connection: ScriptedConnection) -> None:
+        await connection.read_request()
+        while True:
+            await connection.send(b'x' * 65536)
+
+    async with running_pair(pairs, answer_without_end, answer_with(b'')) as pair:
+        host = pair.user.members.local_member.heartbeat_address.rpartition(':')[0]
+        peer_host, _, port = pair.peer.members.local_member.heartbeat_address.rpartition(':')
+        incarnation = pair.state.record.incarnation
+        async with await anyio.connect_tcp(peer_host, int(port), local_host=host) as user:
+            await user.send(pack_open_request(OpenRequest('e1', 'e1-9', incarnation, 0)))
+            await user.send(get_request())
+            await anyio.sleep(4 * WAIT_S)
+            assert pair.peer.server.open_tunnels == 1
+            with anyio.fail_after(2):
+                await pair.peer.server.start_draining()
+
+
 async def test_an_idle_tunnel_is_given_up_when_its_peer_shuts_down(pairs: PairList) -> None:
     """Failure: a request was sent on a tunnel whose peer was about to end."""
     async with running_pair(pairs, answer_with(b'')) as pair:
