Reload: a settings file that can't be read ends no process

A SIGHUP while the settings file is missing (it is being replaced) or is not text ended the process with a traceback, and all its open requests without an answer: reading the file raised, and only invalid settings were handled. A file that can't be read is a problem like the others: it is logged, and the settings in force stay.

--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -54,6 +54,26 @@
     assert await stopping.wait_for_exit() == 0
 
 
+@pytest.mark.parametrize('content', [None, b'\xff\xfe', b'[instance', b''])
+async def test_a_reload_without_readable_settings_ends_no_process(
+    entry_deployment: EntryDeployment, content: bytes | None
+) -> None:
+    """Guards against a reload that cuts all requests, since the file is being replaced."""
+    entry = entry_deployment.entry_processes[0]
+    if content is None:
+        entry.settings_path.unlink()
+    else:
+        entry.settings_path.write_bytes(content)
+    entry.signal(signal.SIGHUP)
+
+    async def reload_messages() -> list[str]:
+        return [line['message'] for line in entry.log_records() if line['kind'] == 'reload']
+
+    await wait_until_equal(reload_messages, ['Entry: settings not reloaded.'])
+    answer = await http_get(entry.caller_address, '/files/1')
+    assert answer.startswith(b'HTTP/1.1 200')
+
+
 async def test_a_reload_signal_during_startup_does_not_end_the_process(
     entry_deployment: EntryDeployment,
 ) -> None:
