Entry process: its life is one part, and a stop ends within the grace period

What was wrong: a stop waited until cached look-ups had expired even if that took longer than the grace period (a TTL of 2 s with 3 s of grace): the process was killed. The end of the wait and the cancellation of all tasks lay in one step, so that what arrived between was cut. Neither phases nor results of a stop were logged, and signals during a stop were left unread.

Change: Lifecycle has the phases starting, ready, draining, stopping and stopped with a line each. While stopping, listeners are closed first, idle connections next, and the process waits for those that finish. Listening moves to interfaces.py, signals to process_signals.py.

--- a/packages/node/src/plantainloft_node/engine/forwarding_handler.py
+++ b/packages/node/src/plantainloft_node/engine/forwarding_handler.py
@@ -1,5 +1,6 @@
 """Handles callers' requests: match the route, check limits, dispatch and respond."""
 
+from collections import Counter
 from collections.abc import Callable
 
 import anyio
@@ -66,6 +67,8 @@
             on_streamed=dispatcher.record_streamed_response,
         )
         self.requests_in_progress = 0
+        # Requests that ended: finished, refused, aborted, caller_left.
+        self.count_by_outcome: Counter[str] = Counter()
 
     def limits(self) -> CallerLimits:
         """Return the limits of the current configuration."""
@@ -131,7 +134,7 @@
         try:
             await self._respond(exchange, route, route_table, organisation, attempts)
         except cancelled:
-            self._responses.record_cancelled(exchange, route, attempts)
+            self.count_by_outcome[self._responses.record_cancelled(exchange, route, attempts)] += 1
             raise
         finally:
             if attempts.may_have_run:
@@ -148,6 +151,7 @@
     ) -> None:
         outcome = await self._obtain_response(exchange, route, route_table, organisation, attempts)
         await self._responses.respond(exchange, route, outcome, attempts)
+        self.count_by_outcome['refused' if isinstance(outcome, Refusal) else 'finished'] += 1
 
     async def _obtain_response(
         self,
--- a/packages/node/src/plantainloft_node/engine/responses.py
+++ b/packages/node/src/plantainloft_node/engine/responses.py
@@ -67,8 +67,11 @@
         self._log_outcome(exchange, 'refused', {'reason': refusal.reason, 'version': 0})
         await self.respond_refused(exchange, refusal)
 
-    def record_cancelled(self, exchange: Exchange, route: Route, attempts: Attempts) -> None:
-        """Record that the connection ended before the response did."""
+    def record_cancelled(self, exchange: Exchange, route: Route, attempts: Attempts) -> str:
+        """Record that the connection ended before the response did.
+
+        Returns ``caller_left``, or ``aborted`` if the caller did not end it.
+        """
         elapsed_s = anyio.current_time() - exchange.received_at
         end = exchange.connection_end
         kind = 'caller_left' if end is ConnectionEnd.CALLER else 'aborted'
@@ -80,6 +83,7 @@
             fields['may_have_run'] = attempts.may_have_run
             fields['response_started'] = exchange.response_started
         self._log_outcome(exchange, kind, fields)
+        return kind
 
     async def respond_no_route(self, exchange: Exchange, *, version: int) -> None:
         """Respond 404: no route of configuration ``version`` matches."""
--- a/packages/node/src/plantainloft_node/entry/listeners.py
+++ b/packages/node/src/plantainloft_node/entry/listeners.py
@@ -1,9 +1,12 @@
 """Listening sockets of an entry process, and the connections accepted on them."""
 
 import logging
+from collections.abc import Awaitable, Callable
+from contextlib import suppress
+from functools import partial
 
 import anyio
-from anyio.abc import SocketStream
+from anyio.abc import Listener, SocketStream
 
 from plantainloft_node.capacity.held_bytes import CallerTraffic
 from plantainloft_node.engine.caller_connection import CallerConnection
@@ -19,24 +22,29 @@
 
 
 class Listeners:
-    """Accepts connections, and closes them gracefully when draining starts."""
+    """Accepts connections, and closes them gracefully when the process stops."""
 
     def __init__(self, *, traffic: CallerTraffic) -> None:
         self._traffic = traffic
+        self._listeners: list[Listener[SocketStream]] = []
         self._connections: set[CallerConnection] = set()
         self._draining = False
 
+    @property
+    def open_connections(self) -> int:
+        """The number of connections that are not closed on both sides."""
+        return len(self._connections)
+
     async def listen(self, address: str, handler: ExchangeHandler) -> None:
-        """Accept and serve connections on ``address`` (``host:port``) until cancelled."""
+        """Accept connections on ``address`` (``host:port``) until stopped, and serve them."""
         host, _, port = address.rpartition(':')
-        listener = await anyio.create_tcp_listener(
+        listeners = await anyio.create_tcp_listener(
             local_host=host, local_port=int(port), backlog=ACCEPT_BACKLOG
         )
-
-        async def serve(stream: SocketStream) -> None:
-            await self._serve(stream, handler)
-
-        await listener.serve(serve)
+        self._listeners.extend(listeners.listeners)
+        async with anyio.create_task_group() as tasks:
+            for listener in listeners.listeners:
+                tasks.start_soon(_accept, listener, partial(self._serve, handler=handler))
 
     def start_draining(self) -> None:
         """Close each connection after its next response."""
@@ -44,12 +52,14 @@
         for connection in self._connections:
             connection.state.request_close()
 
-    def close_when_idle(self) -> None:
-        """Close the connections that have no request in progress."""
+    async def stop(self) -> None:
+        """Accept no more connections, and close those that have no request in progress."""
+        for listener in self._listeners:
+            await listener.aclose()
         for connection in tuple(self._connections):
             connection.close_when_idle()
 
-    async def _serve(self, stream: SocketStream, handler: ExchangeHandler) -> None:
+    async def _serve(self, stream: SocketStream, *, handler: ExchangeHandler) -> None:
         connection = CallerConnection(
             stream=stream, handler=handler, clock=anyio.current_time, traffic=self._traffic
         )
@@ -64,3 +74,12 @@
             log.exception('Entry: a connection failed.', extra={'kind': 'defect'})
         finally:
             self._connections.discard(connection)
+
+
+async def _accept(
+    listener: Listener[SocketStream], serve: Callable[[SocketStream], Awaitable[None]]
+) -> None:
+    """Serve connections in tasks of their own, until the listener is closed and they have ended."""
+    async with anyio.create_task_group() as tasks:
+        with suppress(anyio.ClosedResourceError):
+            await listener.serve(serve, tasks)
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -1,8 +1,7 @@
 """Runs one entry instance as a process, from start to graceful shutdown."""
 
 import logging
-import signal
-from collections.abc import AsyncIterator, Callable
+from collections.abc import Callable
 
 import anyio
 from anyio.abc import TaskGroup
@@ -15,11 +14,12 @@
     local_member,
 )
 from plantainloft_node.entry.fleet_tasks import start_fleet_tasks
+from plantainloft_node.entry.interfaces import start_interfaces
+from plantainloft_node.entry.lifecycle import Lifecycle
 from plantainloft_node.entry.listeners import Listeners
-from plantainloft_node.entry.lookups import LookupHandler, ReadyHandler
 from plantainloft_node.entry.metrics_report import MetricsReport
-from plantainloft_node.entry.operator_api import OperatorHandler
 from plantainloft_node.entry.periodic_updates import PeriodicUpdates
+from plantainloft_node.entry.process_signals import receive_signals
 from plantainloft_node.entry.quarantine_table import build_quarantine
 from plantainloft_node.entry.replicated_state import ReplicatedState
 from plantainloft_node.entry.request_pipeline import build_request_pipeline
@@ -33,13 +33,6 @@
 
 log = logging.getLogger(__name__)
 
-# Callers cache the answer to a look-up for up to three times its TTL. They may
-# still send requests here for that long after draining starts.
-LOOKUP_CACHE_TTLS = 3
-# Draining ends this long before the grace period does; the rest of it is kept
-# free for the requests that came last.
-SHUTDOWN_MARGIN_S = 0.7
-
 
 class EntryProcess:
     """Creates, connects and runs the components of an entry instance."""
@@ -55,7 +48,6 @@
         """Create all components; ``load_settings`` rereads the settings on reload."""
         self._load_settings = load_settings
         self._settings = settings
-        self._draining = False
         self.members = FleetMembership(
             local_member=local_member(settings), timings=fleet_timings(settings)
         )
@@ -82,30 +74,47 @@
             members=self.members,
         )
         self._listeners = Listeners(traffic=self.pipeline.capacity.traffic)
+        self._lifecycle = Lifecycle(listeners=self._listeners, pipeline=self.pipeline)
         self.report.limiter = self.pipeline.limiter
         self.report.endpoint_limiter = self.pipeline.placement.endpoint_limiter
 
     def ready(self) -> bool:
         """Return whether callers may be directed to this instance."""
-        return not self._draining and self.replicated_state.routing_state.route_table.version > 0
+        return not self._lifecycle.is_stopping and self._is_configured()
 
     async def run(self) -> None:
         """Serve until SIGTERM, then shut down gracefully."""
         settings = self._settings
         location = {'zone': settings.zone, 'region': settings.region}
-        log.info('Entry: starting.', extra={'kind': 'start', 'fields': location})
-        # The signal handlers stay installed until the end. If they were removed
-        # when shutdown starts, a second SIGTERM or a SIGHUP would have its default
-        # effect and end the process at once, with requests still in progress.
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-            signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        self._lifecycle.start(location)
+        with receive_signals() as signals:
             async with anyio.create_task_group() as tasks:
                 heartbeats = self._start_background_tasks(tasks)
-                self._start_listeners(tasks)
-                await self._wait_for_stop(signals)
-                await self._drain(heartbeats)
+                start_interfaces(
+                    settings=lambda: self._settings,
+                    ready=self.ready,
+                    listeners=self._listeners,
+                    pipeline=self.pipeline,
+                    members=self.members,
+                    quarantine=self.quarantine,
+                    report=self.report,
+                    tasks=tasks,
+                )
+                tasks.start_soon(self._log_when_ready)
+                await signals.wait_for_stop(on_reload=self._reload)
+                tasks.start_soon(signals.log_ignored)
+                await self._lifecycle.stop(self._settings, heartbeats=heartbeats)
                 tasks.cancel_scope.cancel()
-        log.info('Entry: stopped.', extra={'kind': 'stop'})
+        self._lifecycle.end()
+
+    def _is_configured(self) -> bool:
+        return self.replicated_state.routing_state.route_table.version > 0
+
+    async def _log_when_ready(self) -> None:
+        while not self._is_configured():
+            await anyio.sleep(UPDATE_INTERVAL_S)
+        version = self.replicated_state.routing_state.route_table.version
+        self._lifecycle.mark_ready({'version': version})
 
     def _start_background_tasks(self, tasks: TaskGroup) -> HeartbeatExchange:
         heartbeats = start_fleet_tasks(
@@ -133,36 +142,6 @@
         tasks.start_soon(self.pipeline.endpoint_links.prober.run)
         return heartbeats
 
-    def _start_listeners(self, tasks: TaskGroup) -> None:
-        settings = self._settings
-        lookups = LookupHandler(
-            members=self.members,
-            ready=self.ready,
-            ttl_s=lambda: self._settings.lookup_ttl_s,
-            capacity=self.pipeline.capacity,
-        )
-        listen = self._listeners.listen
-        tasks.start_soon(listen, settings.caller_address, self.pipeline.forwarding_handler)
-        tasks.start_soon(listen, settings.lookup_address, lookups)
-        tasks.start_soon(listen, settings.readiness_address, ReadyHandler(ready=self.ready))
-        tasks.start_soon(self.pipeline.endpoint_links.server.listen, settings.heartbeat_address)
-        if settings.metrics_address:
-            operators = OperatorHandler(
-                metrics_text=self._metrics,
-                quarantine=self.quarantine,
-                report=self.report,
-                announcements=self.replicated_state.endpoint_registry.announcements,
-                links=self.pipeline.endpoint_links.monitor,
-                retry_budgets=self.pipeline.dispatcher.retry_budgets,
-            )
-            tasks.start_soon(listen, settings.metrics_address, operators)
-
-    def _metrics(self) -> str:
-        pipeline = self.pipeline
-        return self.report.text(
-            pipeline.forwarding_handler, pipeline.dispatcher, pipeline.placement
-        )
-
     def _announce_soon(self) -> None:
         if self._heartbeats is not None:
             self._heartbeats.request_round()
@@ -171,7 +150,7 @@
         return Heartbeat(
             member=self.members.local_member,
             ready=self.ready(),
-            draining=self._draining,
+            draining=self._lifecycle.is_stopping,
             position_by_table=self.replicated_state.current_positions(),
             era=self.replicated_state.store.eras.current,
             holds_rows=bool(self.replicated_state.updates.held_rows),
@@ -182,12 +161,6 @@
             capacity=self.pipeline.capacity.reported(),
         )
 
-    async def _wait_for_stop(self, signals: AsyncIterator[signal.Signals]) -> None:
-        async for received in signals:
-            if received == signal.SIGTERM:
-                return
-            self._reload()
-
     def _reload(self) -> None:
         """Reload the settings; keep the current ones if the new ones are invalid."""
         settings = self._load_settings()
@@ -202,30 +175,3 @@
         self.pipeline.apply_settings(settings)
         self.members.timings = fleet_timings(settings)
         logging.getLogger().setLevel(settings.log_level)
-
-    async def _drain(self, heartbeats: HeartbeatExchange) -> None:
-        """Direct callers to other instances, and wait for the requests in progress.
-
-        Waits until cached look-ups have expired, then for requests in progress
-        until shortly before the end of the grace period.
-        """
-        started_at = anyio.current_time()
-        self._draining = True
-        fields = {'open': self.pipeline.forwarding_handler.requests_in_progress}
-        log.info('Entry: stopping.', extra={'kind': 'stop', 'fields': fields})
-        self._listeners.start_draining()
-        await heartbeats.send_round(include_not_due=True)
-        await self.pipeline.endpoint_links.server.start_draining()
-        lookups_expire_at = started_at + LOOKUP_CACHE_TTLS * self._settings.lookup_ttl_s
-        deadline = started_at + self._settings.grace_s - SHUTDOWN_MARGIN_S
-        self.pipeline.finish_until(deadline)
-        now = started_at
-        while now < lookups_expire_at or (self._has_work() and now < deadline):
-            await anyio.sleep(UPDATE_INTERVAL_S)
-            now = anyio.current_time()
-        self._listeners.close_when_idle()
-
-    def _has_work(self) -> bool:
-        """Return whether requests are in progress here, or through here."""
-        in_progress = self.pipeline.forwarding_handler.requests_in_progress
-        return bool(in_progress or self.pipeline.endpoint_links.server.open_tunnels)
--- /dev/null
+++ b/packages/node/src/plantainloft_node/entry/process_signals.py
@@ -0,0 +1,48 @@
+"""Signals of the platform: SIGTERM stops the process, SIGHUP reloads the settings."""
+
+import logging
+import signal
+from collections.abc import AsyncIterator, Callable, Iterator
+from contextlib import contextmanager
+
+import anyio
+
+__all__ = ['ProcessSignals', 'receive_signals']
+
+log = logging.getLogger(__name__)
+
+
+class ProcessSignals:
+    """The signals that the process receives, in order."""
+
+    def __init__(self, *, signals: AsyncIterator[signal.Signals]) -> None:
+        self._signals = signals
+
+    async def wait_for_stop(self, *, on_reload: Callable[[], None]) -> None:
+        """Return at SIGTERM; call ``on_reload`` at each SIGHUP before it."""
+        async for received in self._signals:
+            if received == signal.SIGTERM:
+                return
+            on_reload()
+
+    async def log_ignored(self) -> None:
+        """Log the signals that come while the process stops; none of them changes the stop."""
+        async for received in self._signals:
+            log.info(
+                'Entry: %s ignored while stopping.',
+                received.name,
+                extra={'kind': 'stop', 'fields': {'signal': received.name}},
+            )
+
+
+@contextmanager
+def receive_signals() -> Iterator[ProcessSignals]:
+    """Handle the signals within the context.
+
+    The handlers must stay installed until the process has stopped. Without them, a second
+    SIGTERM or a SIGHUP would have its default effect and end the process at once, with
+    requests still in progress.
+    """
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
+        yield ProcessSignals(signals=signals)
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -6,7 +6,7 @@
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager
 from pathlib import Path
-from typing import NamedTuple
+from typing import Any, NamedTuple
 
 import anyio
 import pytest
@@ -19,6 +19,7 @@
     running_store,
     start_entry_processes,
     start_listed_endpoints,
+    wait_until_equal,
 )
 from stop_ledger import Caller, CallerHabit, Stop, StopLedger, Work
 
@@ -41,13 +42,13 @@
 
 @asynccontextmanager
 async def stop_scene(
-    entry_processes: list[EntryProcessHandle], work_dir: Path
+    entry_processes: list[EntryProcessHandle], work_dir: Path, *, timeout_s: float = TIMEOUT_S
 ) -> AsyncIterator[StopScene]:
     async with running_store() as (store, tasks):
         ledger = StopLedger(rng=random.Random(65))
         endpoints = [ScriptedEndpoint(script=answer_every_request) for _ in range(4)]
         await start_listed_endpoints(store, tasks, endpoints, slots=64)
-        store.put(OPERATOR_TABLE, 'config', make_configuration(3, timeout=f'{TIMEOUT_S}s'))
+        store.put(OPERATOR_TABLE, 'config', make_configuration(3, timeout=f'{timeout_s}s'))
         addresses = [store.address, store.address]
         await start_entry_processes(entry_processes, store_addresses=addresses, work_dir=work_dir)
         for endpoint in endpoints:
@@ -102,3 +103,86 @@
         )
         await stop_under_load(scene, PIPELINING, callers=24)
     assert_nothing_was_lost(scene.ledger)
+
+
+def phase_lines(entry: EntryProcessHandle) -> list[dict[str, Any]]:
+    """Return the log lines about the life of ``entry``."""
+    kinds = ('start', 'ready', 'stop')
+    return [line for line in entry.log_records() if line['kind'] in kinds]
+
+
+async def test_phases_and_the_requests_that_a_stop_cuts_are_logged(
+    entry_processes: list[EntryProcessHandle], tmp_path: Path
+) -> None:
+    """Guards against a loss that can't be told from a caller that left."""
+    async with stop_scene(entry_processes, tmp_path, timeout_s=10.0) as scene:
+        scene.ledger.draw_work = lambda: Work(seconds=60.0)
+        caller = Caller(
+            ledger=scene.ledger,
+            habit=ONE_AT_A_TIME,
+            entries=[scene.stopping.caller_address],
+            timeout_s=10.0,
+        )
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(caller.run)
+            await anyio.sleep(0.3)
+            scene.stopping.signal(signal.SIGTERM)
+            await anyio.sleep(0.3)
+            scene.stopping.signal(signal.SIGHUP)
+            await anyio.sleep(0.3)
+            scene.stopping.signal(signal.SIGTERM)
+            assert await scene.stopping.wait_for_exit() == 0
+            tasks.cancel_scope.cancel()
+    lines = phase_lines(scene.stopping)
+    assert [line['message'] for line in lines] == [
+        'Entry: starting.',
+        'Entry: ready.',
+        'Entry: draining.',
+        'Entry: SIGHUP ignored while stopping.',
+        'Entry: SIGTERM ignored while stopping.',
+        'Entry: stopping.',
+        'Entry: stopped.',
+    ]
+    assert (lines[-1]['finished'], lines[-1]['cut']) == (0, 1)
+    cut = [line for line in scene.stopping.log_records() if line['kind'] == 'aborted']
+    assert [(line['request'], line['ended_by']) for line in cut] == [('r0', 'process')]
+    assert cut[0]['waiting_for'].startswith('i')
+    assert cut[0]['ms'] > 2000
+
+
+async def test_a_stop_ends_within_the_grace_period_whatever_the_ttl_of_look_ups(
+    entry_processes: list[EntryProcessHandle], tmp_path: Path
+) -> None:
+    """Guards against a process that waits for callers until it is killed."""
+    async with stop_scene(entry_processes, tmp_path) as scene:
+        settings = scene.stopping.settings_path
+        settings.write_text(settings.read_text().replace('ttl = 300ms', 'ttl = 2s'))
+        scene.stopping.signal(signal.SIGHUP)
+        await anyio.sleep(0.3)
+        scene.stopping.signal(signal.SIGTERM)
+        with anyio.fail_after(GRACE_S):
+            assert await scene.stopping.wait_for_exit() == 0
+
+
+async def test_a_stop_before_the_first_configuration_refuses_requests_and_ends(
+    entry_processes: list[EntryProcessHandle], tmp_path: Path
+) -> None:
+    """Guards against a process that can be stopped only once it is ready."""
+    async with running_store() as (store, _):
+        entry = EntryProcessHandle(number=1, store_address=store.address, work_dir=tmp_path)
+        entry_processes.append(entry)
+        entry.start()
+        await wait_until_equal(lambda: entry.get_status(entry.caller_address, '/files/1'), 503)
+        entry.signal(signal.SIGTERM)
+        await anyio.sleep(0.2)
+        assert await entry.get_status(entry.caller_address, '/files/1') == 503
+        with anyio.fail_after(GRACE_S):
+            assert await entry.wait_for_exit() == 0
+        entry.kill()
+    messages = [line['message'] for line in phase_lines(entry)]
+    assert messages == [
+        'Entry: starting.',
+        'Entry: draining.',
+        'Entry: stopping.',
+        'Entry: stopped.',
+    ]
