Own interface: a second SIGTERM cuts no request

The handlers of an instance of the product's own interface were removed once its leaving was announced, while it went on serving what was in progress: a second SIGTERM then ended the process at once. The handlers now stay until everything has been answered, and SIGTERM is blocked for the rest of the process; in the entry process as well, where a signal during its last steps changed the exit status.

--- a/packages/core/src/plantainloft_core/serving.py
+++ b/packages/core/src/plantainloft_core/serving.py
@@ -7,7 +7,8 @@
 
 import logging
 import signal
-from collections.abc import Awaitable, Callable
+from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
+from contextlib import contextmanager
 from typing import Any
 
 import anyio
@@ -33,17 +34,34 @@
     config.accesslog = None
     config.errorlog = logging.getLogger('hypercorn.error')
     stopping = anyio.Event()
+    with _receive_stop_signals() as signals:
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(_stop_at_first, signals, stopping, on_stop)
+            await serve(app, config, shutdown_trigger=stopping.wait)
+            tasks.cancel_scope.cancel()
 
-    async def watch_signals() -> None:
-        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            async for signum in signals:
-                log.info('Serve: received signal %s, shutting down gracefully.', signum)
-                if on_stop is not None:
-                    await on_stop()
-                stopping.set()
-                return
-
-    async with anyio.create_task_group() as tasks:
-        tasks.start_soon(watch_signals)
-        await serve(app, config, shutdown_trigger=stopping.wait)
-        tasks.cancel_scope.cancel()
+
+@contextmanager
+def _receive_stop_signals() -> Iterator[AsyncIterator[signal.Signals]]:
+    # Without its handler, another signal would end the process with requests in progress.
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        try:
+            yield signals
+        finally:
+            # What is left of the process ends by itself.
+            signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
+
+
+async def _stop_at_first(
+    signals: AsyncIterator[signal.Signals],
+    stopping: anyio.Event,
+    on_stop: Callable[[], Awaitable[None]] | None,
+) -> None:
+    async for signum in signals:
+        if stopping.is_set():
+            log.info('Serve: signal %s ignored while shutting down.', signum)
+            continue
+        log.info('Serve: received signal %s, shutting down gracefully.', signum)
+        if on_stop is not None:
+            await on_stop()
+        stopping.set()
--- a/packages/node/src/plantainloft_node/entry/process_signals.py
+++ b/packages/node/src/plantainloft_node/entry/process_signals.py
@@ -41,8 +41,11 @@
 
     The handlers must stay installed until the process has stopped. Without them, a second
     SIGTERM or a SIGHUP would have its default effect and end the process at once, with
-    requests still in progress.
+    requests still in progress. Afterwards, both are blocked.
     """
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
         signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-        yield ProcessSignals(signals=signals)
+        try:
+            yield ProcessSignals(signals=signals)
+        finally:
+            signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGHUP})
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -120,6 +120,40 @@
     assert transcript == snapshot
 
 
+def test_another_signal_during_a_graceful_stop_cuts_no_request(tiny_deployment: Cluster) -> None:
+    """Guards against a second SIGTERM that ends the process with requests in progress."""
+    entry = tiny_deployment.entries_by_name[TARGET]
+    process = tiny_deployment.processes.by_name[TARGET]
+    statuses: list[int] = []
+
+    async def send_until_refused() -> None:
+        while process.poll() is None:
+            async with httpx.AsyncClient(timeout=10) as http:
+                try:
+                    response = await http.get(f'{entry}/v1/forward/case-desk/item')
+                except httpx.TransportError:
+                    # It must not have run, which is checked at the end.
+                    continue
+                statuses.append(response.status_code)
+
+    async def send_load() -> None:
+        async with anyio.create_task_group() as tasks:
+            for _ in range(4):
+                tasks.start_soon(send_until_refused)
+            await anyio.sleep(0.1)
+            while process.poll() is None:
+                process.send_signal(signal.SIGTERM)
+                await anyio.sleep(0.02)
+
+    anyio.run(send_load)
+    runs = 0
+    for url in tiny_deployment.endpoints_by_name.values():
+        runs += sum(httpx.get(f'{url}/executions').json()['runs_by_key'].values())
+    assert runs == statuses.count(200)
+    assert set(statuses) <= {200, 503}
+    assert process.wait() == 0
+
+
 def test_drained_endpoint_gets_no_new_work(
     tiny_deployment: Cluster, snapshot: SnapshotAssertion
 ) -> None:
