Caller connections: an idle one is closed without reading on

An instance that stops closed idle connections in the way of those that have just been answered, and read for up to a second what came on them. A request that crossed the close was thus read and never answered, and a caller that may not repeat what has been read was stuck with it. Idle connections are closed at once again. Tunnels that end with the process are logged as well.

--- a/packages/node/src/plantainloft_node/engine/caller_connection.py
+++ b/packages/node/src/plantainloft_node/engine/caller_connection.py
@@ -100,7 +100,8 @@
         """Close the connection: at once if idle, otherwise after its open requests."""
         self.state.close_after_accepted()
         if self.is_idle():
-            self._stop_reading(ConnectionEnd.ANSWER)
+            # A request that arrives now must count as not read, so that it may be repeated.
+            self._stop_reading(ConnectionEnd.IDLE)
 
     async def _serve(self) -> None:
         async with anyio.create_task_group() as tasks:
--- a/packages/node/src/plantainloft_node/engine/connection_end.py
+++ b/packages/node/src/plantainloft_node/engine/connection_end.py
@@ -13,5 +13,7 @@
     ANSWER = 'answer'
     # An answer could not be completed.
     BROKEN_ANSWER = 'broken_answer'
+    # It had no open request.
+    IDLE = 'idle'
     STALLED = 'stalled'
     PROCESS = 'process'
--- a/packages/node/src/plantainloft_node/tunnels/server.py
+++ b/packages/node/src/plantainloft_node/tunnels/server.py
@@ -116,15 +116,18 @@
         try:
             await self._run(tunnel, stream)
         finally:
-            self._tunnels.discard(tunnel)
-            await tunnel.close()
-        self._ended_bytes += tunnel.copied_bytes
-        _log_closed(tunnel)
+            await self._close(tunnel)
 
     async def _run(self, tunnel: Tunnel, stream: SocketStream) -> None:
         await stream.send(bytes((OpenResult.OPENED,)))
         await tunnel.copy()
 
+    async def _close(self, tunnel: Tunnel) -> None:
+        self._tunnels.discard(tunnel)
+        self._ended_bytes += tunnel.copied_bytes
+        _log_closed(tunnel)
+        await tunnel.close()
+
     async def _open(
         self, request: OpenRequest, state: EndpointState | None
     ) -> SocketStream | OpenResult:
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -474,6 +474,18 @@
                 await anyio.sleep(0.05)
 
 
+async def test_an_idle_connection_is_closed_without_reading_on() -> None:
+    """Guards against a request that is read but neither run nor refused."""
+    async with running_forwarding_server(echo) as (server, _), await server.connect() as stream:
+        await stream.send(get_request())
+        await stream.receive()
+        connection = server.connections[0]
+        connection.close_when_idle()
+        with anyio.fail_after(0.5):
+            while connection.traffic.open_connections:
+                await anyio.sleep(0.01)
+
+
 async def test_pipelined_requests_that_run_are_answered_before_their_connection_closes() -> None:
     """Guards against an answer that closes its connection while requests behind it run."""
     async with (
