--- a/packages/node/src/plantainloft_node/engine/forwarding_handler.py
+++ b/packages/node/src/plantainloft_node/engine/forwarding_handler.py
@@ -1,7 +1,8 @@
 """Handles callers' requests: match the route, check limits, dispatch and respond."""
 
 from collections import Counter
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 
 import anyio
 
@@ -130,9 +131,19 @@
             self._affinity_key(exchange), route_table.version, organisation_name
         )
         attempts = Attempts(context=context)
+        with self._recording(exchange, route, attempts):
+            outcome = await self._obtain_response(
+                exchange, route, route_table, organisation, attempts
+            )
+            await self._responses.respond(exchange, route, outcome, attempts)
+            self.count_by_outcome['refused' if isinstance(outcome, Refusal) else 'finished'] += 1
+
+    @contextmanager
+    def _recording(self, exchange: Exchange, route: Route, attempts: Attempts) -> Iterator[None]:
+        """Record how long a request takes within the context, and if its connection ends."""
         cancelled = anyio.get_cancelled_exc_class()
         try:
-            await self._respond(exchange, route, route_table, organisation, attempts)
+            yield
         except cancelled:
             self.count_by_outcome[self._responses.record_cancelled(exchange, route, attempts)] += 1
             raise
@@ -141,18 +152,6 @@
                 now = anyio.current_time()
                 self._stop_admission.durations.record(route.name, now - exchange.received_at, now)
 
-    async def _respond(
-        self,
-        exchange: Exchange,
-        route: Route,
-        route_table: RouteTable,
-        organisation: Organisation | None,
-        attempts: Attempts,
-    ) -> None:
-        outcome = await self._obtain_response(exchange, route, route_table, organisation, attempts)
-        await self._responses.respond(exchange, route, outcome, attempts)
-        self.count_by_outcome['refused' if isinstance(outcome, Refusal) else 'finished'] += 1
-
     async def _obtain_response(
         self,
         exchange: Exchange,
