Stops: no answer waits behind one that outlasts the process

Cause: whether a request can be finished was asked of it alone, but on a connection answers come in order. The open request before it had been passed on before the stop, without a check.

Change: a connection with an open request accepts no other once the stop begins; the last answer announces the close. If that answer has begun already, one more request is accepted, to announce it.

One process ended by a SIGHUP in its last moments: blocking the signal in the main thread left it to other threads; it is ignored now.

--- a/packages/core/src/plantainloft_core/serving.py
+++ b/packages/core/src/plantainloft_core/serving.py
@@ -44,12 +44,13 @@
 @contextmanager
 def _receive_stop_signals() -> Iterator[AsyncIterator[signal.Signals]]:
     # Without its handler, another signal would end the process with requests in progress.
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        try:
+    try:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
             yield signals
-        finally:
-            # What is left of the process ends by itself.
-            signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM})
+    finally:
+        # What is left of the process ends by itself. Blocking the signal would not be
+        # enough: other threads would still receive it.
+        signal.signal(signal.SIGTERM, signal.SIG_IGN)
 
 
 async def _stop_at_first(
--- a/packages/node/src/plantainloft_node/engine/caller_connection.py
+++ b/packages/node/src/plantainloft_node/engine/caller_connection.py
@@ -84,18 +84,21 @@
             await self._stream.send(encoded)
         self.traffic.link_bytes += len(encoded)
 
-    def close_after_accepted(self) -> None:
-        """Accept no more requests: close after the responses to those that are accepted."""
-        self.state.close_after_accepted()
-
-    def starts_last_response(self, number: int) -> bool:
-        """Decide when the response to request ``number`` starts; return whether it is the last."""
-        return self.state.starts_last_response(number)
-
     def is_idle(self) -> bool:
         """Return whether the connection has no unanswered request."""
         return not self._open_exchanges
 
+    def start_draining(self) -> None:
+        """Close the connection after a response that can still announce it.
+
+        Where a request is open already, the responses to later ones would wait for its
+        response, however long that takes; they are not accepted.
+        """
+        if self._open_exchanges and not self._open_exchanges[-1].response_started:
+            self.state.close_after_accepted()
+        else:
+            self.state.request_close()
+
     def close_when_idle(self) -> None:
         """Close the connection: at once if idle, otherwise after its open requests."""
         self.state.close_after_accepted()
--- a/packages/node/src/plantainloft_node/entry/listeners.py
+++ b/packages/node/src/plantainloft_node/entry/listeners.py
@@ -47,10 +47,10 @@
                 tasks.start_soon(_accept, listener, partial(self._serve, handler=handler))
 
     def start_draining(self) -> None:
-        """Close each connection after its next response."""
+        """Close each connection after one of its next responses."""
         self._draining = True
         for connection in self._connections:
-            connection.state.request_close()
+            connection.start_draining()
 
     async def stop(self) -> None:
         """Accept no more connections, and close those that have no request in progress."""
@@ -64,7 +64,7 @@
             stream=stream, handler=handler, clock=anyio.current_time, traffic=self._traffic
         )
         if self._draining:
-            connection.state.request_close()
+            connection.start_draining()
         self._connections.add(connection)
         try:
             await connection.run()
--- a/packages/node/src/plantainloft_node/entry/process_signals.py
+++ b/packages/node/src/plantainloft_node/entry/process_signals.py
@@ -41,11 +41,13 @@
 
     The handlers must stay installed until the process has stopped. Without them, a second
     SIGTERM or a SIGHUP would have its default effect and end the process at once, with
-    requests still in progress. Afterwards, both are blocked.
+    requests still in progress. Afterwards, both are ignored.
     """
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-        signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-        try:
+    try:
+        with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
             yield ProcessSignals(signals=signals)
-        finally:
-            signal.pthread_sigmask(signal.SIG_BLOCK, {signal.SIGTERM, signal.SIGHUP})
+    finally:
+        # Blocking the signals would not be enough: other threads would still receive them.
+        for ignored in (signal.SIGTERM, signal.SIGHUP):
+            signal.signal(ignored, signal.SIG_IGN)
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -474,6 +474,29 @@
                 await anyio.sleep(0.05)
 
 
+async def test_no_request_is_accepted_behind_one_that_is_open_when_the_instance_stops() -> None:
+    """Guards against an answer that waits behind one that outlasts the process."""
+
+    async def hang_at_first(connection: ScriptedConnection) -> None:
+        await connection.read_request()
+        await anyio.sleep(0.5)
+        await connection.send(signed_ok_response(b'ok'))
+
+    async with (
+        running_forwarding_server(hang_at_first) as (server, (endpoint,)),
+        await server.connect() as stream,
+    ):
+        await stream.send(get_request())
+        while not endpoint.requests:
+            await anyio.sleep(0.01)
+        server.connections[0].start_draining()
+        await stream.send(get_request(request_id=b'r2'))
+        received = await read_until_closed(stream)
+    assert received.count(b'HTTP/1.1 200') == 1
+    assert b'connection: close' in received.lower()
+    assert len(endpoint.requests) == 1
+
+
 async def test_an_idle_connection_is_closed_without_reading_on() -> None:
     """Guards against a request that is read but neither run nor refused."""
     async with running_forwarding_server(echo) as (server, _), await server.connect() as stream:
