--- a/packages/node/src/plantainloft_node/engine/connection_state.py
+++ b/packages/node/src/plantainloft_node/engine/connection_state.py
@@ -22,18 +22,19 @@
         """Whether another request may be accepted."""
         return self._last is None
 
-    @property
-    def close_wanted(self) -> bool:
-        """Whether the connection closes after one of its next answers."""
-        return self._close_wanted
-
     def accept(self) -> int:
         """Accept a request and return its number."""
         self._accepted += 1
+        if self._close_wanted:
+            self.close_after_accepted()
         return self._accepted
 
     def request_close(self) -> None:
-        """Close after an answer that has no accepted request behind it when it starts."""
+        """Close after the next response that can announce it.
+
+        It is the response to the last open request, if it has not started when the others
+        have been sent, or else that to the next request.
+        """
         self._close_wanted = True
 
     def close_after_accepted(self) -> None:
--- a/packages/node/src/plantainloft_node/engine/stop_admission.py
+++ b/packages/node/src/plantainloft_node/engine/stop_admission.py
@@ -17,13 +17,23 @@
     """Admits only requests that can be finished before the process ends.
 
     A request that can't is refused at once, while its caller has time to go elsewhere.
-    ``ends_at`` is when open requests are cut (monotonic); infinite unless the instance
-    stops.
+    Requests that come late must be certain to be finished; their callers have had time to
+    go elsewhere.
     """
 
     def __init__(self) -> None:
         self.durations = RequestDurations()
-        self.ends_at = float('inf')
+        self._ends_at = float('inf')
+        self._estimates_until = float('inf')
+
+    def start(self, *, ends_at: float, estimates_until: float) -> None:
+        """Stop: open requests are cut at ``ends_at``.
+
+        The durations of recent requests are relied on before ``estimates_until``. Times are
+        monotonic.
+        """
+        self._ends_at = ends_at
+        self._estimates_until = estimates_until
 
     def admits(self, route: str, *, deadline: float, now: float) -> bool:
         """Return whether a request of ``route`` may be sent to an endpoint.
@@ -31,9 +41,11 @@
         Either its ``deadline`` comes first, or the recent requests of the route took so
         little time that it is answered by then.
         """
-        last_answer_at = self.ends_at - DELIVERY_S
+        last_answer_at = self._ends_at - DELIVERY_S
         if deadline <= last_answer_at:
             return True
+        if now >= self._estimates_until:
+            return False
         longest_s = self.durations.longest_s(route, now)
         return longest_s is not None and now + DURATION_MARGIN * longest_s <= last_answer_at
 
--- a/packages/node/src/plantainloft_node/entry/lifecycle.py
+++ b/packages/node/src/plantainloft_node/entry/lifecycle.py
@@ -74,7 +74,9 @@
         self._count_before_stop = Counter(self._handler.count_by_outcome)
         ends_in_s = round(times.ends_at - anyio.current_time(), 2)
         self._enter(Phase.DRAINING, 'stop', {**self._open(), 'ends_in_s': ends_in_s})
-        self._pipeline.finish_until(times.ends_at)
+        self._pipeline.start_stopping(
+            ends_at=times.ends_at, estimates_until=times.lookups_expire_at
+        )
         self._listeners.start_draining()
         with anyio.move_on_at(times.ends_at):
             await self._drain(times, heartbeats)
--- a/packages/node/src/plantainloft_node/entry/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/entry/request_pipeline.py
@@ -56,9 +56,12 @@
         self.limiter.settings = limit_parameters(settings)
         self.capacity.apply_settings(settings)
 
-    def finish_until(self, ends_at: float) -> None:
-        """Pass on only requests that can be finished until ``ends_at`` (monotonic)."""
-        self.dispatcher.admission.stop.ends_at = ends_at
+    def start_stopping(self, *, ends_at: float, estimates_until: float) -> None:
+        """Pass on only requests that can be finished before open ones are cut.
+
+        See ``StopAdmission.start``.
+        """
+        self.dispatcher.admission.stop.start(ends_at=ends_at, estimates_until=estimates_until)
 
     def update_capacity(self, now: float) -> None:
         """Measure what this instance uses of its capacity, and apply its limits."""
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -930,7 +930,8 @@
     """Guards against a request that is cut when the process ends."""
     async with running_forwarding_server(echo) as (server, (endpoint,)):
         stop_admission = server.stop_admission
-        stop_admission.ends_at = anyio.current_time() + 0.5
+        now = anyio.current_time()
+        stop_admission.start(ends_at=now + 0.5, estimates_until=now + 0.5)
         async with await server.connect() as stream:
             await stream.send(get_request() + get_request(request_id=b'r2'))
             answer = await read_until_closed(stream)
--- a/tests/test_stop_admission.py
+++ b/tests/test_stop_admission.py
@@ -7,14 +7,15 @@
 
 STARTED_AT = 1000.0
 ENDS_AT = 1005.0
+ESTIMATES_UNTIL = 1003.0
 
 
 def stopping(*durations_s: float) -> StopAdmission:
     """Return the decision of an instance that stops after requests of ``durations_s``."""
     admission = StopAdmission()
-    for duration_s in durations_s:
+    for duration_s in (*durations_s, *[0.01] * 20):
         admission.durations.record('files', duration_s, STARTED_AT)
-    admission.ends_at = ENDS_AT
+    admission.start(ends_at=ENDS_AT, estimates_until=ESTIMATES_UNTIL)
     return admission
 
 
@@ -27,12 +28,26 @@
     assert stopping(4.0).admits('files', deadline=ENDS_AT - 0.2, now=now)
 
 
-def test_a_request_of_a_route_without_recent_requests_may_take_until_its_deadline() -> None:
+@pytest.mark.parametrize('count', [0, 1, 19])
+def test_a_request_of_a_route_with_few_recent_requests_may_take_until_its_deadline(
+    count: int,
+) -> None:
     """Guards against taking an unknown duration for a short one."""
-    assert not stopping(0.1).admits('notices', deadline=ENDS_AT + 1.0, now=STARTED_AT)
+    admission = stopping(0.1)
+    for _ in range(count):
+        admission.durations.record('notices', 0.1, STARTED_AT)
+    assert not admission.admits('notices', deadline=ENDS_AT + 1.0, now=STARTED_AT)
+
+
+def test_a_request_that_comes_late_must_be_certain_to_be_finished() -> None:
+    """Guards against a late request that takes longer than the recent ones."""
+    admission = stopping(0.1)
+    assert admission.admits('files', deadline=1e9, now=ESTIMATES_UNTIL - 0.1)
+    assert not admission.admits('files', deadline=1e9, now=ESTIMATES_UNTIL)
+    assert admission.admits('files', deadline=ENDS_AT - 0.2, now=ESTIMATES_UNTIL)
 
 
-@pytest.mark.parametrize(('now', 'is_admitted'), [(STARTED_AT, True), (ENDS_AT - 1.0, False)])
+@pytest.mark.parametrize(('now', 'is_admitted'), [(STARTED_AT, True), (STARTED_AT + 2.95, False)])
 def test_a_request_that_may_outlast_the_process_is_not_admitted(
     now: float, is_admitted: bool
 ) -> None:
@@ -42,7 +57,8 @@
 
 def test_durations_of_long_ago_do_not_count() -> None:
     admission = stopping(4.0)
-    admission.durations.record('files', 0.1, STARTED_AT + 70.0)
+    for _ in range(20):
+        admission.durations.record('files', 0.1, STARTED_AT + 70.0)
     assert admission.durations.longest_s('files', STARTED_AT + 70.0) == 0.1
 
 
