Own interface: a stop returns to the process that serves

Found by the review of this change: since the signal handlers stay installed, the task that reads them was still running when the server had ended, and cancelling its task group cancelled the server's own task with it. What a node does after its last request (writing queued transactions) was skipped, unnoticed. The reader now has a scope of its own.

--- a/packages/core/src/plantainloft_core/serving.py
+++ b/packages/core/src/plantainloft_core/serving.py
@@ -36,9 +36,11 @@
     stopping = anyio.Event()
     with _receive_stop_signals() as signals:
         async with anyio.create_task_group() as tasks:
-            tasks.start_soon(_stop_at_first, signals, stopping, on_stop)
+            watching = anyio.CancelScope()
+            tasks.start_soon(_stop_at_first, signals, stopping, on_stop, watching)
             await serve(app, config, shutdown_trigger=stopping.wait)
-            tasks.cancel_scope.cancel()
+            # Cancelling the whole task group here would cancel this task as well.
+            watching.cancel()
 
 
 @contextmanager
@@ -57,12 +59,14 @@
     signals: AsyncIterator[signal.Signals],
     stopping: anyio.Event,
     on_stop: Callable[[], Awaitable[None]] | None,
+    scope: anyio.CancelScope,
 ) -> None:
-    async for signum in signals:
-        if stopping.is_set():
-            log.info('Serve: signal %s ignored while shutting down.', signum)
-            continue
-        log.info('Serve: received signal %s, shutting down gracefully.', signum)
-        if on_stop is not None:
-            await on_stop()
-        stopping.set()
+    with scope:
+        async for signum in signals:
+            if stopping.is_set():
+                log.info('Serve: signal %s ignored while shutting down.', signum)
+                continue
+            log.info('Serve: received signal %s, shutting down gracefully.', signum)
+            if on_stop is not None:
+                await on_stop()
+            stopping.set()
