Stops: tunnels and connections that are being opened when draining begins

Found by the review: a tunnel whose connection to its endpoint was being opened when draining began joined the open ones after their users had been asked to give them up; it went on carrying new requests, which were cut at the end. It is refused now, as those that come later. A connection that is accepted while the listeners are being closed is closed as well, instead of holding up the stop. The test of the tunnel failed before.

--- a/packages/node/src/plantainloft_node/entry/listeners.py
+++ b/packages/node/src/plantainloft_node/entry/listeners.py
@@ -29,6 +29,7 @@
         self._listeners: list[Listener[SocketStream]] = []
         self._connections: set[CallerConnection] = set()
         self._draining = False
+        self._stopped = False
 
     @property
     def open_connections(self) -> int:
@@ -54,6 +55,7 @@
 
     async def stop(self) -> None:
         """Accept no more connections, and close those that have no request in progress."""
+        self._stopped = True
         for listener in self._listeners:
             await listener.aclose()
         for connection in tuple(self._connections):
@@ -65,6 +67,8 @@
         )
         if self._draining:
             connection.start_draining()
+        if self._stopped:
+            connection.close_when_idle()
         self._connections.add(connection)
         try:
             await connection.run()
--- a/packages/node/src/plantainloft_node/tunnels/server.py
+++ b/packages/node/src/plantainloft_node/tunnels/server.py
@@ -146,7 +146,12 @@
             return OpenResult.UNWANTED
         if self._links.is_lost(state.record.zone):
             return OpenResult.NO_LINK
-        return await self._connect(state)
+        opened = await self._connect(state)
+        if self._draining and not isinstance(opened, OpenResult):
+            # Draining has started meanwhile, and the users of tunnels have been asked already.
+            await anyio.aclose_forcefully(opened)
+            return OpenResult.DRAINING
+        return opened
 
     async def _connect(self, state: EndpointState) -> SocketStream | OpenResult:
         zone = state.record.zone
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -216,6 +216,26 @@
                 await pair.peer.server.start_draining()
 
 
+async def test_a_tunnel_that_is_being_opened_when_its_peer_shuts_down_is_refused(
+    pairs: PairList, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a tunnel whose user is never asked to give it up."""
+    async with running_pair(pairs, answer_with(b'')) as pair:
+        connect_at_once = pair.peer.server._connect
+
+        async def connect_slowly(state: EndpointState) -> object:
+            await anyio.sleep(WAIT_S)
+            return await connect_at_once(state)
+
+        monkeypatch.setattr(pair.peer.server, '_connect', connect_slowly)
+        async with anyio.create_task_group() as tasks:
+            tasks.start_soon(pair.server.send_request, get_request())
+            await anyio.sleep(WAIT_S / 2)
+            await pair.peer.server.start_draining()
+        assert pair.peer.server.answers['draining'] == 1
+        assert pair.peer.server.open_tunnels == 0
+
+
 async def test_an_idle_tunnel_is_given_up_when_its_peer_shuts_down(pairs: PairList) -> None:
     """Failure: a request was sent on a tunnel whose peer was about to end."""
     async with running_pair(pairs, answer_with(b'')) as pair:
