Stops: answers that outlast their deadline; bodies that can't be read

A deadline ends with the head of an answer; the body of a long one may be sent for longer. A route whose recent requests took longer than the time that is left is now refused in this case too. The ledger counts an answer that has begun and is cut as lost whatever its deadline, and the scenes check that the last line says that nothing was cut.

A body that is malformed or stalls got no answer any more: the request was held until its deadline. It is an error of the body now, as one over the limit: the handler answers 400 or 408, and 502 in place of 408 if a part was sent to an endpoint, since 408 promises that the request did not run. A body over the limit behind its answer ends the connection, which was read without end.

One test of StopAdmission expected that a deadline suffices whatever the durations; it is replaced by two that ask for both.

--- a/packages/node/src/plantainloft_node/engine/caller_connection.py
+++ b/packages/node/src/plantainloft_node/engine/caller_connection.py
@@ -17,7 +17,7 @@
 from plantainloft_node.engine.connection_end import ConnectionEnd
 from plantainloft_node.engine.connection_state import ConnectionState
 from plantainloft_node.engine.exchange import Connection, Exchange, ExchangeHandler
-from plantainloft_node.engine.request_body import BodyTooLargeError
+from plantainloft_node.engine.request_body import BodyError
 from plantainloft_node.engine.request_reader import RequestEnd, RequestReader, Unreadable
 
 __all__ = ['DISCONNECT_ERRORS', 'CallerConnection']
@@ -136,6 +136,9 @@
             if part is None:
                 return
             await self._handle_part(part, tasks)
+        if self.is_idle():
+            # The last response has been sent before all of its request was read.
+            self._stop_reading(ConnectionEnd.ANSWER)
         await self._reader.discard()
 
     async def _handle_part(
@@ -143,10 +146,15 @@
     ) -> None:
         if isinstance(part, h11.Request):
             self._receiving = await self._start_exchange(part, tasks)
+        elif self._receiving is None:
+            if isinstance(part, Unreadable):
+                await self._reject_request(part)
         elif isinstance(part, Unreadable):
+            # The consumer of the body gets the error and sends the response.
+            self._receiving.body.fail(part.status)
             self._receiving = None
-            await self._reject_request(part)
-        elif self._receiving is not None:
+            self.state.close_after_accepted()
+        else:
             await self._handle_body(self._receiving, part)
 
     async def _handle_body(self, exchange: Exchange, part: bytes | RequestEnd) -> None:
@@ -158,7 +166,7 @@
             return
         try:
             await exchange.body.put(part)
-        except BodyTooLargeError:
+        except BodyError:
             # The consumer of the body gets the same error and sends the response.
             self._receiving = None
             self.state.close_after_accepted()
--- a/packages/node/src/plantainloft_node/engine/forwarding_handler.py
+++ b/packages/node/src/plantainloft_node/engine/forwarding_handler.py
@@ -20,7 +20,7 @@
 from plantainloft_node.engine.exchange import Exchange, ExchangeHandler
 from plantainloft_node.engine.header_names import HeaderNames
 from plantainloft_node.engine.headers import find_cookie, parse_header_integer
-from plantainloft_node.engine.request_body import BodyTooLargeError
+from plantainloft_node.engine.request_body import BodyError
 from plantainloft_node.engine.responses import DEADLINE_EXCEEDED, ResponseSender, request_id
 from plantainloft_node.limits.limiter import RequestLimiter
 from plantainloft_node.overload.admission import RejectReason
@@ -110,8 +110,8 @@
         self.requests_in_progress += 1
         try:
             await self._serve(exchange, route, route_table, organisation)
-        except BodyTooLargeError:
-            await self._responses.respond_too_large(exchange)
+        except BodyError as exc:
+            await self._responses.respond_unreadable(exchange, exc.status)
         finally:
             self.requests_in_progress -= 1
 
@@ -142,15 +142,20 @@
     def _recording(self, exchange: Exchange, route: Route, attempts: Attempts) -> Iterator[None]:
         """Record how long a request takes within the context, and if its connection ends."""
         cancelled = anyio.get_cancelled_exc_class()
+        is_finished = False
         try:
             yield
         except cancelled:
             self.count_by_outcome[self._responses.record_cancelled(exchange, route, attempts)] += 1
             raise
+        else:
+            is_finished = True
         finally:
             if attempts.may_have_run:
                 now = anyio.current_time()
-                self._stop_admission.durations.record(route.name, now - exchange.received_at, now)
+                self._stop_admission.durations.record(
+                    route.name, now - exchange.received_at, now, is_finished=is_finished
+                )
 
     async def _obtain_response(
         self,
--- a/packages/node/src/plantainloft_node/engine/request_body.py
+++ b/packages/node/src/plantainloft_node/engine/request_body.py
@@ -1,8 +1,10 @@
 """A buffer between the reader of a caller's request body and its consumer."""
 
+from http import HTTPStatus
+
 import anyio
 
-__all__ = ['BodyTooLargeError', 'RequestBody']
+__all__ = ['BodyError', 'RequestBody']
 
 # A body up to this size is read completely before an endpoint is chosen, so that
 # the request can be retried; a longer one is streamed and sent only once.
@@ -12,8 +14,19 @@
 MAX_BUFFERED_CHUNKS = 4
 
 
-class BodyTooLargeError(Exception):
-    """The body exceeds the size that callers may send."""
+class BodyError(Exception):
+    """The body can't be read to its end; ``status`` is the response to its request."""
+
+    def __init__(self, status: int) -> None:
+        super().__init__(status)
+        self.status = status
+
+    def after_sending(self) -> 'BodyError':
+        """Return the error of a request of which a part was sent to an endpoint."""
+        if self.status == HTTPStatus.REQUEST_TIMEOUT:
+            # This status would promise that the request did not run.
+            return BodyError(HTTPStatus.BAD_GATEWAY)
+        return self
 
 
 class RequestBody:
@@ -22,7 +35,7 @@
     def __init__(self, *, limit: int) -> None:
         self._limit = limit
         self._size = 0
-        self._too_large = False
+        self._error: BodyError | None = None
         streams = anyio.create_memory_object_stream[bytes](MAX_BUFFERED_CHUNKS)
         self._send = streams[0]
         self._receive = streams[1]
@@ -31,9 +44,8 @@
         """Add a chunk; waits while the buffer is full."""
         self._size += len(chunk)
         if self._size > self._limit:
-            self._too_large = True
-            self._send.close()
-            raise BodyTooLargeError
+            self.fail(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+            raise BodyError(HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
         try:
             await self._send.send(chunk)
         except anyio.BrokenResourceError:
@@ -45,6 +57,11 @@
         """Mark the body as complete."""
         self._send.close()
 
+    def fail(self, status: int) -> None:
+        """Mark the body as one that can't be read to its end."""
+        self._error = BodyError(status)
+        self._send.close()
+
     def discard(self) -> None:
         """Drop whatever has not been read yet."""
         self._receive.close()
@@ -54,8 +71,8 @@
         try:
             return await self._receive.receive()
         except anyio.EndOfStream:
-            if self._too_large:
-                raise BodyTooLargeError from None
+            if self._error is not None:
+                raise self._error from None
             return b''
 
     async def read_replayable(self) -> tuple[bytes, bool]:
--- a/packages/node/src/plantainloft_node/engine/request_durations.py
+++ b/packages/node/src/plantainloft_node/engine/request_durations.py
@@ -24,24 +24,32 @@
         self._previous_count_by_route: Counter[str] = Counter()
         self._period_ends_at = float('-inf')
 
-    def record(self, route: str, duration_s: float, now: float) -> None:
-        """Record a request that ended at ``now`` (monotonic)."""
+    def record(
+        self, route: str, duration_s: float, now: float, *, is_finished: bool = True
+    ) -> None:
+        """Record a request that ended at ``now`` (monotonic).
+
+        One that was not finished would have taken longer, and is no sample.
+        """
         self._start_period_if_due(now)
-        self._count_by_route[route] += 1
+        self._count_by_route[route] += is_finished
         if duration_s > self._longest_by_route.get(route, 0.0):
             self._longest_by_route[route] = duration_s
 
     def longest_s(self, route: str, now: float) -> float | None:
-        """Return the longest recent duration, or ``None`` if there are too few."""
+        """Return the longest recent duration, or ``None`` without any."""
         self._start_period_if_due(now)
-        if self._count_by_route[route] + self._previous_count_by_route[route] < MIN_SAMPLES:
-            return None
         durations = [
             longest[route]
             for longest in (self._longest_by_route, self._previous_longest_by_route)
             if route in longest
         ]
-        return max(durations)
+        return max(durations, default=None)
+
+    def has_enough_samples(self, route: str) -> bool:
+        """Return whether the longest duration says something about the next one."""
+        count = self._count_by_route[route] + self._previous_count_by_route[route]
+        return count >= MIN_SAMPLES
 
     def _start_period_if_due(self, now: float) -> None:
         if now < self._period_ends_at:
--- a/packages/node/src/plantainloft_node/engine/responses.py
+++ b/packages/node/src/plantainloft_node/engine/responses.py
@@ -131,10 +131,12 @@
         headers = [*self._request_id_headers(exchange), (b'retry-after', retry_after)]
         await exchange.respond(HTTPStatus.TOO_MANY_REQUESTS, headers)
 
-    async def respond_too_large(self, exchange: Exchange) -> None:
-        """Respond 413: the body exceeds the size that callers may send."""
-        self._log_outcome(exchange, 'too_large', {})
-        await self._respond_empty(exchange, HTTPStatus.REQUEST_ENTITY_TOO_LARGE)
+    async def respond_unreadable(self, exchange: Exchange, status: int) -> None:
+        """Respond to a request whose body is too large, malformed or arrives too slowly."""
+        is_too_large = status == HTTPStatus.REQUEST_ENTITY_TOO_LARGE
+        kind = 'too_large' if is_too_large else 'improper'
+        self._log_outcome(exchange, kind, {'status': int(status)})
+        await self._respond_empty(exchange, status)
 
     async def respond(
         self,
--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -21,7 +21,7 @@
 from plantainloft_node.engine.request_body import (
     MAX_BUFFERED_CHUNKS,
     MAX_REPLAYABLE_BYTES,
-    BodyTooLargeError,
+    BodyError,
     RequestBody,
 )
 from plantainloft_node.engine.upstream_connection import (
@@ -425,11 +425,11 @@
     failures: list[Exception],
     read_scope: anyio.CancelScope,
 ) -> None:
-    """Send the body; cancel ``read_scope`` if the body exceeds its limit."""
+    """Send the body; cancel ``read_scope`` if the body can't be read."""
     try:
         await _send_chunks(connection, body)
-    except BodyTooLargeError as exc:
-        failures.append(exc)
+    except BodyError as exc:
+        failures.append(exc.after_sending())
         read_scope.cancel()
     except CONNECTION_ERRORS as exc:
         # The endpoint may have responded before it read the whole body.
--- a/packages/node/src/plantainloft_node/engine/stop_admission.py
+++ b/packages/node/src/plantainloft_node/engine/stop_admission.py
@@ -38,16 +38,18 @@
     def admits(self, route: str, *, deadline: float, now: float) -> bool:
         """Return whether a request of ``route`` may be sent to an endpoint.
 
-        Either its ``deadline`` comes first, or the recent requests of the route took so
-        little time that it is answered by then.
+        Its ``deadline``, by which its response starts, comes before the end, and no recent
+        request of the route took longer than the time that is left; or the recent ones took
+        so little time that it is answered by then.
         """
-        last_answer_at = self._ends_at - DELIVERY_S
-        if deadline <= last_answer_at:
-            return True
-        if now >= self._estimates_until:
-            return False
+        time_left_s = self._ends_at - DELIVERY_S - now
         longest_s = self.durations.longest_s(route, now)
-        return longest_s is not None and now + DURATION_MARGIN * longest_s <= last_answer_at
+        if deadline <= now + time_left_s:
+            return longest_s is None or longest_s <= time_left_s
+        if longest_s is None or now >= self._estimates_until:
+            return False
+        is_known = self.durations.has_enough_samples(route)
+        return is_known and DURATION_MARGIN * longest_s <= time_left_s
 
     def refuse(self, attempts: Attempts) -> Refusal | Failed:
         """Return the refusal of a request that is not admitted.
--- a/tests/stop_ledger.py
+++ b/tests/stop_ledger.py
@@ -70,6 +70,7 @@
     behind: list['Request']
     runs: list[tuple[float, float]] = field(default_factory=list)
     ended_at: float = float('inf')
+    answer_began: bool = False
     status: int = 0
 
     def works_at(self, moment: float) -> bool:
@@ -128,14 +129,15 @@
     def lost(self) -> list[Request]:
         """Return the requests that ran and whose connection ended without a whole answer.
 
-        Those that reached their deadline, or that a stop excuses, do not count.
+        Those that reached their deadline before an answer began, or that a stop excuses, do not
+        count.
         """
         return [
             request
             for request in self.request_by_id.values()
             if request.runs
             and not request.status
-            and request.ended_at < request.deadline
+            and (request.ended_at < request.deadline or request.answer_began)
             and not any(stop.excuses(request) for stop in self.stops_around(request))
         ]
 
@@ -301,24 +303,26 @@
     async def _receive(self) -> None:
         try:
             while not self._closes:
-                status, closes = await self._read_response()
+                status = await self._read_response()
                 request = self._open.pop(0)
                 request.status = status
                 request.ended_at = time.monotonic()
-                self._closes = closes
         except CONNECTION_ENDS:
             return
 
-    async def _read_response(self) -> tuple[int, bool]:
+    async def _read_response(self) -> int:
         while b'\r\n\r\n' not in self._buffer:
             await self._read_more()
         head, _, self._buffer = self._buffer.partition(b'\r\n\r\n')
         lines = head.lower().split(b'\r\n')
+        self._open[0].answer_began = True
+        # Callers send nothing more once a response has announced the close.
+        self._closes = b'connection: close' in lines
         length = next(int(line[15:]) for line in lines if line.startswith(b'content-length:'))
         while len(self._buffer) < length:
             await self._read_more()
         self._buffer = self._buffer[length:]
-        return int(head.split(b' ', 2)[1]), b'connection: close' in lines
+        return int(head.split(b' ', 2)[1])
 
     async def _read_more(self) -> None:
         if self._habit.read_bytes_per_s < float('inf'):
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -950,3 +950,43 @@
         answer = await server.send_request(get_request())
     assert status_of(answer) == 502
     assert sum(len(endpoint.requests) for endpoint in endpoints) == 1
+
+
+@pytest.mark.parametrize(
+    ('raw', 'status'),
+    [
+        pytest.param(post_request(b'x' * 10)[:-5], 408, id='stalled'),
+        pytest.param(post_request(b'x' * 200_000)[:-5], 502, id='stalled_upload'),
+        pytest.param(
+            b'POST /notices/1 HTTP/1.1\r\nHost: desk.example\r\n'
+            b'Transfer-Encoding: chunked\r\n\r\nno chunk\r\n',
+            400,
+            id='malformed',
+        ),
+    ],
+)
+async def test_a_body_that_can_not_be_read_is_answered_at_once(raw: bytes, status: int) -> None:
+    """Guards against a request that is held until its deadline, and against a false promise."""
+    table = make_route_table(
+        make_route(idempotent=False, prefix='/notices/', timeout_s=20.0),
+        limits=CallerLimits(header_timeout_s=0.2),
+    )
+    async with running_forwarding_server(echo, table=table) as (server, _):
+        assert status_of(await server.send_request(raw, timeout_s=3.0)) == status
+
+
+async def test_a_body_over_the_limit_behind_its_answer_ends_the_connection() -> None:
+    """Guards against connections that are read without end once they accept nothing more."""
+    table = make_route_table(
+        make_route(idempotent=True, prefix='/files/'), limits=CallerLimits(max_body_bytes=100_000)
+    )
+    async with (
+        running_forwarding_server(echo, table=table) as (server, _),
+        await server.connect() as stream,
+    ):
+        await stream.send(post_request(b'x' * 200_000, path=b'/unknown')[:-150_000])
+        assert status_of(await stream.receive()) == 404
+        await stream.send(b'x' * 100_000)
+        with anyio.fail_after(3):
+            while server.connections[0].traffic.open_connections:
+                await anyio.sleep(0.02)
--- a/tests/test_stop_admission.py
+++ b/tests/test_stop_admission.py
@@ -25,7 +25,14 @@
 
 @pytest.mark.parametrize('now', [STARTED_AT, STARTED_AT + 2.0, STARTED_AT + 4.5])
 def test_a_request_whose_deadline_comes_before_the_end_is_admitted(now: float) -> None:
-    assert stopping(4.0).admits('files', deadline=ENDS_AT - 0.2, now=now)
+    assert stopping(0.3).admits('files', deadline=ENDS_AT - 0.2, now=now)
+
+
+def test_a_response_that_may_outlast_its_deadline_is_not_admitted_for_its_deadline() -> None:
+    """Guards against a response that starts in time and is cut while it is sent."""
+    admission = stopping(4.0)
+    assert admission.admits('files', deadline=STARTED_AT + 1.5, now=STARTED_AT + 0.5)
+    assert not admission.admits('files', deadline=STARTED_AT + 2.5, now=STARTED_AT + 1.5)
 
 
 @pytest.mark.parametrize('count', [0, 1, 19])
--- a/tests/test_stops.py
+++ b/tests/test_stops.py
@@ -58,14 +58,16 @@
             handle.kill()
 
 
-async def stop_under_load(scene: StopScene, habit: CallerHabit, *, callers: int) -> None:
+async def stop_under_load(
+    scene: StopScene, habit: CallerHabit, *, callers: int, timeout_s: float = TIMEOUT_S
+) -> None:
     """Stop the instance while ``callers`` use it, and wait until it has ended."""
     entries = [scene.stopping.caller_address]
     async with anyio.create_task_group() as tasks:
         for _ in range(callers):
-            caller = Caller(ledger=scene.ledger, habit=habit, entries=entries, timeout_s=TIMEOUT_S)
+            caller = Caller(ledger=scene.ledger, habit=habit, entries=entries, timeout_s=timeout_s)
             tasks.start_soon(caller.run)
-        await anyio.sleep(1.0)
+        await anyio.sleep(2.0)
         scene.ledger.stops.append(Stop(entries[0], time.monotonic(), GRACE_S))
         scene.stopping.signal(signal.SIGTERM)
         await anyio.sleep(USED_AFTER_STOP_S)
@@ -74,8 +76,10 @@
             assert await scene.stopping.wait_for_exit() == 0
 
 
-def assert_nothing_was_lost(ledger: StopLedger) -> None:
+def assert_nothing_was_lost(scene: StopScene) -> None:
+    ledger = scene.ledger
     assert ledger.lost() == []
+    assert scene.stopping.log_records()[-1]['cut'] == 0
     assert ledger.run_though_refused() == []
     assert ledger.run_twice() == []
     assert ledger.replaced() == []
@@ -89,7 +93,17 @@
         rng = scene.ledger.rng
         scene.ledger.draw_work = lambda: Work(seconds=rng.uniform(0.5, 2.0))
         await stop_under_load(scene, ONE_AT_A_TIME, callers=24)
-    assert_nothing_was_lost(scene.ledger)
+        assert_nothing_was_lost(scene)
+
+
+async def test_answers_that_are_sent_beyond_their_deadline_are_not_cut(
+    entry_processes: list[EntryProcessHandle], tmp_path: Path
+) -> None:
+    """Guards against passing on a request whose deadline ends before its answer does."""
+    async with stop_scene(entry_processes, tmp_path, timeout_s=0.8) as scene:
+        scene.ledger.draw_work = lambda: Work(seconds=0.05, body_bytes=300_000, sending_s=1.6)
+        await stop_under_load(scene, ONE_AT_A_TIME, callers=24, timeout_s=0.8)
+        assert_nothing_was_lost(scene)
 
 
 async def test_pipelined_requests_behind_the_last_answer_are_not_passed_on(
@@ -102,7 +116,7 @@
             seconds=rng.uniform(0.05, 0.3), body_bytes=300_000, sending_s=0.25
         )
         await stop_under_load(scene, PIPELINING, callers=24)
-    assert_nothing_was_lost(scene.ledger)
+        assert_nothing_was_lost(scene)
 
 
 def phase_lines(entry: EntryProcessHandle) -> list[dict[str, Any]]:
