--- a/packages/node/src/plantainloft_node/engine/exchange.py
+++ b/packages/node/src/plantainloft_node/engine/exchange.py
@@ -20,8 +20,8 @@
     """The connection of a caller, as an exchange uses it.
 
     ``peer_host`` is the caller's network address, without the port. ``traffic`` counts the
-    bytes of all connections. ``state`` decides which requests are still accepted, and ``end``
-    tells why those that are open are cancelled.
+    bytes of all connections. ``state`` decides which requests are still accepted, ``end``
+    is the reason why those that are open are cancelled.
     """
 
     peer_host: str
@@ -94,7 +94,7 @@
 
     @property
     def connection_end(self) -> ConnectionEnd:
-        """Why the connection has ended, once the request is cancelled."""
+        """The reason why the connection has ended, once the request is cancelled."""
         return self._connection.end
 
     def holding(self, size: int) -> AbstractContextManager[None]:
