Soaks: a reload no longer ends a process that has just started

The program blocks SIGHUP before its imports; the program with cuttable links, which stands for it in this soak, imported anyio and all of the links first. Nothing in the soak starts a process again that ended by itself.

Change: the program with cuttable links blocks SIGHUP first as well, and soaks send a reload once the interpreter has reached the program (0.03 to 0.07 s); before that, SIGHUP ends any Python process, whatever the program does. The check is unchanged: all instances must be ready at the end, and imports, start and stop still get reloads.

Test: failed for both programs with the reload as it was, passes now.

--- a/tests/cuttable_entry.py
+++ b/tests/cuttable_entry.py
@@ -1,4 +1,4 @@
-"""Runs an entry process that loses its links to the endpoints when a file says so.
+"""Links of an entry process to the endpoints that fail when a file says so.
 
 The file named by ``LINK_FAULT_FILE`` holds a ``LinkFault`` as JSON. Connections to other
 addresses than those in the fault, such as the store and other instances, are untouched.
@@ -7,7 +7,6 @@
 import json
 import os
 import socket
-import sys
 from collections.abc import Awaitable, Callable, Mapping
 from contextlib import suppress
 from functools import partial
@@ -17,8 +16,6 @@
 import anyio
 from anyio.abc import SocketAttribute, SocketStream
 
-from plantainloft_platform.__main__ import main
-
 LINK_FAULT_VARIABLE = 'LINK_FAULT_FILE'
 # Open connections are reset, and new ones refused.
 RESET = 'reset'
@@ -122,9 +119,7 @@
     return CuttableStream(stream=stream, address=address, faults=faults)
 
 
-if __name__ == '__main__':
-    fault_file = FaultFile(Path(os.environ[LINK_FAULT_VARIABLE]))
-    anyio.connect_tcp = partial(  # type: ignore[assignment]
-        connect_cuttable, anyio.connect_tcp, fault_file
-    )
-    sys.exit(main())
+def make_links_cuttable() -> None:
+    """Let new connections of this process obey the file named by ``LINK_FAULT_FILE``."""
+    faults = FaultFile(Path(os.environ[LINK_FAULT_VARIABLE]))
+    anyio.connect_tcp = partial(connect_cuttable, anyio.connect_tcp, faults)  # type: ignore[assignment]
--- a/tests/link_soak.py
+++ b/tests/link_soak.py
@@ -198,8 +198,7 @@
         await self._restart(handle, signal.SIGKILL)
 
     async def _reload(self) -> None:
-        handle = self.rng.choice(self.fleet.entries)
-        handle.signal(signal.SIGHUP)
+        await self.rng.choice(self.fleet.entries).reload()
 
     async def _restart(self, handle: EntryProcessHandle, number: signal.Signals) -> None:
         handle.signal(number)
--- a/tests/partitioned_fleet.py
+++ b/tests/partitioned_fleet.py
@@ -114,6 +114,6 @@
             entry_processes,
             store_addresses=[store.address] * instances,
             work_dir=work_dir,
-            module='cuttable_entry',
+            module='cuttable_entry_process',
         )
         yield PartitionedFleet(entries=entry_processes, endpoints=endpoints), tasks
--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -8,7 +8,7 @@
 import subprocess
 import sys
 from collections.abc import AsyncIterator, Sequence
-from contextlib import asynccontextmanager
+from contextlib import asynccontextmanager, suppress
 from pathlib import Path
 from typing import Any, NamedTuple
 from urllib.parse import parse_qs
@@ -331,7 +331,7 @@
 class EntryProcessHandle:
     """An entry process that runs as a subprocess, its addresses and its log.
 
-    ``module`` is what it runs; ``link_fault_path`` is read by ``cuttable_entry`` only.
+    ``module`` is what it runs; ``link_fault_path`` is read by ``cuttable_entry_process`` only.
     """
 
     def __init__(
@@ -377,12 +377,31 @@
         assert self._process is not None
         self._process.send_signal(number)
 
+    async def reload(self) -> None:
+        """Send SIGHUP, once the interpreter of the process has reached the program.
+
+        Until then, SIGHUP ends any Python process. One that has exited gets no signal.
+        """
+        # Another thread that waits for the exit may remove the status of the process.
+        with suppress(FileNotFoundError, ProcessLookupError):
+            while not self._is_prepared_for(signal.SIGHUP):
+                await anyio.sleep(0.001)
+            self.signal(signal.SIGHUP)
+
     def blocks_signal(self, number: int) -> bool:
         """Return whether the process blocks this signal at present."""
+        return self._is_in_signal_set('SigBlk', number)
+
+    def _is_prepared_for(self, number: int) -> bool:
+        return not self.is_running() or any(
+            self._is_in_signal_set(name, number) for name in ('SigBlk', 'SigCgt', 'SigIgn')
+        )
+
+    def _is_in_signal_set(self, name: str, number: int) -> bool:
         assert self._process is not None
         status = Path(f'/proc/{self._process.pid}/status').read_text()
-        blocked = next(line for line in status.splitlines() if line.startswith('SigBlk:'))
-        return bool(int(blocked.split()[1], 16) & (1 << (number - 1)))
+        signals = next(line for line in status.splitlines() if line.startswith(f'{name}:'))
+        return bool(int(signals.split()[1], 16) & (1 << (number - 1)))
 
     async def wait_for_exit(self) -> int:
         """Wait for the process to exit and return its exit code."""
--- a/tests/store_soak.py
+++ b/tests/store_soak.py
@@ -321,7 +321,7 @@
         self._entry_disturbed_at[entry] = time.monotonic()
 
     async def _reload(self) -> None:
-        self.rng.choice(self.entries).signal(signal.SIGHUP)
+        await self.rng.choice(self.entries).reload()
 
 
 async def run_store_soak(
--- a/tests/test_signals.py
+++ b/tests/test_signals.py
@@ -1,15 +1,21 @@
 """Repeated and overlapping signals sent to real entry processes."""
 
 import signal
+from pathlib import Path
 
 import anyio
 import pytest
 from entry_fixtures import ScriptedConnection
 from platform_standin import (
+    OPERATOR_TABLE,
     SIGNED_OK_RESPONSE,
     EntryDeployment,
+    EntryProcessHandle,
     count_resolved_addresses,
     http_get,
+    make_configuration,
+    running_store,
+    start_entry_processes,
     wait_until_equal,
 )
 
@@ -98,3 +104,26 @@
     await entry.wait_until_ready()
     kinds = [line['kind'] for line in entry.log_records()]
     assert kinds.index('start') < kinds.index('reload')
+
+
+@pytest.mark.parametrize('module', ['plantainloft_platform', 'cuttable_entry_process'])
+async def test_reloads_right_after_a_start_end_no_process_of_a_soak(
+    entry_processes: list[EntryProcessHandle], tmp_path: Path, module: str
+) -> None:
+    """Guards against soaks that lose an instance for good to one of their own reloads."""
+    async with running_store() as (store, _):
+        store.put(OPERATOR_TABLE, 'config', make_configuration(3))
+        await start_entry_processes(
+            entry_processes, store_addresses=[store.address], work_dir=tmp_path, module=module
+        )
+        (entry,) = entry_processes
+        for delay_s in (0.0, 0.01, 0.03, 0.1, 0.2, 0.3):
+            entry.signal(signal.SIGKILL)
+            await entry.wait_for_exit()
+            entry.start()
+            await anyio.sleep(delay_s)
+            await entry.reload()
+            await anyio.sleep(0.1)
+            assert entry.is_running()
+        await entry.wait_until_ready()
+        entry.kill()
