Stops: the grace period counts from the arrival of SIGTERM

Callers of a busy instance could be cut at the end of its grace period. The times of a stop were counted from when the event loop handled the signal, which is later by a few of its rounds, while the platform counts from the signal. On a machine with a part of a core, a delay of more than 0.7 s has the process killed with requests open. Found by reading; no run of ours showed it.

Change: a handler outside the event loop keeps the time at which SIGTERM arrives; all times of the stop follow from it. The line "draining" tells the delay (`delay_s`).

Test: the time of arrival, with an event loop that is blocked for 0.2 s after the signal. Without the handler it fails (430.54 <= 430.34). The tests of stops and of signals pass (37).

--- a/packages/node/src/plantainloft_node/entry/lifecycle.py
+++ b/packages/node/src/plantainloft_node/entry/lifecycle.py
@@ -61,19 +61,27 @@
         if self.phase is Phase.STARTING:
             self._enter(Phase.READY, 'ready', fields)
 
-    async def stop(self, settings: EntrySettings, *, heartbeats: HeartbeatExchange) -> None:
+    async def stop(
+        self, settings: EntrySettings, *, requested_at: float, heartbeats: HeartbeatExchange
+    ) -> None:
         """Direct callers to other instances, and wait for the requests in progress.
 
-        Returns when nothing is in progress any more, or when what is open is to be cut.
+        Returns when nothing is in progress any more, or when what is open is to be cut. The
+        grace period began at ``requested_at`` (monotonic).
         """
         times = stop_times(
-            now=anyio.current_time(),
+            requested_at=requested_at,
             grace_s=settings.grace_s,
             lookup_ttl_s=settings.lookup_ttl_s,
         )
         self._count_before_stop = Counter(self._handler.count_by_outcome)
-        ends_in_s = round(times.ends_at - anyio.current_time(), 2)
-        self._enter(Phase.DRAINING, 'stop', {**self._open(), 'ends_in_s': ends_in_s})
+        now = anyio.current_time()
+        fields = {
+            **self._open(),
+            'ends_in_s': round(times.ends_at - now, 2),
+            'delay_s': round(now - requested_at, 2),
+        }
+        self._enter(Phase.DRAINING, 'stop', fields)
         self._pipeline.start_stopping(
             ends_at=times.ends_at, estimates_until=times.lookups_expire_at
         )
--- a/packages/node/src/plantainloft_node/entry/process.py
+++ b/packages/node/src/plantainloft_node/entry/process.py
@@ -101,9 +101,11 @@
                     tasks=tasks,
                 )
                 tasks.start_soon(self._log_when_ready)
-                await signals.wait_for_stop(on_reload=self._reload)
+                requested_at = await signals.wait_for_stop(on_reload=self._reload)
                 tasks.start_soon(signals.log_ignored)
-                await self._lifecycle.stop(self._settings, heartbeats=heartbeats)
+                await self._lifecycle.stop(
+                    self._settings, requested_at=requested_at, heartbeats=heartbeats
+                )
                 tasks.cancel_scope.cancel()
         self._lifecycle.end()
 
--- a/packages/node/src/plantainloft_node/entry/process_signals.py
+++ b/packages/node/src/plantainloft_node/entry/process_signals.py
@@ -2,8 +2,10 @@
 
 import logging
 import signal
+import time
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import contextmanager
+from types import FrameType
 
 import anyio
 
@@ -17,13 +19,25 @@
 
     def __init__(self, *, signals: AsyncIterator[signal.Signals]) -> None:
         self._signals = signals
+        self._stop_requested_at: float | None = None
 
-    async def wait_for_stop(self, *, on_reload: Callable[[], None]) -> None:
-        """Return at SIGTERM; call ``on_reload`` at each SIGHUP before it."""
+    def record_stop_request(self) -> None:
+        """Keep the time of the first SIGTERM; called when it arrives."""
+        if self._stop_requested_at is None:
+            self._stop_requested_at = time.monotonic()
+
+    async def wait_for_stop(self, *, on_reload: Callable[[], None]) -> float:
+        """Wait for SIGTERM and return when it arrived; call ``on_reload`` at each SIGHUP before it.
+
+        The time is monotonic. It comes before the return by the delay of the event loop.
+        """
         async for received in self._signals:
             if received == signal.SIGTERM:
-                return
+                break
             on_reload()
+        self.record_stop_request()
+        assert self._stop_requested_at is not None
+        return self._stop_requested_at
 
     async def log_ignored(self) -> None:
         """Log the signals that come while the process stops; none of them changes the stop."""
@@ -45,9 +59,25 @@
     """
     try:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
+            process_signals = ProcessSignals(signals=signals)
+            _call_at_signal(signal.SIGTERM, process_signals.record_stop_request)
             signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-            yield ProcessSignals(signals=signals)
+            yield process_signals
     finally:
         # Blocking the signals would not be enough: other threads would still receive them.
         for ignored in (signal.SIGTERM, signal.SIGHUP):
             signal.signal(ignored, signal.SIG_IGN)
+
+
+def _call_at_signal(number: signal.Signals, callback: Callable[[], None]) -> None:
+    """Call ``callback`` when the signal arrives, before the event loop handles it."""
+    handler = signal.getsignal(number)
+
+    def handle(signum: int, frame: FrameType | None) -> None:
+        callback()
+        if callable(handler):
+            handler(signum, frame)
+
+    signal.signal(number, handle)
+    # System calls go on after the signal, as with the handlers of the event loop.
+    signal.siginterrupt(number, False)
--- a/packages/node/src/plantainloft_node/entry/stop_times.py
+++ b/packages/node/src/plantainloft_node/entry/stop_times.py
@@ -24,10 +24,11 @@
     ends_at: float
 
 
-def stop_times(*, now: float, grace_s: float, lookup_ttl_s: float) -> StopTimes:
-    """Return the times of a stop that is requested ``now``."""
+def stop_times(*, requested_at: float, grace_s: float, lookup_ttl_s: float) -> StopTimes:
+    """Return the times of a stop whose SIGTERM arrived at ``requested_at``."""
     margin_s = min(SHUTDOWN_MARGIN_S, grace_s * MAX_SHUTDOWN_MARGIN_FRACTION)
-    ends_at = now + grace_s - margin_s
+    ends_at = requested_at + grace_s - margin_s
     return StopTimes(
-        lookups_expire_at=min(now + LOOKUP_CACHE_TTLS * lookup_ttl_s, ends_at), ends_at=ends_at
+        lookups_expire_at=min(requested_at + LOOKUP_CACHE_TTLS * lookup_ttl_s, ends_at),
+        ends_at=ends_at,
     )
