--- a/packages/node/src/plantainloft_node/entry/lifecycle.py
+++ b/packages/node/src/plantainloft_node/entry/lifecycle.py
@@ -8,11 +8,11 @@
 
 import anyio
 
+from plantainloft_node.engine.stop_times import StopTimes, stop_times
 from plantainloft_node.entry.component_parameters import UPDATE_INTERVAL_S
 from plantainloft_node.entry.listeners import Listeners
 from plantainloft_node.entry.request_pipeline import RequestPipeline
 from plantainloft_node.entry.settings import EntrySettings
-from plantainloft_node.entry.stop_times import StopTimes, stop_times
 from plantainloft_node.fleet.heartbeats import HeartbeatExchange
 
 __all__ = ['Lifecycle', 'Phase']
--- a/tests/test_stop_times.py
+++ b/tests/test_stop_times.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from plantainloft_node.entry.stop_times import stop_times
+from plantainloft_node.engine.stop_times import stop_times
 
 
 @pytest.mark.parametrize('grace_s', [0.5, 1.0, 3.0, 6.0, 30.0])
