--- a/packages/node/src/plantainloft_node/admission.py
+++ b/packages/node/src/plantainloft_node/admission.py
@@ -7,10 +7,10 @@
 from plantainloft_core.model import Configuration
 from plantainloft_core.organisations import Organisation
 from plantainloft_core.outcomes import Limited, Unauthorised
-from plantainloft_node.forwarding import Request
 from plantainloft_node.limits.limiter import LimitUsage, RequestLimiter
 from plantainloft_node.limits.peer_usage_reports import PeerUsageReports
 from plantainloft_node.limits.shares import FleetSize
+from plantainloft_node.node_requests import Request
 from plantainloft_node.recent_instances import RecentInstances
 
 __all__ = ['API_KEY_HEADER', 'AdmissionControl']
--- a/packages/node/src/plantainloft_node/app.py
+++ b/packages/node/src/plantainloft_node/app.py
@@ -29,9 +29,9 @@
 from plantainloft_node.config_return_listing import list_node_return
 from plantainloft_node.endpoint_limits.listing import list_limits
 from plantainloft_node.endpoint_signals.listing import list_announcements
-from plantainloft_node.forwarding import Request
 from plantainloft_node.limits.organisation_listing import list_organisations
 from plantainloft_node.node import Node
+from plantainloft_node.node_requests import Request
 from plantainloft_node.quarantine.fingerprints import parse_fingerprint
 from plantainloft_node.request_pipeline import Outcome
 
--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -16,7 +16,6 @@
 import anyio
 
 from plantainloft_core.model import Configuration, Endpoint
-from plantainloft_core.organisations import Organisation
 from plantainloft_core.outcomes import Quarantined, Refused, Served, Unknown
 from plantainloft_node.endpoint_loads import EndpointLoadTracker
 from plantainloft_node.endpoint_relay import EndpointRelay
@@ -26,16 +25,16 @@
 from plantainloft_node.engine.http_client import BufferedResponse, HttpClient
 from plantainloft_node.node_endpoint_limits import NodeEndpointLimits, limit_header_values
 from plantainloft_node.node_endpoint_signals import NodeEndpointSignals
+from plantainloft_node.node_requests import Request
 from plantainloft_node.quarantine.crash_detector import (
     CrashDetector,
     EndpointAttempt,
     refuses_connections,
 )
-from plantainloft_node.quarantine.fingerprints import RequestFingerprint, compute_fingerprint
 from plantainloft_node.quarantine.quarantine import Blocked, Quarantine
 from plantainloft_node.retry_budget.registry import RetryBudgets, RetryLimits
 
-__all__ = ['Forwarder', 'Request']
+__all__ = ['Forwarder']
 
 log = logging.getLogger(__name__)
 
@@ -44,40 +43,11 @@
 _UNAVAILABLE = 503
 _DRAINING = 'draining'
 _FORWARDED_HEADERS = ('content-type', 'idempotency-key')
-_CREDENTIAL_HEADERS = ('authorization', 'api-key')
 # A restarted endpoint keeps its name, so incarnations are told apart by time: two
 # crashes of one endpoint are further apart than this.
 MIN_CRASH_INTERVAL_S = 2.0
 
 
-class Request(NamedTuple):
-    """A caller's request, as the node forwards it.
-
-    ``caller`` is the address of the caller. ``organisation`` is the owner of the API
-    key, or ``None`` if the configuration declares no organisations.
-    """
-
-    service: str
-    method: str
-    path: str
-    headers: dict[str, str]
-    body: bytes
-    deadline: float
-    caller: str = ''
-    organisation: Organisation | None = None
-
-    def fingerprint(self) -> RequestFingerprint:
-        """Return the fingerprint that identifies repeats of this request."""
-        return compute_fingerprint(
-            method=self.method.encode(),
-            host=self.service.encode(),
-            target=self.path.encode(),
-            body=self.body,
-            address=self.caller,
-            credentials=(self.headers.get(name, '').encode() for name in _CREDENTIAL_HEADERS),
-        )
-
-
 class _NotArrived(NamedTuple):
     """The request did not run, since it did not reach the endpoint."""
 
--- a/packages/node/src/plantainloft_node/node.py
+++ b/packages/node/src/plantainloft_node/node.py
@@ -27,9 +27,9 @@
     NearestZoneSelector,
     TrafficSplitSelector,
 )
-from plantainloft_node.forwarding import Request
 from plantainloft_node.membership import Membership, max_running_members
 from plantainloft_node.node_endpoint_limits import NodeEndpointLimits
+from plantainloft_node.node_requests import Request
 from plantainloft_node.peering import (
     FrameHandler,
     GossipService,
--- a/packages/node/src/plantainloft_node/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/request_pipeline.py
@@ -21,11 +21,12 @@
 from plantainloft_node.endpoint_relay import EndpointRelay
 from plantainloft_node.endpoint_selection import EndpointSelector
 from plantainloft_node.engine.http_client import HttpClient
-from plantainloft_node.forwarding import Forwarder, Request
+from plantainloft_node.forwarding import Forwarder
 from plantainloft_node.idempotency import IdempotencyStore, KeyClaim
 from plantainloft_node.limits.limiter import RequestLimiter
 from plantainloft_node.limits.peer_usage_reports import PeerUsageReports
 from plantainloft_node.node_endpoint_limits import NodeEndpointLimits
+from plantainloft_node.node_requests import Request
 from plantainloft_node.quarantine.quarantine import Quarantine
 from plantainloft_node.retry_budget.registry import RetryLimits
 from plantainloft_node.streams import PeerConnections
--- a/tests/own_forwarders.py
+++ b/tests/own_forwarders.py
@@ -15,8 +15,9 @@
 from plantainloft_core.steering import Choice
 from plantainloft_node.endpoint_loads import EndpointLoadTracker
 from plantainloft_node.endpoint_selection import EndpointSelector
-from plantainloft_node.forwarding import Forwarder, Request
+from plantainloft_node.forwarding import Forwarder
 from plantainloft_node.node_endpoint_limits import NodeEndpointLimits
+from plantainloft_node.node_requests import Request
 from plantainloft_node.quarantine.crash_registry import CrashRegistry
 from plantainloft_node.quarantine.quarantine import Quarantine
 from plantainloft_node.request_pipeline import Peers, build_forwarder
--- a/tests/test_idempotency.py
+++ b/tests/test_idempotency.py
@@ -12,8 +12,8 @@
 from plantainloft_core.outcomes import Refused, Served, Unknown
 from plantainloft_core.table_client import LostResponse, TableClient, TxnCommitted, TxnConflict
 from plantainloft_core.txn_batching import TxnBatcher
-from plantainloft_node.forwarding import Request
 from plantainloft_node.idempotency import IdempotencyStore, KeyClaim
+from plantainloft_node.node_requests import Request
 from plantainloft_standins.faults import Faults
 from plantainloft_standins.table import TableService
 
