Own interface: a stop ends within its grace period and refuses the rest

The process was also killed by whoever allows it that period, as the time for leaving, the time for open requests and the time for writing results back each had a limit of their own: 2, 10 and 10 s with a grace period of 10.

Change: all parts end by times that follow from the arrival of the signal, as in the entry process (stop_times). A request that may outlast the process is refused with 503 and "ran": false, before its key is claimed; retries and requests through a peer are refused in the same way. grace_s is now the longest time from the signal to the end.

--- a/packages/core/src/plantainloft_core/serving.py
+++ b/packages/core/src/plantainloft_core/serving.py
@@ -2,11 +2,13 @@
 
 A planned stop must not abort requests in flight. On the signal, ``on_stop``
 runs, in which a node tells the others that it is leaving. Then the server
-stops accepting requests and waits up to ``grace_s`` for those in flight.
+stops accepting requests and waits for those in flight. Both parts together
+take at most ``grace_s`` from the arrival of the signal.
 """
 
 import logging
 import signal
+import time
 from collections.abc import AsyncIterator, Awaitable, Callable, Iterator
 from contextlib import contextmanager
 from typing import Any
@@ -15,39 +17,65 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
+from plantainloft_core.signal_arrival import call_at_signal
+
 __all__ = ['serve_until_signal']
 
 log = logging.getLogger(__name__)
 
 
+class _Stop:
+    """A stop of the server: when its signal arrived, and whether the server may end."""
+
+    def __init__(self) -> None:
+        self.may_end = anyio.Event()
+        self.requested_at: float | None = None
+
+    def record_request(self) -> None:
+        """Keep the time of the first signal."""
+        if self.requested_at is None:
+            self.requested_at = time.monotonic()
+
+
 async def serve_until_signal(
     app: Any,
     *,
     bind: str,
     grace_s: float,
-    on_stop: Callable[[], Awaitable[None]] | None = None,
+    on_stop: Callable[[float], Awaitable[None]] | None = None,
 ) -> None:
-    """Serve ``app`` on ``bind`` (``host:port``) until a stop signal."""
+    """Serve ``app`` on ``bind`` (``host:port``) until a stop signal.
+
+    ``on_stop`` gets the time at which the signal arrived (monotonic).
+    """
     config = Config()
     config.bind = [bind]
-    config.graceful_timeout = grace_s
     config.accesslog = None
     config.errorlog = logging.getLogger('hypercorn.error')
-    stopping = anyio.Event()
-    with _receive_stop_signals() as signals:
+    stop = _Stop()
+
+    async def run_stop(requested_at: float) -> None:
+        if on_stop is not None:
+            await on_stop(requested_at)
+        # Read by the server once it has been told to end.
+        config.graceful_timeout = max(0.0, requested_at + grace_s - time.monotonic())
+
+    with _receive_stop_signals(stop) as signals:
         async with anyio.create_task_group() as tasks:
             watching = anyio.CancelScope()
-            tasks.start_soon(_stop_at_first, signals, stopping, on_stop, watching)
-            await serve(app, config, shutdown_trigger=stopping.wait)
+            tasks.start_soon(_stop_at_first, signals, stop, run_stop, watching)
+            await serve(app, config, shutdown_trigger=stop.may_end.wait)
             # Cancelling the whole task group here would cancel this task as well.
             watching.cancel()
 
 
 @contextmanager
-def _receive_stop_signals() -> Iterator[AsyncIterator[signal.Signals]]:
+def _receive_stop_signals(stop: _Stop) -> Iterator[AsyncIterator[signal.Signals]]:
     # Without its handler, another signal would end the process with requests in progress.
     try:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+            for number in (signal.SIGTERM, signal.SIGINT):
+                call_at_signal(number, stop.record_request)
             yield signals
     finally:
         # What is left of the process ends by itself. Blocking the signal would not be
@@ -57,16 +85,15 @@
 
 async def _stop_at_first(
     signals: AsyncIterator[signal.Signals],
-    stopping: anyio.Event,
-    on_stop: Callable[[], Awaitable[None]] | None,
+    stop: _Stop,
+    run_stop: Callable[[float], Awaitable[None]],
     scope: anyio.CancelScope,
 ) -> None:
     with scope:
         async for signum in signals:
-            if stopping.is_set():
+            if stop.may_end.is_set():
                 log.info('Serve: signal %s ignored while shutting down.', signum)
                 continue
             log.info('Serve: received signal %s, shutting down gracefully.', signum)
-            if on_stop is not None:
-                await on_stop()
-            stopping.set()
+            await run_stop(stop.requested_at or time.monotonic())
+            stop.may_end.set()
--- a/packages/node/src/plantainloft_node/engine/stop_admission.py
+++ b/packages/node/src/plantainloft_node/engine/stop_admission.py
@@ -3,7 +3,7 @@
 from plantainloft_node.engine.attempts import Attempts, Failed, Refusal
 from plantainloft_node.engine.request_durations import RequestDurations
 
-__all__ = ['StopAdmission']
+__all__ = ['STOPPING', 'StopAdmission']
 
 # The reason of refusals.
 STOPPING = 'the instance stops'
--- a/packages/node/src/plantainloft_node/entry/process_signals.py
+++ b/packages/node/src/plantainloft_node/entry/process_signals.py
@@ -5,10 +5,11 @@
 import time
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import contextmanager
-from types import FrameType
 
 import anyio
 
+from plantainloft_core.signal_arrival import call_at_signal
+
 __all__ = ['ProcessSignals', 'receive_signals']
 
 log = logging.getLogger(__name__)
@@ -60,24 +61,10 @@
     try:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
             process_signals = ProcessSignals(signals=signals)
-            _call_at_signal(signal.SIGTERM, process_signals.record_stop_request)
+            call_at_signal(signal.SIGTERM, process_signals.record_stop_request)
             signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
             yield process_signals
     finally:
         # Blocking the signals would not be enough: other threads would still receive them.
         for ignored in (signal.SIGTERM, signal.SIGHUP):
             signal.signal(ignored, signal.SIG_IGN)
-
-
-def _call_at_signal(number: signal.Signals, callback: Callable[[], None]) -> None:
-    """Call ``callback`` when the signal arrives, before the event loop handles it."""
-    handler = signal.getsignal(number)
-
-    def handle(signum: int, frame: FrameType | None) -> None:
-        callback()
-        if callable(handler):
-            handler(signum, frame)
-
-    signal.signal(number, handle)
-    # System calls go on after the signal, as with the handlers of the event loop.
-    signal.siginterrupt(number, False)
--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -32,6 +32,7 @@
     refuses_connections,
 )
 from plantainloft_node.quarantine.quarantine import Blocked, Quarantine
+from plantainloft_node.request_stop import RequestStop
 from plantainloft_node.retry_budget.registry import RetryBudgets, RetryLimits
 
 __all__ = ['Forwarder']
@@ -77,6 +78,7 @@
         self.endpoint_limits = endpoint_limits
         self.retry_budgets = RetryBudgets(limits=retry_limits)
         self.endpoint_signals = NodeEndpointSignals()
+        self.stop = RequestStop()
         self._client = client
         self.relay = relay
         self._endpoint_selector = endpoint_selector
@@ -148,6 +150,9 @@
         now: float,
     ) -> Endpoint | Refused:
         """Choose an endpoint that was not tried, is not at its limit and takes requests."""
+        stopping = self.stop.refuse(request)
+        if stopping is not None:
+            return stopping
         at_limit = self.endpoint_limits.endpoints_at_limit(config, request.service, now)
         unwilling = self.endpoint_signals.unwilling_endpoints(
             config, request.service, request.path, now
@@ -168,6 +173,8 @@
         self, endpoint: Endpoint, request: Request, refusal: Refused
     ) -> Served | Refused | Unknown:
         """Send ``request`` through a peer; return ``refusal`` if no peer can."""
+        if self.stop.refuse(request) is not None:
+            return refusal
         outcome = await self._send_to_endpoint(endpoint, request, through_peer=True)
         return refusal if isinstance(outcome, _NotArrived | _Leaving) else outcome
 
@@ -191,13 +198,16 @@
         if isinstance(answer, NotSent):
             problem = answer.reason if answer.withdrawn else 'unreachable'
             return _NotArrived(reason=f'{name} {problem}')
+        now = anyio.current_time()
+        self.stop.record(
+            request, sent_at=sent_at, now=now, is_finished=isinstance(answer, BufferedResponse)
+        )
         if isinstance(answer, Failed):
             if answer.connection_lost:
                 self.crash_detector.check_after_disconnect(
                     _endpoint_attempt(name, address, request)
                 )
             return Unknown(reason=f'{name}: {answer.reason}')
-        now = anyio.current_time()
         self.endpoint_limits.record_response(endpoint, answer.head, sent_at=sent_at, now=now)
         self.endpoint_signals.record_response(name, answer.head, sent_at=sent_at, now=now)
         if answer.head.status == _UNAVAILABLE:
--- a/packages/standins/src/plantainloft_standins/__main__.py
+++ b/packages/standins/src/plantainloft_standins/__main__.py
@@ -52,7 +52,7 @@
         )
         state = endpoint.EndpointState(settings=settings)
 
-        async def start_draining() -> None:
+        async def start_draining(_: float) -> None:
             # Announce the stop before closing the listener: otherwise keep-alive
             # connections are cut while requests are being sent, and callers
             # can't tell whether these ran.
@@ -63,7 +63,7 @@
 
 
 async def _serve(
-    app: object, bind: str, on_stop: Callable[[], Awaitable[None]] | None = None
+    app: object, bind: str, on_stop: Callable[[float], Awaitable[None]] | None = None
 ) -> None:
     await serve_until_signal(app, bind=bind, grace_s=SHUTDOWN_GRACE_S, on_stop=on_stop)
 
