--- a/tests/entry_fixtures.py
+++ b/tests/entry_fixtures.py
@@ -152,6 +152,12 @@
     )
 
 
+async def answer_never(connection: ScriptedConnection) -> None:
+    """Read a request and leave it without a response."""
+    await connection.read_request()
+    await anyio.sleep_forever()
+
+
 def answer_with(extra_headers: bytes) -> ConnectionScript:
     """Return a script that answers every request with ``extra_headers``."""
 
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -12,6 +12,7 @@
 from entry_fixtures import (
     ForwardingServer,
     ScriptedConnection,
+    answer_never,
     answer_with,
     get_request,
     make_route,
@@ -354,12 +355,8 @@
 
 
 async def test_the_routes_timeout_ends_a_request_that_ran_as_504() -> None:
-    async def hang(connection: ScriptedConnection) -> None:
-        await connection.read_request()
-        await anyio.sleep_forever()
-
     table = make_route_table(make_route(idempotent=False, prefix='/notices/', timeout_s=0.2))
-    async with running_forwarding_server(hang, table=table) as (server, _):
+    async with running_forwarding_server(answer_never, table=table) as (server, _):
         assert status_of(await server.send_request(post_request(b'x'))) == 504
 
 
@@ -863,12 +860,8 @@
 
 
 async def test_disconnects_and_timeouts_count_as_no_crash() -> None:
-    async def hang(connection: ScriptedConnection) -> None:
-        await connection.read_request()
-        await anyio.sleep_forever()
-
     table = make_route_table(make_route(idempotent=True, prefix='/files/', timeout_s=0.1))
-    async with running_forwarding_server(*[hang] * 4, table=table) as (server, _):
+    async with running_forwarding_server(*[answer_never] * 4, table=table) as (server, _):
         assert await send_repeatedly(server, get_request(), 4) == [504] * 4
         for _ in range(4):
             async with await server.connect() as stream:
