Stops: open requests count with their age when durations are estimated

Callers could lose requests at a planned stop right after a route had become slow. An instance that stops admits a request whose deadline comes after its end if recent requests of the route took little time; only requests that had ended were known, and the slow ones had not ended yet.

Change: open requests count with their age, in both interfaces. An instance that does not stop no longer computes the estimate.

Test: a quick route with a request that is open for four seconds; without the ages the next request is admitted. test_stop_admission.py, test_front.py, test_stops.py, test_own_stops.py, test_failures.py and test_stop_soak.py pass.

--- a/packages/node/src/plantainloft_node/engine/forwarding_handler.py
+++ b/packages/node/src/plantainloft_node/engine/forwarding_handler.py
@@ -131,7 +131,11 @@
             self._affinity_key(exchange), route_table.version, organisation_name
         )
         attempts = Attempts(context=context)
-        with self._recording(exchange, route, attempts):
+        durations = self._stop_admission.durations
+        with (
+            self._recording(exchange, route, attempts),
+            durations.open_request(route.name, exchange.received_at),
+        ):
             outcome = await self._obtain_response(
                 exchange, route, route_table, organisation, attempts
             )
--- a/packages/node/src/plantainloft_node/engine/request_durations.py
+++ b/packages/node/src/plantainloft_node/engine/request_durations.py
@@ -1,6 +1,9 @@
 """How long requests take, by route."""
 
+import itertools
 from collections import Counter
+from collections.abc import Iterator
+from contextlib import contextmanager
 
 __all__ = ['RequestDurations']
 
@@ -14,16 +17,31 @@
     """The longest recent duration of a route's requests, in seconds.
 
     It covers the time from the head of a request to the end of its response, of requests
-    that were sent to an endpoint.
+    that were sent to an endpoint. An open request counts with its age: the requests of a
+    route that has just become slow have not ended yet.
     """
 
     def __init__(self) -> None:
+        self._numbers = itertools.count()
+        # By the number of the request; the oldest comes first.
+        self._open_since_by_route: dict[str, dict[int, float]] = {}
         self._longest_by_route: dict[str, float] = {}
         self._previous_longest_by_route: dict[str, float] = {}
         self._count_by_route: Counter[str] = Counter()
         self._previous_count_by_route: Counter[str] = Counter()
         self._period_ends_at = float('-inf')
 
+    @contextmanager
+    def open_request(self, route: str, since: float) -> Iterator[None]:
+        """Count a request as open within the context, since its head was read (monotonic)."""
+        number = next(self._numbers)
+        open_since = self._open_since_by_route.setdefault(route, {})
+        open_since[number] = since
+        try:
+            yield
+        finally:
+            open_since.pop(number)
+
     def record(
         self, route: str, duration_s: float, now: float, *, is_finished: bool = True
     ) -> None:
@@ -37,13 +55,16 @@
             self._longest_by_route[route] = duration_s
 
     def longest_s(self, route: str, now: float) -> float | None:
-        """Return the longest recent duration, or ``None`` without any."""
+        """Return the longest recent duration or age, or ``None`` without any."""
         self._start_period_if_due(now)
         durations = [
             longest[route]
             for longest in (self._longest_by_route, self._previous_longest_by_route)
             if route in longest
         ]
+        open_since = self._open_since_by_route.get(route)
+        if open_since:
+            durations.append(now - next(iter(open_since.values())))
         return max(durations, default=None)
 
     def has_enough_samples(self, route: str) -> bool:
--- a/packages/node/src/plantainloft_node/engine/stop_admission.py
+++ b/packages/node/src/plantainloft_node/engine/stop_admission.py
@@ -44,6 +44,8 @@
         request of the route took longer than the time that is left; or the recent ones took
         so little time that it is answered by then.
         """
+        if self._ends_at == float('inf'):
+            return True
         time_left_s = self._ends_at - DELIVERY_S - now
         longest_s = self.durations.longest_s(route, now)
         if deadline <= now + time_left_s:
--- a/packages/node/src/plantainloft_node/forwarding.py
+++ b/packages/node/src/plantainloft_node/forwarding.py
@@ -191,7 +191,10 @@
         self.endpoint_limits.record_sent(endpoint, sent_at)
         answer: BufferedResponse | NotSent | Failed = Failed(reason='no answer in time')
         try:
-            with anyio.move_on_after(remaining_s):
+            with (
+                anyio.move_on_after(remaining_s),
+                self.stop.open_request(request, sent_at=sent_at),
+            ):
                 answer = await self._exchange(endpoint, request, through_peer=through_peer)
         finally:
             self._loads.record_finished(name)
--- a/packages/node/src/plantainloft_node/request_stop.py
+++ b/packages/node/src/plantainloft_node/request_stop.py
@@ -1,6 +1,7 @@
 """Refuses requests of the own interface that can't be finished before the process ends."""
 
 import time
+from contextlib import AbstractContextManager
 
 import anyio
 
@@ -30,6 +31,10 @@
             return None
         return Refused(reason=STOPPING, retry_after_s=0)
 
+    def open_request(self, request: Request, *, sent_at: float) -> AbstractContextManager[None]:
+        """Count ``request`` as open within the context, since ``sent_at`` (monotonic)."""
+        return self._admission.durations.open_request(request.service, sent_at)
+
     def record(self, request: Request, *, sent_at: float, now: float, is_finished: bool) -> None:
         """Record how long a request took that was sent to an endpoint (monotonic times)."""
         self._admission.durations.record(
--- a/tests/test_stop_admission.py
+++ b/tests/test_stop_admission.py
@@ -75,3 +75,12 @@
     assert stopping().refuse(attempts) == Refusal(reason='the instance stops', retry_after_s=0.0)
     attempts.record_send()
     assert stopping().refuse(attempts) == Failed(reason='the instance stops')
+
+
+def test_a_route_that_has_just_become_slow_is_not_taken_for_a_quick_one() -> None:
+    """Guards against durations of requests that have ended, while the slow ones are still open."""
+    admission = stopping(0.1)
+    now = STARTED_AT + 2.0
+    with admission.durations.open_request('files', STARTED_AT - 2.0):
+        assert not admission.admits('files', deadline=1e9, now=now)
+    assert admission.admits('files', deadline=1e9, now=now)
