Overload control: expected times by route, not by service

Cause: a request is refused at once if its expected time exceeds the time left, and that was the mean of the service: over a second, as most of its requests take long. A new route was never tried, and the one request in 50 that is sent to measure again was counted for the service, whose other answers reset it.

Change: the work on the request itself is expected from answers to its route; the queue ahead still from the service's mean. Before the first answer of a route, only the queue counts.

Tests: a quick route of a slow service, without and with answers, is not refused, and a slow route of a quick one is; both failed with the service's mean. The existing tests measure the route that they ask for.

--- a/packages/node/src/plantainloft_node/engine/dispatcher.py
+++ b/packages/node/src/plantainloft_node/engine/dispatcher.py
@@ -367,6 +367,7 @@
         return EndpointRequest(
             request=request,
             streamed_body=None if admitted.body_complete else exchange.body,
+            route=admitted.route.name,
             affinity_key=admitted.affinity_key,
             had_free_slot=selection.load < selection.endpoint.record.slots,
             is_retry=attempts.attempt_count > 0,
--- a/packages/node/src/plantainloft_node/engine/request_admission.py
+++ b/packages/node/src/plantainloft_node/engine/request_admission.py
@@ -96,8 +96,8 @@
         endpoint, key = selection.endpoint, attempts.context.affinity_key
         # The time to open a connection and the slow work of a cold endpoint are in
         # ``selection.expected_s``, but they are not spent in the queue.
-        queued_s = predict_answer(endpoint, key, selection.load, now).expected_s
-        unqueued_s = predict_answer(endpoint, key, 0.0, now).expected_s
+        queued_s = predict_answer(endpoint, route.name, key, selection.load, now).expected_s
+        unqueued_s = predict_answer(endpoint, route.name, key, 0.0, now).expected_s
         arrival = Arrival(
             priority=route.priority,
             objective_s=route.latency_objective_s,
--- a/packages/node/src/plantainloft_node/engine/sender.py
+++ b/packages/node/src/plantainloft_node/engine/sender.py
@@ -56,16 +56,17 @@
 class EndpointRequest(NamedTuple):
     """A request to one endpoint; ``streamed_body`` supplies the rest of a long body.
 
-    ``may_repeat``: it may be sent again although it may have run. ``priority`` is that of
-    its route (0 is the highest). Unless ``allowed_regions`` is empty, its bytes may only
-    pass through instances of these regions. ``on_send`` is called before the first byte is
-    sent. ``uses_refusal_load``: there are other candidates for the endpoint to be avoided
-    after a refusal. ``connection_share`` is the most connections that this instance may have to
-    the endpoint, ``None`` for any number.
+    ``route`` is the name of its route, ``priority`` that of the route (0 is the highest).
+    ``may_repeat``: it may be sent again although it may have run. Unless ``allowed_regions``
+    is empty, its bytes may only pass through instances of these regions. ``on_send`` is called
+    before the first byte is sent. ``uses_refusal_load``: there are other candidates for the
+    endpoint to be avoided after a refusal. ``connection_share`` is the most connections that
+    this instance may have to the endpoint, ``None`` for any number.
     """
 
     request: UpstreamRequest
     streamed_body: RequestBody | None
+    route: str = ''
     affinity_key: str = ''
     had_free_slot: bool = False
     is_retry: bool = False
@@ -365,6 +366,7 @@
                 now - started_at,
                 now,
                 had_free_slot=endpoint_request.had_free_slot,
+                route=endpoint_request.route,
             )
             self._record_response(state, outcome, now)
 
--- a/packages/node/src/plantainloft_node/placement/answer_prediction.py
+++ b/packages/node/src/plantainloft_node/placement/answer_prediction.py
@@ -30,23 +30,40 @@
     is_measured: bool
 
 
-def predict_answer(state: EndpointState, key: str, load: float, now: float) -> AnswerPrediction:
-    """Return the prediction for ``key`` at the given ``load``, slow starts included."""
+def predict_answer(
+    state: EndpointState, route: str, key: str, load: float, now: float
+) -> AnswerPrediction:
+    """Return the prediction for ``key`` at the given ``load``, slow starts included.
+
+    The requests ahead may be of any route of the service; the work on the request itself is
+    that of its ``route``. While that is not known, it counts as none: a request of a new
+    route must not be refused for how long the others take.
+    """
+    cached = state.recent_keys.contains(key, now)
+    processing = state.processing
+    typical_s = processing.expected_s(cached=cached)
+    own_s = processing.routes.of(route).expected_s(cached=cached) or 0.0
     expected_s = state.expected_s(key, load, now)
+    if processing.is_measured:
+        expected_s += (own_s - typical_s) * state.work_factor.current(now)
     if state.is_cold(now):
-        expected_s += _additional_cold_s(state, load, now)
+        own_fraction = min(1.0, own_s / typical_s) if typical_s > 0 else 1.0
+        expected_s += _additional_cold_s(state, load, own_fraction, now)
     return AnswerPrediction(
         expected_s=expected_s,
         displaced_s=_displaced_s(state),
-        cached=state.recent_keys.contains(key, now),
-        is_measured=state.processing.is_measured,
+        cached=cached,
+        is_measured=processing.is_measured,
     )
 
 
-def _additional_cold_s(state: EndpointState, load: float, now: float) -> float:
-    """Return how much longer a request takes because it and those ahead of it are slow."""
+def _additional_cold_s(state: EndpointState, load: float, own_fraction: float, now: float) -> float:
+    """Return how much longer a request takes because it and those ahead of it are slow.
+
+    ``own_fraction`` is its own work in relation to that of a typical request.
+    """
     slots = state.record.slots
-    rounds = 1 + max(0.0, load + 1 - slots) / slots
+    rounds = own_fraction + max(0.0, load + 1 - slots) / slots
     processing = state.processing
     additional_s = processing.expected_cold_s() - processing.expected_s(cached=False)
     return rounds * additional_s * state.work_factor.current(now)
--- a/packages/node/src/plantainloft_node/placement/endpoints.py
+++ b/packages/node/src/plantainloft_node/placement/endpoints.py
@@ -124,9 +124,9 @@
         self._round_trips.record(self.record.zone, took_s)
 
     def record_processing(
-        self, key: str, took_s: float, now: float, *, had_free_slot: bool
+        self, key: str, took_s: float, now: float, *, had_free_slot: bool, route: str = ''
     ) -> None:
-        """Record a complete answer for ``key``.
+        """Record a complete answer for ``key`` to a request of ``route``.
 
         ``had_free_slot``: a slot was free when the request was sent, so that it did
         not queue at the endpoint.
@@ -137,7 +137,7 @@
             processing_s = max(0.0, took_s - round_trip_s)
             # The averages are of usual times; predictions multiply them by the factor.
             usual_s = processing_s / self.work_factor.current(now)
-            self.processing.record(usual_s, cached=cached, cold=self.is_cold(now))
+            self.processing.record(usual_s, cached=cached, cold=self.is_cold(now), route=route)
         self.recent_keys.record(key, now)
 
     def expected_s(self, key: str, load: float, now: float) -> float:
--- a/packages/node/src/plantainloft_node/placement/prediction.py
+++ b/packages/node/src/plantainloft_node/placement/prediction.py
@@ -10,14 +10,12 @@
 from collections import OrderedDict
 
 from plantainloft_node.placement.load_estimate import UsualLoad
+from plantainloft_node.placement.route_times import RouteTimesTable
 
-__all__ = ['REFUSALS_PER_PROBE', 'ProcessingTimes', 'RecentKeys', 'WorkFactor', 'ZoneRoundTrips']
+__all__ = ['ProcessingTimes', 'RecentKeys', 'WorkFactor', 'ZoneRoundTrips']
 
 # Weight of the newest answer in the moving averages: about 20 answers count.
 NEWEST_WEIGHT = 0.05
-# While all uncached requests are refused for their expected time, one in this number is
-# sent: without answers, an estimate that is too high would never be corrected.
-REFUSALS_PER_PROBE = 50
 # Used before the first answer.
 DEFAULT_PROCESSING_S = 0.3
 # An endpoint is assumed to have cached the last MAX_RECENT_KEYS objects of its
@@ -49,13 +47,16 @@
         self._cached_s: float | None = None
         self._uncached_s: float | None = None
         self._cold_s: float | None = None
-        self._refusals_since_answer = 0
+        self.routes = RouteTimesTable()
         self.usual_load = UsualLoad()
 
-    def record(self, processing_s: float, *, cached: bool, cold: bool = False) -> None:
+    def record(
+        self, processing_s: float, *, cached: bool, cold: bool = False, route: str = ''
+    ) -> None:
         """Record one answer's time without round trip and queueing.
 
-        ``cached``: the endpoint had the object cached. ``cold``: it was cold.
+        ``cached``: the endpoint had the object cached. ``cold``: it was cold. ``route`` is the
+        name of the request's route.
         """
         if cold:
             self._cold_s = _moving_average(self._cold_s, processing_s)
@@ -64,15 +65,7 @@
             self._cached_s = _moving_average(self._cached_s, processing_s)
         else:
             self._uncached_s = _moving_average(self._uncached_s, processing_s)
-            self._refusals_since_answer = 0
-
-    def allows_refusal(self) -> bool:
-        """Return whether one more request may be refused for its expected time.
-
-        Otherwise it must be sent, to measure the time again.
-        """
-        self._refusals_since_answer += 1
-        return self._refusals_since_answer % REFUSALS_PER_PROBE > 0
+        self.routes.of(route).record(processing_s, cached=cached)
 
     @property
     def is_measured(self) -> bool:
--- a/packages/node/src/plantainloft_node/placement/selection.py
+++ b/packages/node/src/plantainloft_node/placement/selection.py
@@ -134,7 +134,8 @@
 
     For overload control: a request that would be running or queued when its time is over is
     refused at once instead. Before any answer of the service was measured, nothing is known
-    about that and none is refused for it.
+    about that and none is refused for it; before any of the route was, only its time in the
+    queue is known.
 
     An endpoint that is not likely to have the object cached has to have free slots, and to
     be sooner by the time for which the extra work delays other requests there. ``setup_s`` is
@@ -145,7 +146,7 @@
     reason = 'every endpoint is full'
     for rank, state in enumerate(candidates):
         load = state.load(now)
-        predicted = predict_answer(state, request.key, load, now)
+        predicted = predict_answer(state, request.route.name, request.key, load, now)
         # Of the key's first choice other instances have probably asked for the object.
         is_home = not rank or predicted.cached
         if load >= _load_limit(state, request.route, now, may_queue=is_home):
@@ -155,7 +156,8 @@
         if not is_home:
             cost_s += predicted.displaced_s
         is_too_late = _is_too_late(state, load, cost_s, request.remaining_s)
-        if predicted.is_measured and is_too_late and state.processing.allows_refusal():
+        times = state.processing.routes.of(request.route.name)
+        if predicted.is_measured and is_too_late and times.allows_refusal():
             reason = 'no endpoint answers in time'
         elif best is None or cost_s < lowest_cost_s:
             lowest_cost_s = cost_s
--- a/packages/standins/src/plantainloft_standins/load_simulation.py
+++ b/packages/standins/src/plantainloft_standins/load_simulation.py
@@ -282,6 +282,7 @@
             self._model.now - request.sent_at,
             self._model.now,
             had_free_slot=request.had_free_slot,
+            route=self._model.routes[request.workload.name].name,
         )
         state.record_load_report(busy=signals.busy or 0, now=self._model.now)
         self._model.record_end(request, served=True)
--- a/tests/test_endpoint_choice.py
+++ b/tests/test_endpoint_choice.py
@@ -8,7 +8,7 @@
 from entry_fixtures import SERVICE, make_route
 
 from plantainloft_core.discovery import EndpointRecord
-from plantainloft_core.routes import ServiceLimits
+from plantainloft_core.routes import Route, ServiceLimits
 from plantainloft_node.endpoint_signals.signals import EndpointSignals
 from plantainloft_node.engine.attempts import NotSent
 from plantainloft_node.engine.connection_pool import ConnectionPool
@@ -31,7 +31,7 @@
     PlacementSettings,
     Selection,
 )
-from plantainloft_node.placement.prediction import REFUSALS_PER_PROBE, ProcessingTimes
+from plantainloft_node.placement.route_times import REFUSALS_PER_PROBE, RouteTimes
 from plantainloft_standins.load_simulation import Scenario, Workload, simulate
 
 NOW = 1000.0
@@ -83,9 +83,13 @@
 
 
 def select(
-    placement: Placement, *, remaining_s: float = 2.5, tried: frozenset[str] = frozenset()
+    placement: Placement,
+    *,
+    remaining_s: float = 2.5,
+    tried: frozenset[str] = frozenset(),
+    route: Route = ROUTE,
 ) -> Selection | NoCapacity:
-    request = PlacementRequest(ROUTE, SERVICE, KEY, tried, remaining_s)
+    request = PlacementRequest(route, SERVICE, KEY, tried, remaining_s)
     return placement.select_endpoint(request, SERVICE_LIMITS, NOW)
 
 
@@ -103,8 +107,8 @@
 def measure_processing(registry: EndpointRegistry) -> None:
     processing = registry.processing_by_service[SERVICE]
     for _ in range(200):
-        processing.record(CACHED_S, cached=True)
-        processing.record(UNCACHED_S, cached=False)
+        processing.record(CACHED_S, cached=True, route=ROUTE.name)
+        processing.record(UNCACHED_S, cached=False, route=ROUTE.name)
 
 
 def report_work_factor(state: EndpointState, factor: float) -> None:
@@ -150,6 +154,35 @@
     assert chosen(placement, remaining_s=UNCACHED_S + ROUND_TRIP_S + 0.1)
 
 
+@pytest.mark.parametrize('answers', [0, 1, 20])
+def test_a_quick_route_of_a_slow_service_is_not_refused(
+    registry: EndpointRegistry, placement: Placement, answers: int
+) -> None:
+    """Failure: requests of milliseconds are refused since others of the service take seconds."""
+    measure_processing(registry)
+    quick = ROUTE._replace(name='quick')
+    state = registry.by_id['a0']
+    for number in range(answers):
+        state.record_processing(str(number), 0.005, NOW, had_free_slot=True, route='quick')
+    assert chosen(placement, remaining_s=0.3, route=quick)
+    fill(registry, 2 * SLOTS - 1)
+    assert isinstance(select(placement, remaining_s=0.3, route=quick), NoCapacity)
+
+
+def test_a_slow_route_of_a_quick_service_is_refused_at_once(
+    registry: EndpointRegistry, placement: Placement
+) -> None:
+    """Failure: 504 at the timeout for slow requests, since most of the service are quick."""
+    slow = ROUTE._replace(name='slow')
+    state = registry.by_id['a0']
+    for number in range(200):
+        state.record_processing(f'q{number}', 0.005, NOW, had_free_slot=True, route=ROUTE.name)
+    for number in range(3):
+        state.record_processing(f's{number}', UNCACHED_S, NOW, had_free_slot=True, route='slow')
+    assert isinstance(select(placement, remaining_s=UNCACHED_S - 0.1, route=slow), NoCapacity)
+    assert chosen(placement, remaining_s=0.3)
+
+
 def test_the_queue_of_an_endpoint_counts(registry: EndpointRegistry, placement: Placement) -> None:
     """Failure: a request is queued behind others for longer than it has left."""
     measure_processing(registry)
@@ -177,9 +210,11 @@
     measure_processing(registry)
     registry.add_or_update(make_record('a9', 'a', cold_s=3.0), NOW)
     started = registry.by_id['a9']
-    started.record_processing('8', 4 * UNCACHED_S + 0.001, NOW, had_free_slot=True)
-    assert predict_answer(started, KEY, 0, NOW).expected_s == pytest.approx(4.0, rel=0.01)
-    assert predict_answer(registry.by_id['a0'], KEY, 0, NOW).expected_s < 1.3
+    took_s = 4 * UNCACHED_S + 0.001
+    started.record_processing('8', took_s, NOW, had_free_slot=True, route=ROUTE.name)
+    expected_s = predict_answer(started, ROUTE.name, KEY, 0, NOW).expected_s
+    assert expected_s == pytest.approx(4.0, rel=0.01)
+    assert predict_answer(registry.by_id['a0'], ROUTE.name, KEY, 0, NOW).expected_s < 1.3
 
 
 def test_without_overload_control_only_queued_requests_are_refused(
@@ -410,7 +445,7 @@
 
 def test_an_estimate_that_refuses_all_requests_is_measured_again() -> None:
     """Failure: after a slow episode all requests were refused for good, at idle endpoints."""
-    times = ProcessingTimes()
+    times = RouteTimes()
     times.record(9.0, cached=False)
     assert not all(times.allows_refusal() for _ in range(REFUSALS_PER_PROBE))
     times.record(0.3, cached=False)
