Routes that are gone leave no times behind

Open requests kept an empty entry for each route that ever was in use; the entry goes with the last open request. Looking up the times of a known route no longer builds an entry to throw away.

--- a/packages/node/src/plantainloft_node/engine/request_durations.py
+++ b/packages/node/src/plantainloft_node/engine/request_durations.py
@@ -41,6 +41,8 @@
             yield
         finally:
             open_since.pop(number)
+            if not open_since:
+                self._open_since_by_route.pop(route)
 
     def record(
         self, route: str, duration_s: float, now: float, *, is_finished: bool = True
--- a/packages/node/src/plantainloft_node/placement/route_times.py
+++ b/packages/node/src/plantainloft_node/placement/route_times.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-__all__ = ['REFUSALS_PER_PROBE', 'RouteTimes', 'RouteTimesTable']
+__all__ = ['MAX_ROUTES', 'REFUSALS_PER_PROBE', 'RouteTimes', 'RouteTimesTable']
 
 # Weight of the newest answer in the moving averages: about 20 answers count.
 NEWEST_WEIGHT = 0.05
@@ -70,8 +70,12 @@
 
     def of(self, route: str) -> RouteTimes:
         """Return the times of ``route``."""
-        times = self._times_by_route.setdefault(route, RouteTimes())
-        self._times_by_route.move_to_end(route)
-        if len(self._times_by_route) > MAX_ROUTES:
-            self._times_by_route.popitem(last=False)
+        times = self._times_by_route.get(route)
+        if times is None:
+            times = RouteTimes()
+            self._times_by_route[route] = times
+            if len(self._times_by_route) > MAX_ROUTES:
+                self._times_by_route.popitem(last=False)
+        else:
+            self._times_by_route.move_to_end(route)
         return times
--- a/tests/test_endpoint_choice.py
+++ b/tests/test_endpoint_choice.py
@@ -31,7 +31,12 @@
     PlacementSettings,
     Selection,
 )
-from plantainloft_node.placement.route_times import REFUSALS_PER_PROBE, RouteTimes
+from plantainloft_node.placement.route_times import (
+    MAX_ROUTES,
+    REFUSALS_PER_PROBE,
+    RouteTimes,
+    RouteTimesTable,
+)
 from plantainloft_standins.load_simulation import Scenario, Workload, simulate
 
 NOW = 1000.0
@@ -452,6 +457,16 @@
     assert times.allows_refusal()
 
 
+def test_the_times_of_many_routes_take_bounded_room() -> None:
+    """Failure: each route that ever was in a configuration keeps its times for good."""
+    table = RouteTimesTable()
+    for number in range(3 * MAX_ROUTES):
+        table.of('busy').record(0.1, cached=False)
+        table.of(f'r{number}').record(0.2, cached=False)
+    assert table.of('busy').expected_s(cached=False) == pytest.approx(0.1)
+    assert table.of('r0').expected_s(cached=False) is None
+
+
 def test_more_is_in_time_and_less_refused_by_endpoints_than_without() -> None:
     """Failure: requests meet full endpoints, or are late there, while others have room."""
     refused, in_time = [], []
--- a/tests/test_stop_admission.py
+++ b/tests/test_stop_admission.py
@@ -82,5 +82,7 @@
     admission = stopping(0.1)
     now = STARTED_AT + 2.0
     with admission.durations.open_request('files', STARTED_AT - 2.0):
+        with admission.durations.open_request('files', now):
+            assert not admission.admits('files', deadline=1e9, now=now)
         assert not admission.admits('files', deadline=1e9, now=now)
     assert admission.admits('files', deadline=1e9, now=now)
