Links: endpoints that ended are not taken for lost links

Callers of a quiet instance got 503 from sound endpoints after others had crashed.

Cause, from the log of a failed run: after a failed connection, an instance asks up to four other endpoints of the zone whether its own path is sound. Each that had ended as well counted as a failure in a row; with three of them, and no bytes for 0.6 s, no endpoint counted as reachable, and requests were refused for up to 0.5 s. As soon as the fourth one answered, the failures of all endpoints were forgotten, so the next request tried the ended ones first and was refused.

Change: the failures of the endpoints that are asked count only if none of them can be reached; an instance without any link notices that as before.

Test: a peer with four endpoints that ended and one that lives; failed before.

--- a/packages/node/src/plantainloft_node/engine/connector.py
+++ b/packages/node/src/plantainloft_node/engine/connector.py
@@ -55,9 +55,17 @@
         """Record what the endpoint said in a response on ``connection``."""
 
     async def connect_directly(
-        self, state: EndpointState, *, id_header: bytes = b'', timeout_s: float = CONNECT_TIMEOUT_S
+        self,
+        state: EndpointState,
+        *,
+        id_header: bytes = b'',
+        timeout_s: float = CONNECT_TIMEOUT_S,
+        records_failure: bool = True,
     ) -> UpstreamConnection | NotSent:
-        """Open a connection over this instance's own links."""
+        """Open a connection over this instance's own links.
+
+        Unless ``records_failure``, a failure is left to the caller to record.
+        """
         zone = state.record.zone
         started_at = anyio.current_time()
         try:
@@ -68,7 +76,8 @@
                     on_received=partial(self._record_received, zone),
                 )
         except (OSError, TimeoutError) as exc:
-            self.links.record_connect_failed(zone, anyio.current_time())
+            if records_failure:
+                self.links.record_connect_failed(zone, anyio.current_time())
             return NotSent(
                 reason=f'connecting: {type(exc).__name__}', timed_out=isinstance(exc, TimeoutError)
             )
--- a/packages/node/src/plantainloft_node/tunnels/connector.py
+++ b/packages/node/src/plantainloft_node/tunnels/connector.py
@@ -120,10 +120,15 @@
         others = [
             one for one in self._endpoint_registry.endpoints_in_zone(zone) if one is not state
         ]
+        failed = 0
         with anyio.move_on_after(WITNESSES_TIMEOUT_S):
             for other in random.sample(others, min(MAX_WITNESSES, len(others))):
-                if await self._opens_directly(other):
+                if await self._opens_directly(other, records_failure=False):
                     return True
+                failed += 1
+        # While one of them can be reached, the others are down: not a sign of lost links.
+        for _ in range(failed):
+            self.links.record_connect_failed(zone, anyio.current_time())
         return False
 
     async def test_links(self, state: EndpointState) -> None:
@@ -155,8 +160,10 @@
             return direct
         return await self._connect_either_way(state, needs, first_failure=direct)
 
-    async def _opens_directly(self, state: EndpointState) -> bool:
-        connection = await self.connect_directly(state, timeout_s=FIRST_ATTEMPT_S)
+    async def _opens_directly(self, state: EndpointState, *, records_failure: bool = True) -> bool:
+        connection = await self.connect_directly(
+            state, timeout_s=FIRST_ATTEMPT_S, records_failure=records_failure
+        )
         if isinstance(connection, NotSent):
             return False
         await connection.close()
--- a/packages/standins/src/plantainloft_standins/link_connections.py
+++ b/packages/standins/src/plantainloft_standins/link_connections.py
@@ -231,7 +231,12 @@
         self._owner = owner
 
     async def connect_directly(
-        self, state: EndpointState, *, id_header: bytes = b'', timeout_s: float = CONNECT_TIMEOUT_S
+        self,
+        state: EndpointState,
+        *,
+        id_header: bytes = b'',
+        timeout_s: float = CONNECT_TIMEOUT_S,
+        records_failure: bool = True,
     ) -> UpstreamConnection | NotSent:
         zone = state.record.zone
         started_at = anyio.current_time()
@@ -247,5 +252,6 @@
                     model=self._model, owner=self._owner, carrier=self._owner, state=state
                 )
             timed_out = False
-        self.links.record_connect_failed(zone, anyio.current_time())
+        if records_failure:
+            self.links.record_connect_failed(zone, anyio.current_time())
         return NotSent(reason='connecting', timed_out=timed_out)
--- a/tests/test_tunnels.py
+++ b/tests/test_tunnels.py
@@ -278,6 +278,23 @@
         assert not await pair.user.connector.is_gone(other)
 
 
+async def test_endpoints_that_ended_are_not_taken_for_lost_links(
+    pairs: PairList, monkeypatch: pytest.MonkeyPatch, caplog: pytest.LogCaptureFixture
+) -> None:
+    """Failure: sound endpoints were not asked after some had crashed, and failures forgotten."""
+    monkeypatch.setattr('random.sample', lambda population, count: list(population)[:count])
+    async with running_pair(pairs, *[answer_with(b'')] * 5) as pair:
+        states = pair.server.endpoint_registry.by_id
+        for ended in pair.endpoints[:4]:
+            ended.stop()
+        await anyio.sleep(WAIT_S)
+        for endpoint_id in ('i0', 'i1'):
+            tunnel = await pair.user.client.open(states[endpoint_id], ConnectionNeeds())
+            assert isinstance(tunnel, NoTunnel)
+            assert tunnel.is_unreachable
+        assert 'no endpoint is reachable' not in caplog.text
+
+
 async def test_a_peer_sends_nothing_to_an_endpoint_that_wants_nothing(pairs: PairList) -> None:
     """Failure: an endpoint got requests through a peer that it had told it leaves."""
     async with running_pair(pairs, answer_with(b'')) as pair:
