Overload control: a route without answers is tried five times, then expected

And at full endpoints quick requests were still refused for the work of slow ones: the bound on the queue included one request more at the service's mean.

Change: after five requests without an answer, a route is expected to take as long as its service, with one in 50 sent, as before. The bound on the queue covers the requests ahead only; the request's own work is its route's. The times of 4,096 routes are kept, as a deployment may have over 1,400.

--- a/packages/node/src/plantainloft_node/placement/answer_prediction.py
+++ b/packages/node/src/plantainloft_node/placement/answer_prediction.py
@@ -19,12 +19,14 @@
 class AnswerPrediction(NamedTuple):
     """When an endpoint is expected to answer a request that is sent now.
 
-    ``displaced_s`` is the time by which the additional work on an uncached object delays
-    others, all together. ``cached``: the endpoint is likely to have the object cached. Unless
-    ``is_measured``, no answer of the service is known and ``expected_s`` is a guess.
+    ``own_s`` is the work on the request itself. ``displaced_s`` is the time by which the
+    additional work on an uncached object delays others, all together. ``cached``: the endpoint
+    is likely to have the object cached. Unless ``is_measured``, no answer of the service is
+    known and ``expected_s`` is a guess.
     """
 
     expected_s: float
+    own_s: float
     displaced_s: float
     cached: bool
     is_measured: bool
@@ -36,21 +38,23 @@
     """Return the prediction for ``key`` at the given ``load``, slow starts included.
 
     The requests ahead may be of any route of the service; the work on the request itself is
-    that of its ``route``. While that is not known, it counts as none: a request of a new
-    route must not be refused for how long the others take.
+    that of its ``route``.
     """
     cached = state.recent_keys.contains(key, now)
     processing = state.processing
     typical_s = processing.expected_s(cached=cached)
-    own_s = processing.routes.of(route).expected_s(cached=cached) or 0.0
-    expected_s = state.expected_s(key, load, now)
+    own_s = typical_s
     if processing.is_measured:
-        expected_s += (own_s - typical_s) * state.work_factor.current(now)
+        own_s = processing.routes.of(route).expected_s(cached=cached, typical_s=typical_s)
+    factor = state.work_factor.current(now)
+    # The service's expected time includes typical work in place of that of the route.
+    expected_s = state.expected_s(key, load, now) + (own_s - typical_s) * factor
     if state.is_cold(now):
         own_fraction = min(1.0, own_s / typical_s) if typical_s > 0 else 1.0
         expected_s += _additional_cold_s(state, load, own_fraction, now)
     return AnswerPrediction(
         expected_s=expected_s,
+        own_s=own_s * factor,
         displaced_s=_displaced_s(state),
         cached=cached,
         is_measured=processing.is_measured,
--- a/packages/node/src/plantainloft_node/placement/route_times.py
+++ b/packages/node/src/plantainloft_node/placement/route_times.py
@@ -2,7 +2,7 @@
 
 from collections import OrderedDict
 
-__all__ = ['MAX_ROUTES', 'REFUSALS_PER_PROBE', 'RouteTimes', 'RouteTimesTable']
+__all__ = ['MAX_ROUTES', 'MAX_TRIALS', 'REFUSALS_PER_PROBE', 'RouteTimes', 'RouteTimesTable']
 
 # Weight of the newest answer in the moving averages: about 20 answers count.
 NEWEST_WEIGHT = 0.05
@@ -10,7 +10,10 @@
 # number is sent: without answers, an estimate that is too high would never be corrected.
 REFUSALS_PER_PROBE = 50
 # Routes that were used least recently are forgotten beyond this number.
-MAX_ROUTES = 1024
+MAX_ROUTES = 4096
+# So many requests of a route are sent before its first answer, however long the others of its
+# service take: without an answer, a quick route would stay unknown.
+MAX_TRIALS = 5
 
 
 class _Mean:
@@ -38,6 +41,11 @@
         self._cached = _Mean()
         self._uncached = _Mean()
         self._refusals_since_answer = 0
+        self._trials = 0
+
+    def record_selected(self) -> None:
+        """Record that a request is about to be sent."""
+        self._trials += 1
 
     def record(self, processing_s: float, *, cached: bool) -> None:
         """Record one answer's time without round trip and queueing."""
@@ -55,11 +63,19 @@
         self._refusals_since_answer += 1
         return self._refusals_since_answer % REFUSALS_PER_PROBE > 0
 
-    def expected_s(self, *, cached: bool) -> float | None:
-        """Return the expected processing time of a request, or ``None`` without any answer."""
+    def expected_s(self, *, cached: bool, typical_s: float) -> float:
+        """Return the expected processing time of a request.
+
+        Before the first answer, that is ``typical_s``, the service's, but none for the first
+        requests.
+        """
         means = (self._cached, self._uncached) if cached else (self._uncached,)
         known = [mean.value_s for mean in means if mean.value_s is not None]
-        return min(known, default=self._cached.value_s)
+        if known:
+            return min(known)
+        if self._cached.value_s is not None:
+            return self._cached.value_s
+        return 0.0 if self._trials < MAX_TRIALS else typical_s
 
 
 class RouteTimesTable:
--- a/packages/node/src/plantainloft_node/placement/selection.py
+++ b/packages/node/src/plantainloft_node/placement/selection.py
@@ -14,6 +14,7 @@
 from plantainloft_core.routes import Route
 from plantainloft_node.placement.answer_prediction import predict_answer
 from plantainloft_node.placement.endpoints import EndpointState
+from plantainloft_node.placement.route_times import RouteTimes
 
 __all__ = [
     'SPILL_MAX_USED_FRACTION',
@@ -115,8 +116,8 @@
     # A request queued with too little time left is abandoned in the queue or
     # while it runs. Its caller would wait for the whole timeout without learning
     # whether the request ran, and a slot would be wasted on it.
-    queued = best.load >= best.endpoint.record.slots
-    if queued and _worst_case_answer_s(best.endpoint, best.load) > request.remaining_s:
+    queue_s = _queue_s(best.endpoint, best.load)
+    if queue_s and queue_s + best.endpoint.service_latency.mean_s > request.remaining_s:
         return NoCapacity(
             reason='no endpoint answers in time', load_summary=_format_loads(candidates, now)
         )
@@ -134,13 +135,13 @@
 
     For overload control: a request that would be running or queued when its time is over is
     refused at once instead. Before any answer of the service was measured, nothing is known
-    about that and none is refused for it; before any of the route was, only its time in the
-    queue is known.
+    about that and none is refused for it.
 
     An endpoint that is not likely to have the object cached has to have free slots, and to
     be sooner by the time for which the extra work delays other requests there. ``setup_s`` is
     the time until a connection to an endpoint is ready.
     """
+    times: RouteTimes | None = None
     best: Selection | None = None
     lowest_cost_s = 0.0
     reason = 'every endpoint is full'
@@ -155,7 +156,8 @@
         cost_s = expected_s
         if not is_home:
             cost_s += predicted.displaced_s
-        is_too_late = _is_too_late(state, load, cost_s, request.remaining_s)
+        worst_s = max(cost_s, _queue_s(state, load) + predicted.own_s)
+        is_too_late = worst_s > request.remaining_s
         times = state.processing.routes.of(request.route.name)
         if predicted.is_measured and is_too_late and times.allows_refusal():
             reason = 'no endpoint answers in time'
@@ -164,6 +166,8 @@
             best = Selection(endpoint=state, load=load, rank=rank, expected_s=expected_s)
     if best is None:
         return NoCapacity(reason=reason, load_summary=_format_loads(candidates, now))
+    if times is not None:
+        times.record_selected()
     return best
 
 
@@ -172,15 +176,15 @@
     return state.record.slots * (1 + max(QUEUE_RATIO_BY_PRIORITY))
 
 
-def _is_too_late(state: EndpointState, load: float, cost_s: float, remaining_s: float) -> bool:
-    """Return whether a request can't be answered within ``remaining_s``.
+def _queue_s(state: EndpointState, load: float) -> float:
+    """Return how long a request waits for a slot, if all that run have only just started.
 
     The load of an endpoint that queues is known from old reports and was twice the estimate
     in simulations, so the time in its queue is bounded by the worst case.
     """
-    if cost_s > remaining_s:
-        return True
-    return load >= state.record.slots and _worst_case_answer_s(state, load) > remaining_s
+    if load < state.record.slots:
+        return 0.0
+    return load / state.record.slots * state.service_latency.mean_s
 
 
 def _load_limit(state: EndpointState, route: Route, now: float, *, may_queue: bool) -> float:
@@ -191,11 +195,5 @@
     return state.record.slots * (1 + queue_ratio * state.announced.queue_share(now))
 
 
-def _worst_case_answer_s(state: EndpointState, load: float) -> float:
-    # Worst case: all running requests have only just started.
-    rounds_ahead = load / state.record.slots
-    return (1 + rounds_ahead) * state.service_latency.mean_s
-
-
 def _format_loads(candidates: Sequence[EndpointState], now: float) -> str:
     return ', '.join(f'{state.record.id} {state.load(now):.1f}' for state in candidates)
--- a/tests/test_endpoint_choice.py
+++ b/tests/test_endpoint_choice.py
@@ -33,6 +33,7 @@
 )
 from plantainloft_node.placement.route_times import (
     MAX_ROUTES,
+    MAX_TRIALS,
     REFUSALS_PER_PROBE,
     RouteTimes,
     RouteTimesTable,
@@ -174,6 +175,33 @@
     assert isinstance(select(placement, remaining_s=0.3, route=quick), NoCapacity)
 
 
+def test_a_route_without_answers_is_tried_a_few_times_only(
+    registry: EndpointRegistry, placement: Placement
+) -> None:
+    """Failure: requests that all time out are all sent, as their route never gets an answer."""
+    measure_processing(registry)
+    hopeless = ROUTE._replace(name='hopeless')
+    choices = [select(placement, remaining_s=0.05, route=hopeless) for _ in range(500)]
+    sent = sum(isinstance(choice, Selection) for choice in choices)
+    candidates = 5
+    assert sent <= MAX_TRIALS + 500 * candidates / REFUSALS_PER_PROBE
+    assert all(isinstance(choice, Selection) for choice in choices[:MAX_TRIALS])
+
+
+def test_only_the_queue_ahead_is_expected_to_take_as_long_as_the_service(
+    registry: EndpointRegistry, placement: Placement
+) -> None:
+    """Failure: at full endpoints, quick requests are refused for the work of slow ones."""
+    measure_processing(registry)
+    quick = ROUTE._replace(name='quick')
+    for state in registry.by_id.values():
+        state.record_response_time(UNCACHED_S, NOW)
+    registry.by_id['a0'].record_processing('1', 0.005, NOW, had_free_slot=True, route='quick')
+    fill(registry, SLOTS)
+    assert chosen(placement, remaining_s=1.2 * UNCACHED_S, route=quick)
+    assert isinstance(select(placement, remaining_s=0.8 * UNCACHED_S, route=quick), NoCapacity)
+
+
 def test_a_slow_route_of_a_quick_service_is_refused_at_once(
     registry: EndpointRegistry, placement: Placement
 ) -> None:
@@ -463,8 +491,8 @@
     for number in range(3 * MAX_ROUTES):
         table.of('busy').record(0.1, cached=False)
         table.of(f'r{number}').record(0.2, cached=False)
-    assert table.of('busy').expected_s(cached=False) == pytest.approx(0.1)
-    assert table.of('r0').expected_s(cached=False) is None
+    assert table.of('busy').expected_s(cached=False, typical_s=9.0) == pytest.approx(0.1)
+    assert table.of('r0').expected_s(cached=False, typical_s=9.0) == 0.0
 
 
 def test_more_is_in_time_and_less_refused_by_endpoints_than_without() -> None:
