Stops: only requests that were sent count with their age

Also, the request that is open for longest is not always the first that was counted.

Change: an open request counts once it has been sent to an endpoint, and the longest age is looked for among all.

Tests: an upload that was not sent; requests counted out of order; and one through the server for the way from a request to its route's estimates, which no test covered.

--- a/packages/node/src/plantainloft_node/engine/forwarding_handler.py
+++ b/packages/node/src/plantainloft_node/engine/forwarding_handler.py
@@ -134,7 +134,9 @@
         durations = self._stop_admission.durations
         with (
             self._recording(exchange, route, attempts),
-            durations.open_request(route.name, exchange.received_at),
+            durations.open_request(
+                route.name, exchange.received_at, is_sent=lambda: attempts.may_have_run
+            ),
         ):
             outcome = await self._obtain_response(
                 exchange, route, route_table, organisation, attempts
--- a/packages/node/src/plantainloft_node/engine/request_durations.py
+++ b/packages/node/src/plantainloft_node/engine/request_durations.py
@@ -2,8 +2,9 @@
 
 import itertools
 from collections import Counter
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from typing import NamedTuple
 
 __all__ = ['RequestDurations']
 
@@ -13,6 +14,11 @@
 MIN_SAMPLES = 20
 
 
+class _OpenRequest(NamedTuple):
+    since: float
+    is_sent: Callable[[], bool]
+
+
 class RequestDurations:
     """The longest recent duration of a route's requests, in seconds.
 
@@ -23,8 +29,8 @@
 
     def __init__(self) -> None:
         self._numbers = itertools.count()
-        # By the number of the request; the oldest comes first.
-        self._open_since_by_route: dict[str, dict[int, float]] = {}
+        # By the number of the request.
+        self._open_by_route: dict[str, dict[int, _OpenRequest]] = {}
         self._longest_by_route: dict[str, float] = {}
         self._previous_longest_by_route: dict[str, float] = {}
         self._count_by_route: Counter[str] = Counter()
@@ -32,17 +38,22 @@
         self._period_ends_at = float('-inf')
 
     @contextmanager
-    def open_request(self, route: str, since: float) -> Iterator[None]:
-        """Count a request as open within the context, since its head was read (monotonic)."""
+    def open_request(
+        self, route: str, since: float, *, is_sent: Callable[[], bool]
+    ) -> Iterator[None]:
+        """Count a request as open within the context, once it has been sent to an endpoint.
+
+        Its head was read at ``since`` (monotonic).
+        """
         number = next(self._numbers)
-        open_since = self._open_since_by_route.setdefault(route, {})
-        open_since[number] = since
+        open_requests = self._open_by_route.setdefault(route, {})
+        open_requests[number] = _OpenRequest(since, is_sent)
         try:
             yield
         finally:
-            open_since.pop(number)
-            if not open_since:
-                self._open_since_by_route.pop(route)
+            open_requests.pop(number)
+            if not open_requests:
+                self._open_by_route.pop(route)
 
     def record(
         self, route: str, duration_s: float, now: float, *, is_finished: bool = True
@@ -64,9 +75,8 @@
             for longest in (self._longest_by_route, self._previous_longest_by_route)
             if route in longest
         ]
-        open_since = self._open_since_by_route.get(route)
-        if open_since:
-            durations.append(now - next(iter(open_since.values())))
+        open_requests = self._open_by_route.get(route, {})
+        durations += [now - one.since for one in open_requests.values() if one.is_sent()]
         return max(durations, default=None)
 
     def has_enough_samples(self, route: str) -> bool:
--- a/packages/node/src/plantainloft_node/request_stop.py
+++ b/packages/node/src/plantainloft_node/request_stop.py
@@ -33,7 +33,9 @@
 
     def open_request(self, request: Request, *, sent_at: float) -> AbstractContextManager[None]:
         """Count ``request`` as open within the context, since ``sent_at`` (monotonic)."""
-        return self._admission.durations.open_request(request.service, sent_at)
+        return self._admission.durations.open_request(
+            request.service, sent_at, is_sent=lambda: True
+        )
 
     def record(self, request: Request, *, sent_at: float, now: float, is_finished: bool) -> None:
         """Record how long a request took that was sent to an endpoint (monotonic times)."""
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -936,6 +936,32 @@
     assert not endpoint.requests
 
 
+async def test_requests_are_measured_by_route_while_open_and_once_answered() -> None:
+    """Guards against estimates that know nothing of the requests of their own route."""
+    arrived = anyio.Event()
+    may_answer = anyio.Event()
+
+    async def answer_late(connection: ScriptedConnection) -> None:
+        await connection.read_request()
+        arrived.set()
+        await may_answer.wait()
+        await connection.send(signed_ok_response(b'ok'))
+
+    route = make_route(idempotent=True, prefix='/files/')
+    table = make_route_table(route)
+    async with running_forwarding_server(answer_late, table=table) as (server, _):
+        durations = server.stop_admission.durations
+        async with await server.connect() as stream:
+            await stream.send(get_request())
+            await arrived.wait()
+            later = anyio.current_time() + 100.0
+            assert (durations.longest_s(route.name, later) or 0.0) > 99.0
+            may_answer.set()
+            await stream.receive()
+        processing = server.endpoint_registry.by_id['i0'].processing
+        assert processing.routes.of(route.name).expected_s(cached=False, typical_s=-1.0) > 0.0
+
+
 async def test_an_instance_that_stops_sends_no_retry_that_it_can_not_finish() -> None:
     """Guards against a retry that is cut, and against a false promise in its place."""
     async with running_forwarding_server(close_at_once, close_at_once) as (server, endpoints):
--- a/tests/test_stop_admission.py
+++ b/tests/test_stop_admission.py
@@ -81,8 +81,18 @@
     """Guards against durations of requests that have ended, while the slow ones are still open."""
     admission = stopping(0.1)
     now = STARTED_AT + 2.0
-    with admission.durations.open_request('files', STARTED_AT - 2.0):
-        with admission.durations.open_request('files', now):
-            assert not admission.admits('files', deadline=1e9, now=now)
+    durations = admission.durations
+    with (
+        durations.open_request('files', now, is_sent=lambda: True),
+        durations.open_request('files', STARTED_AT - 2.0, is_sent=lambda: True),
+    ):
         assert not admission.admits('files', deadline=1e9, now=now)
     assert admission.admits('files', deadline=1e9, now=now)
+
+
+def test_an_upload_that_was_not_sent_yet_is_no_slow_request() -> None:
+    """Guards against refusing the requests of a route since a caller of it sends slowly."""
+    admission = stopping(0.1)
+    now = STARTED_AT + 2.0
+    with admission.durations.open_request('files', STARTED_AT - 2.0, is_sent=lambda: False):
+        assert admission.admits('files', deadline=1e9, now=now)
