Own interface: a repeated key that has run gets its answer during a stop

Found in review of: a stop was checked before the ledger of idempotency keys, so the repeat of a request that had run was refused with "ran": false. A caller who believes that sends it again under another key, and it runs twice.

Change: the forwarder alone refuses, after the claim of the key; a claim that was refused is released, as with other refusals.

Test: failed before with 503 in place of the recorded answer.

--- a/packages/node/src/plantainloft_node/request_pipeline.py
+++ b/packages/node/src/plantainloft_node/request_pipeline.py
@@ -68,10 +68,6 @@
     async def _forward(
         self, config: Configuration, request: Request, idempotency_key: str | None
     ) -> Served | Refused | Unknown | Quarantined:
-        # Checked before a key is claimed, as the claim would have to be released.
-        stopping = self._forwarder.stop.refuse(request)
-        if stopping is not None:
-            return stopping
         quarantined = await self._forwarder.check_quarantine(request)
         if quarantined is not None:
             return quarantined
