--- a/packages/node/src/plantainloft_node/entry/structured_logging.py
+++ b/packages/node/src/plantainloft_node/entry/structured_logging.py
@@ -40,6 +40,8 @@
         left_out = getattr(record, 'left_out', 0)
         if left_out:
             line['left_out'] = left_out
+        if record.exc_info:
+            line['traceback'] = self.formatException(record.exc_info)
         return json.dumps(line, default=str)
 
 
--- a/tests/test_decision_log.py
+++ b/tests/test_decision_log.py
@@ -3,6 +3,7 @@
 import json
 import logging
 import os
+import sys
 import time
 
 import pytest
@@ -63,3 +64,15 @@
     os.close(reader)
     stream.write('after the reader has gone\n')
     os.close(writer)
+
+
+def test_a_defect_is_logged_with_its_traceback() -> None:
+    """Guards against an unforeseen error of which the log tells no more than that it was one."""
+    defect = record('defect', at=5.0)
+    try:
+        raise ValueError('unforeseen')
+    except ValueError:
+        defect.exc_info = sys.exc_info()
+    text = JsonFormatter(instance='e1').format(defect)
+    assert '\n' not in text
+    assert json.loads(text)['traceback'].endswith('ValueError: unforeseen')
