--- a/packages/core/src/plantainloft_core/serving.py
+++ b/packages/core/src/plantainloft_core/serving.py
@@ -46,7 +46,8 @@
 ) -> None:
     """Serve ``app`` on ``bind`` (``host:port``) until a stop signal.
 
-    ``on_stop`` gets the time at which the signal arrived (monotonic).
+    Requests that are still open ``grace_s`` seconds after the signal arrived are cut. ``on_stop``
+    gets the time at which it arrived (monotonic).
     """
     config = Config()
     config.bind = [bind]
--- a/packages/core/src/plantainloft_core/signal_arrival.py
+++ b/packages/core/src/plantainloft_core/signal_arrival.py
@@ -1,4 +1,4 @@
-"""Notice signals when they arrive, however late the event loop handles them."""
+"""Notice signals when they arrive, before the event loop gets to handle them."""
 
 import signal
 from collections.abc import Callable
--- a/packages/node/src/plantainloft_node/engine/connector.py
+++ b/packages/node/src/plantainloft_node/engine/connector.py
@@ -64,7 +64,8 @@
     ) -> UpstreamConnection | NotSent:
         """Open a connection over this instance's own links.
 
-        Unless ``records_failure``, a failure is left to the caller to record.
+        Unless ``records_failure``, a failure does not count as a sign of lost links; the caller
+        may count it later.
         """
         zone = state.record.zone
         started_at = anyio.current_time()
--- a/packages/node/src/plantainloft_node/engine/stop_times.py
+++ b/packages/node/src/plantainloft_node/engine/stop_times.py
@@ -18,7 +18,7 @@
 
     Callers use cached look-ups until ``lookups_expire_at``. At ``ends_at``, open requests
     are cut; both are the end of draining at the latest. What they leave to write is written
-    until ``writes_end_at``.
+    until ``writes_end_at``; what is left of the grace period then is for the teardown.
     """
 
     lookups_expire_at: float
--- a/packages/node/src/plantainloft_node/request_stop.py
+++ b/packages/node/src/plantainloft_node/request_stop.py
@@ -14,7 +14,10 @@
 
 
 class RequestStop:
-    """Admits all requests until the process begins to stop."""
+    """Applies ``StopAdmission`` to the own interface; durations are those of a service.
+
+    All requests are admitted until the process begins to stop.
+    """
 
     def __init__(self) -> None:
         self._admission = StopAdmission()
