Signals: the time of the first one is kept in one place

The server of the product's own programs and the entry process each kept the arrival of the first stop signal, with the same few lines. FirstArrival does it for both; which signals count, and the handlers, are as before.

tests/test_process_signals.py, test_serving.py, test_signals.py, test_own_stops.py and test_failures.py pass unchanged; linters and types pass.

--- a/packages/core/src/plantainloft_core/serving.py
+++ b/packages/core/src/plantainloft_core/serving.py
@@ -17,26 +17,13 @@
 from hypercorn.asyncio import serve
 from hypercorn.config import Config
 
-from plantainloft_core.signal_arrival import call_at_signal
+from plantainloft_core.signal_arrival import FirstArrival
 
 __all__ = ['serve_until_signal']
 
 log = logging.getLogger(__name__)
 
 
-class _Stop:
-    """A stop of the server: when its signal arrived, and whether the server may end."""
-
-    def __init__(self) -> None:
-        self.may_end = anyio.Event()
-        self.requested_at: float | None = None
-
-    def record_request(self) -> None:
-        """Keep the time of the first signal."""
-        if self.requested_at is None:
-            self.requested_at = time.monotonic()
-
-
 async def serve_until_signal(
     app: Any,
     *,
@@ -53,30 +40,29 @@
     config.bind = [bind]
     config.accesslog = None
     config.errorlog = logging.getLogger('hypercorn.error')
-    stop = _Stop()
+    may_end = anyio.Event()
 
     async def run_stop(requested_at: float) -> None:
         if on_stop is not None:
             await on_stop(requested_at)
-        # Read by the server once it has been told to end.
+        # Read by the server when it ends.
         config.graceful_timeout = max(0.0, requested_at + grace_s - time.monotonic())
 
-    with _receive_stop_signals(stop) as signals:
+    with _receive_stop_signals() as signals:
+        arrival = FirstArrival(signal.SIGTERM, signal.SIGINT)
         async with anyio.create_task_group() as tasks:
             watching = anyio.CancelScope()
-            tasks.start_soon(_stop_at_first, signals, stop, run_stop, watching)
-            await serve(app, config, shutdown_trigger=stop.may_end.wait)
+            tasks.start_soon(_stop_at_first, signals, arrival, run_stop, may_end, watching)
+            await serve(app, config, shutdown_trigger=may_end.wait)
             # Cancelling the whole task group here would cancel this task as well.
             watching.cancel()
 
 
 @contextmanager
-def _receive_stop_signals(stop: _Stop) -> Iterator[AsyncIterator[signal.Signals]]:
+def _receive_stop_signals() -> Iterator[AsyncIterator[signal.Signals]]:
     # Without its handler, another signal would end the process with requests in progress.
     try:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-            for number in (signal.SIGTERM, signal.SIGINT):
-                call_at_signal(number, stop.record_request)
             yield signals
     finally:
         # What is left of the process ends by itself. Blocking the signal would not be
@@ -86,15 +72,16 @@
 
 async def _stop_at_first(
     signals: AsyncIterator[signal.Signals],
-    stop: _Stop,
+    arrival: FirstArrival,
     run_stop: Callable[[float], Awaitable[None]],
+    may_end: anyio.Event,
     scope: anyio.CancelScope,
 ) -> None:
     with scope:
         async for signum in signals:
-            if stop.may_end.is_set():
+            if may_end.is_set():
                 log.info('Serve: signal %s ignored while shutting down.', signum)
                 continue
             log.info('Serve: received signal %s, shutting down gracefully.', signum)
-            await run_stop(stop.requested_at or time.monotonic())
-            stop.may_end.set()
+            await run_stop(arrival.record())
+            may_end.set()
--- a/packages/node/src/plantainloft_node/entry/process_signals.py
+++ b/packages/node/src/plantainloft_node/entry/process_signals.py
@@ -2,13 +2,12 @@
 
 import logging
 import signal
-import time
 from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import contextmanager
 
 import anyio
 
-from plantainloft_core.signal_arrival import call_at_signal
+from plantainloft_core.signal_arrival import FirstArrival
 
 __all__ = ['ProcessSignals', 'receive_signals']
 
@@ -18,14 +17,11 @@
 class ProcessSignals:
     """The signals that the process receives, in order."""
 
-    def __init__(self, *, signals: AsyncIterator[signal.Signals]) -> None:
+    def __init__(
+        self, *, signals: AsyncIterator[signal.Signals], stop_request: FirstArrival
+    ) -> None:
         self._signals = signals
-        self._stop_requested_at: float | None = None
-
-    def record_stop_request(self) -> None:
-        """Keep the time of the first SIGTERM; called when it arrives."""
-        if self._stop_requested_at is None:
-            self._stop_requested_at = time.monotonic()
+        self._stop_request = stop_request
 
     async def wait_for_stop(self, *, on_reload: Callable[[], None]) -> float:
         """Wait for SIGTERM and return when it arrived; call ``on_reload`` at each SIGHUP before it.
@@ -36,9 +32,7 @@
             if received == signal.SIGTERM:
                 break
             on_reload()
-        self.record_stop_request()
-        assert self._stop_requested_at is not None
-        return self._stop_requested_at
+        return self._stop_request.record()
 
     async def log_ignored(self) -> None:
         """Log the signals that come while the process stops; none of them changes the stop."""
@@ -60,10 +54,9 @@
     """
     try:
         with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGHUP) as signals:
-            process_signals = ProcessSignals(signals=signals)
-            call_at_signal(signal.SIGTERM, process_signals.record_stop_request)
+            stop_request = FirstArrival(signal.SIGTERM)
             signal.pthread_sigmask(signal.SIG_UNBLOCK, {signal.SIGHUP})
-            yield process_signals
+            yield ProcessSignals(signals=signals, stop_request=stop_request)
     finally:
         # Blocking the signals would not be enough: other threads would still receive them.
         for ignored in (signal.SIGTERM, signal.SIGHUP):
