Overload control: look up the times of a route only where they decide

The choice of an endpoint looked them up once for each candidate, beside the prediction, and kept the last for the end of the loop. They are looked up for a request that would be refused and for the endpoint that was chosen; the decisions are the same. tests/test_endpoint_choice.py and test_expecting.py pass unchanged.

--- a/packages/node/src/plantainloft_node/placement/selection.py
+++ b/packages/node/src/plantainloft_node/placement/selection.py
@@ -141,7 +141,6 @@
     be sooner by the time for which the extra work delays other requests there. ``setup_s`` is
     the time until a connection to an endpoint is ready.
     """
-    times: RouteTimes | None = None
     best: Selection | None = None
     lowest_cost_s = 0.0
     reason = 'every endpoint is full'
@@ -157,17 +156,15 @@
         if not is_home:
             cost_s += predicted.displaced_s
         worst_s = max(cost_s, _queue_s(state, load) + predicted.own_s)
-        is_too_late = worst_s > request.remaining_s
-        times = state.processing.routes.of(request.route.name)
-        if predicted.is_measured and is_too_late and times.allows_refusal():
+        is_too_late = predicted.is_measured and worst_s > request.remaining_s
+        if is_too_late and _route_times(state, request).allows_refusal():
             reason = 'no endpoint answers in time'
         elif best is None or cost_s < lowest_cost_s:
             lowest_cost_s = cost_s
             best = Selection(endpoint=state, load=load, rank=rank, expected_s=expected_s)
     if best is None:
         return NoCapacity(reason=reason, load_summary=_format_loads(candidates, now))
-    if times is not None:
-        times.record_selected()
+    _route_times(best.endpoint, request).record_selected()
     return best
 
 
@@ -176,6 +173,10 @@
     return state.record.slots * (1 + max(QUEUE_RATIO_BY_PRIORITY))
 
 
+def _route_times(state: EndpointState, request: PlacementRequest) -> RouteTimes:
+    return state.processing.routes.of(request.route.name)
+
+
 def _queue_s(state: EndpointState, load: float) -> float:
     """Return how long a request waits for a slot, if all that run have only just started.
 
