Logs, metrics: how far an instance is behind its peers, and why a read ended

An instance that lacked a confirmed configuration showed 'no answer in time' and 'news: timed out' only: not how much of the answer had arrived, how long reads that succeeded took, nor since when peers had announced what it lacked. So logs could not distinguish a read that is cut in the middle from one that nobody answers.

No decision changes.

--- a/packages/ctl/src/plantainloft_ctl/instance_status.py
+++ b/packages/ctl/src/plantainloft_ctl/instance_status.py
@@ -13,7 +13,8 @@
     """The state that one instance reports in its metrics.
 
     ``lost_tables`` are the store tables that it currently cannot follow, ``rows_held`` counts
-    the rows in effect that the store has lost by returning from a copy.
+    the rows in effect that the store has lost by returning from a copy, ``behind_s`` is for how
+    long rows that other instances have are missing, in seconds.
     """
 
     address: str
@@ -25,6 +26,7 @@
     endpoints_by_state: dict[str, int]
     store_era: int = 0
     rows_held: int = 0
+    behind_s: float = 0.0
 
 
 def parse_status(address: str, text: str) -> InstanceStatus:
@@ -32,9 +34,12 @@
     gauges: dict[str, float] = {}
     lost: list[str] = []
     endpoints: dict[str, int] = {}
+    behind_s = 0.0
     for name, labels, value in _parse_series(text):
         if name == 'store_followed' and not value:
             lost.append(labels['table'])
+        elif name == 'table_behind_seconds':
+            behind_s = max(behind_s, value)
         elif name == 'endpoints':
             state = labels['state']
             endpoints[state] = endpoints.get(state, 0) + int(value)
@@ -50,6 +55,7 @@
         endpoints_by_state=endpoints,
         store_era=int(gauges.get('store_era', 0)),
         rows_held=int(gauges.get('store_rows_held', 0)),
+        behind_s=behind_s,
     )
 
 
@@ -70,6 +76,9 @@
             f'{status.address:<20} {status.version:>8} {status.version_age_s:>6.0f}'
             f' {status.members_up:>8} {status.in_progress:>5}  {endpoint_columns}  {store}{mark}'
         )
+    slowest = max(statuses, key=lambda status: status.behind_s, default=None)
+    if slowest is not None and slowest.behind_s:
+        lines.append(f'slowest: {slowest.address}, {slowest.behind_s:.1f} s behind its peers')
     return lines
 
 
@@ -79,6 +88,8 @@
         notes.append(f'in era {status.store_era} of {newest_era}')
     if status.rows_held:
         notes.append(f'{status.rows_held} rows held')
+    if status.behind_s:
+        notes.append(f'{status.behind_s:.1f} s behind')
     return ', '.join(notes)
 
 
--- a/packages/node/src/plantainloft_node/engine/http_client.py
+++ b/packages/node/src/plantainloft_node/engine/http_client.py
@@ -24,6 +24,10 @@
     return True
 
 
+def _ignore_progress(_: int) -> None:
+    """Serve as the default of ``on_received``."""
+
+
 @dataclass(frozen=True, slots=True, kw_only=True)
 class BufferedResponse:
     """A response with its complete body."""
@@ -48,11 +52,13 @@
         request: UpstreamRequest,
         *,
         may_send: Callable[[], bool] = _always,
+        on_received: Callable[[int], None] = _ignore_progress,
     ) -> BufferedResponse | NotSent | Failed:
         """Return the response; without one, whether the request may have arrived.
 
         ``NotSent``: it has not; ``Failed``: it may have. ``may_send`` is asked once a
-        connection is open; if it returns false, nothing is sent.
+        connection is open; if it returns false, nothing is sent. ``on_received`` is called
+        with the size of each part of the body as it arrives, in bytes.
         """
         connection = await self._pool.acquire(address, anyio.current_time())
         if connection is None:
@@ -66,7 +72,7 @@
             return NotSent(reason='wants no requests any more', withdrawn=True)
         kept = False
         try:
-            response, kept = await _send_and_receive(connection, request)
+            response, kept = await _send_and_receive(connection, request, on_received)
         except CONNECTION_ERRORS as exc:
             return Failed(reason=type(exc).__name__, connection_lost=True)
         except BrokenAnswerError as exc:
@@ -80,7 +86,7 @@
 
 
 async def _send_and_receive(
-    connection: UpstreamConnection, request: UpstreamRequest
+    connection: UpstreamConnection, request: UpstreamRequest, on_received: Callable[[int], None]
 ) -> tuple[BufferedResponse, bool]:
     """Return the response, and whether the connection can be reused."""
     await connection.send(request)
@@ -89,6 +95,7 @@
     chunk = await connection.read_chunk()
     while chunk:
         chunks.append(chunk)
+        on_received(len(chunk))
         chunk = await connection.read_chunk()
     response = BufferedResponse(head=head, body=b''.join(chunks))
     return response, connection.reset_for_reuse(head, anyio.current_time())
--- a/packages/node/src/plantainloft_node/entry/metrics_report.py
+++ b/packages/node/src/plantainloft_node/entry/metrics_report.py
@@ -197,6 +197,8 @@
         for name, poller in self._replicated_state.pollers.items():
             metrics.set_gauge('store_followed', poller.is_connected, table=name)
             metrics.set_gauge('store_heard_seconds_ago', now - poller.last_answer_at, table=name)
+            behind_s = self._replicated_state.updates.lag.behind_s(name, now)
+            metrics.set_gauge('table_behind_seconds', behind_s, table=name)
         for service, latency in self._replicated_state.endpoint_registry.latency_by_service.items():
             metrics.set_gauge('answer_seconds_usual', latency.mean_s, service=service)
             metrics.set_gauge('silent_after_seconds', latency.max_silence_s, service=service)
--- a/packages/node/src/plantainloft_node/entry/row_replication.py
+++ b/packages/node/src/plantainloft_node/entry/row_replication.py
@@ -84,6 +84,11 @@
     def on_update_hint(self, hint: UpdateHint) -> None:
         """Request rows and instances that are missing here from a peer that has them."""
         now = anyio.current_time()
+        for table, position in hint.position_by_table.items():
+            if self._lacks_table(hint, table):
+                self._updates.lag.record_announcement(
+                    table, position, peer=hint.member.name, now=now
+                )
         if hint.relay_heartbeat is not None:
             self._record_peer_uptime(hint.member, hint.relay_heartbeat.store_available_for_s, now)
         is_waiting = self._fetches_in_progress and now - self._last_fetch_at < FETCH_RETRY_AFTER_S
--- a/packages/node/src/plantainloft_node/replica/routing_state.py
+++ b/packages/node/src/plantainloft_node/replica/routing_state.py
@@ -94,6 +94,7 @@
                 return
             self._apply_routes(change.table, now)
             fields['version'] = change.table.version
+            fields['bytes'] = len(row.content or b'')
         elif isinstance(change, ZoneEvacuation):
             self._apply_evacuation(change, now)
             fields['evacuated'] = change.evacuated
--- a/packages/node/src/plantainloft_node/replica/row_updates.py
+++ b/packages/node/src/plantainloft_node/replica/row_updates.py
@@ -27,6 +27,7 @@
     StoreRow,
     ZoneEvacuation,
 )
+from plantainloft_node.replica.table_lag import TableLag
 
 __all__ = ['STORE_SOURCE', 'RowUpdates']
 
@@ -61,6 +62,7 @@
         self._eras = eras
         self._decode = decode
         self.held_rows = HeldRows()
+        self.lag = TableLag(position_by_table=rows.position_by_table)
         # The least age of the copy from which the store has returned last, if known.
         self.copy_age_s: float | None = None
         self._received: deque[_ReceivedChange] = deque(maxlen=MAX_RECEIVED_CHANGES)
@@ -119,6 +121,9 @@
 
     def _apply(self, fresh: list[StoreRow], now: float, source: str) -> None:
         self._received.extend(_ReceivedChange(now, row.position) for row in fresh)
+        changed_tables = frozenset(row.table for row in fresh)
+        for table in changed_tables:
+            self.lag.record_applied(table, now, source=source)
         believed = []
         for row in fresh:
             held = self.held_rows.get(row.table, row.key)
@@ -149,6 +154,7 @@
             elif before == peer_row_by_key.get(row.key):
                 self.routing_state.apply_rows([before], now, source=source, is_certain=True)
         self.routing_state.apply_rows(believed, now, source=source)
+        self.lag.record_applied(table, now, source=source)
         held_count = sum(1 for held in self.held_rows.rows() if held.table == table)
         log.warning(
             'Replica: listed %s of the returned store, %d rows held, %d rows changed.',
--- a/packages/node/src/plantainloft_node/streams/connections.py
+++ b/packages/node/src/plantainloft_node/streams/connections.py
@@ -48,9 +48,11 @@
         pending = _PendingCall()
         self._pending_by_call_id[call_id] = pending
         stream = None
+        received_before = 0
         try:
             with anyio.fail_after(timeout_s):
                 stream = await self._open_stream()
+                received_before = stream.received_bytes
                 await stream.send(Frame(kind=kind, call=call_id, content=content))
                 await pending.finished.wait()
         except TimeoutError:
@@ -58,7 +60,9 @@
             # for example when a middlebox lost its state. Every call on it would time
             # out, so it is closed and the next call opens a new one.
             await self._disconnect(stream)
-            return Unreachable(reason=f'{kind}: timed out')
+            received_bytes = stream.received_bytes - received_before if stream else 0
+            state = f'{received_bytes} bytes received' if stream else 'not connected'
+            return Unreachable(reason=f'{kind}: timed out, {state}')
         except STREAM_ERRORS as exc:
             await self._disconnect(stream)
             return Unreachable(reason=f'{kind}: {type(exc).__name__}')
--- a/packages/node/src/plantainloft_node/streams/frames.py
+++ b/packages/node/src/plantainloft_node/streams/frames.py
@@ -42,6 +42,7 @@
     def __init__(self, *, stream: ByteStream, peer_traffic: PeerTrafficCounter) -> None:
         self._peer_traffic = peer_traffic
         self._stream = stream
+        self.received_bytes = 0
         self._unpacker = msgpack.Unpacker(max_buffer_size=MAX_FRAME_BYTES)
         self._send_lock = anyio.Lock()
 
@@ -62,6 +63,7 @@
                 return Frame(kind=unpacked[0], call=unpacked[1], content=unpacked[2])
             received = await self._stream.receive()
             self._peer_traffic.received_bytes += len(received)
+            self.received_bytes += len(received)
             self._unpacker.feed(received)
 
     async def close(self) -> None:
