Peer calls: large answers are sent in parts, and given up only when they stall

A call is given up when no part arrives within its timeout, and its connection is closed only if nothing at all arrived on it. Calls name that they accept parts; builds that do not get whole frames, as before. The model of replicating instances follows the same rule.

--- a/packages/node/src/plantainloft_node/streams/connections.py
+++ b/packages/node/src/plantainloft_node/streams/connections.py
@@ -2,8 +2,8 @@
 
 Answers may arrive late or out of order. Each call of a ``PeerConnection`` has a number
 that is never reused, and an answer is delivered only to the call with its number. An
-answer whose call has ended is dropped. Otherwise a caller could receive the answer to
-another call.
+answer whose call has ended is dropped, in parts or whole. Otherwise a caller could receive
+the answer to another call.
 """
 
 import itertools
@@ -11,10 +11,19 @@
 from typing import Any
 
 import anyio
+import msgpack
 from anyio.abc import TaskGroup
 
 from plantainloft_core.outcomes import Unreachable
-from plantainloft_node.streams.frames import STREAM_ERRORS, Frame, FrameStream, PeerTrafficCounter
+from plantainloft_node.streams.frames import (
+    LAST_PART,
+    PART,
+    STREAM_ERRORS,
+    Frame,
+    FrameStream,
+    PeerTrafficCounter,
+)
+from plantainloft_node.transfer_timeout import TransferTimeout
 
 __all__ = ['PeerConnection', 'PeerConnections']
 
@@ -24,10 +33,26 @@
 
 
 class _PendingCall:
-    def __init__(self) -> None:
+    def __init__(self, *, timeout_s: float) -> None:
+        self.timeout = TransferTimeout(start_s=timeout_s, stall_s=timeout_s)
         self.finished = anyio.Event()
         self.content: Any = None
         self.connection_lost = False
+        self._parts: list[bytes] = []
+
+    def receive(self, frame: Frame) -> None:
+        """Take an answer, or a part of one; raises ``ValueError`` if it is malformed."""
+        if frame['kind'] not in {PART, LAST_PART}:
+            self._finish(frame['content'])
+            return
+        self._parts.append(frame['content'])
+        self.timeout.record(len(frame['content']))
+        if frame['kind'] == LAST_PART:
+            self._finish(msgpack.unpackb(b''.join(self._parts)))
+
+    def _finish(self, content: Any) -> None:
+        self.content = content
+        self.finished.set()
 
 
 class PeerConnection:
@@ -43,26 +68,23 @@
         self._pending_by_call_id: dict[int, _PendingCall] = {}
 
     async def call(self, kind: str, content: Any, *, timeout_s: float) -> Any | Unreachable:
-        """Call the peer and return the content of its answer, or ``Unreachable``."""
+        """Call the peer and return the content of its answer, or ``Unreachable``.
+
+        ``timeout_s`` limits the time to the start of the answer, and each stall of a large one.
+        """
         call_id = next(self._call_ids)
-        pending = _PendingCall()
+        pending = _PendingCall(timeout_s=timeout_s)
         self._pending_by_call_id[call_id] = pending
         stream = None
         received_before = 0
         try:
-            with anyio.fail_after(timeout_s):
+            with pending.timeout:
                 stream = await self._open_stream()
                 received_before = stream.received_bytes
-                await stream.send(Frame(kind=kind, call=call_id, content=content))
+                await stream.send(
+                    Frame(kind=kind, call=call_id, content=content, accepts_parts=True)
+                )
                 await pending.finished.wait()
-        except TimeoutError:
-            # An established connection can stop delivering data while new ones work,
-            # for example when a middlebox lost its state. Every call on it would time
-            # out, so it is closed and the next call opens a new one.
-            await self._disconnect(stream)
-            received_bytes = stream.received_bytes - received_before if stream else 0
-            state = f'{received_bytes} bytes received' if stream else 'not connected'
-            return Unreachable(reason=f'{kind}: timed out, {state}')
         except STREAM_ERRORS as exc:
             await self._disconnect(stream)
             return Unreachable(reason=f'{kind}: {type(exc).__name__}')
@@ -70,7 +92,16 @@
             self._pending_by_call_id.pop(call_id, None)
         if pending.connection_lost:
             return Unreachable(reason=f'{kind}: connection lost')
-        return pending.content
+        if pending.finished.is_set():
+            return pending.content
+        received_bytes = stream.received_bytes - received_before if stream else 0
+        if not received_bytes:
+            # An established connection can stop delivering data while new ones work,
+            # for example when a middlebox lost its state. Every call on it would time
+            # out, so it is closed and the next call opens a new one.
+            await self._disconnect(stream)
+        state = f'{received_bytes} bytes received' if stream else 'not connected'
+        return Unreachable(reason=f'{kind}: timed out, {state}')
 
     async def close(self) -> None:
         """Close the connection."""
@@ -91,8 +122,7 @@
                 frame = await stream.receive()
                 pending = self._pending_by_call_id.get(frame['call'])
                 if pending is not None:
-                    pending.content = frame['content']
-                    pending.finished.set()
+                    pending.receive(frame)
         except STREAM_ERRORS:
             await self._disconnect(stream)
 
--- a/packages/node/src/plantainloft_node/streams/listener.py
+++ b/packages/node/src/plantainloft_node/streams/listener.py
@@ -12,7 +12,6 @@
 from anyio.abc import ByteStream, TaskStatus
 
 from plantainloft_node.streams.frames import (
-    REPLY,
     STREAM_ERRORS,
     Frame,
     FrameStream,
@@ -73,6 +72,6 @@
 async def _handle_frame(stream: FrameStream, frame: Frame, handler: FrameHandler) -> None:
     content = await handler(frame['content'])
     try:
-        await stream.send(Frame(kind=REPLY, call=frame['call'], content=content))
+        await stream.send_reply(frame['call'], content, in_parts=frame.get('accepts_parts', False))
     except STREAM_ERRORS:
         log.info('Peers: answer to a %s call not sent: the connection closed.', frame['kind'])
--- a/packages/standins/src/plantainloft_standins/replicating_instance.py
+++ b/packages/standins/src/plantainloft_standins/replicating_instance.py
@@ -139,12 +139,20 @@
             if self._network.is_cut(member.name) or self._network.is_cut(self._local_member.name):
                 await anyio.sleep_forever()
             answer = await self._network.handler_by_call[(member.name, kind)](content)
-            async with self._uplink_lock_by_name.setdefault(member.name, anyio.Lock()):
-                await anyio.sleep(self._network.transmission_s(answer))
             await anyio.sleep(one_way_s)
-            return answer
+            return await self._transfer(member, answer)
         return Unreachable(reason=f'{kind}: no answer')
 
+    async def _transfer(self, member: FleetMember, answer: Any) -> Any:
+        """Return ``answer`` once its last byte has arrived.
+
+        The time limit of a call counts from the last progress of its answer.
+        """
+        with anyio.CancelScope(shield=True):
+            async with self._uplink_lock_by_name.setdefault(member.name, anyio.Lock()):
+                await anyio.sleep(self._network.transmission_s(answer))
+        return answer
+
 
 class ReplicatingInstance:
     """The part of an entry instance that observes the store and its peers."""
