Row exchange: peers send of a large row what changed, and are asked for it at once

Cause: rows are sent whole, however little of them changed, and a peer is asked for a large one only 2 s after it was announced, as its answer would fill the link of the relay.

A request now names digests of the large contents that its sender has; the answer has, in place of a content of 4 KB or more, the difference to one of them, or a compressed copy (about 300 bytes and 22 KB for 1,400 routes of 406 KB). That goes for held rows too, which every answer carried whole. A digest guards the result. Builds that name no digests are sent whole contents. An instance that has large declarations asks for newer ones as soon as they are announced; the rows that arrive end its own poll, in the middle of its answer if need be. Another peer is asked when a call makes no progress for 0.8 s, not when it takes as long. What a relay would have to send whole is asked for after 0.8 s.

MissingRows is split from RowReplication. The simulated store writes rows that cannot be compressed, so that its large tables stay large.

--- a/packages/node/src/plantainloft_node/entry/peer_calls.py
+++ b/packages/node/src/plantainloft_node/entry/peer_calls.py
@@ -1,7 +1,7 @@
 """Remote procedure calls between entry instances, over streams."""
 
 import logging
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from anyio.abc import TaskGroup
@@ -20,6 +20,10 @@
 CALL_TIMEOUT_S = 1.5
 
 
+def _ignore_progress() -> None:
+    """Serve as the default of ``on_progress``."""
+
+
 class PeerCalls:
     """Calls other instances and serves their calls."""
 
@@ -28,11 +32,23 @@
         self._peer_traffic = PeerTrafficCounter()
         self._peer_connections = PeerConnections(tasks=tasks, peer_traffic=self._peer_traffic)
 
-    async def call(self, member: FleetMember, kind: str, content: Any) -> Any | Unreachable:
-        """Call ``member`` and return the content of its answer, or ``Unreachable``."""
+    async def call(
+        self,
+        member: FleetMember,
+        kind: str,
+        content: Any,
+        *,
+        on_progress: Callable[[], None] = _ignore_progress,
+    ) -> Any | Unreachable:
+        """Call ``member`` and return the content of its answer, or ``Unreachable``.
+
+        ``on_progress`` is called whenever a part of a large answer has arrived.
+        """
         host = member.caller_address.rpartition(':')[0]
         address = f'{host}:{self._peer_call_address.rpartition(":")[2]}'
-        answer = await self._peer_connections.call(address, kind, content, timeout_s=CALL_TIMEOUT_S)
+        answer = await self._peer_connections.call(
+            address, kind, content, timeout_s=CALL_TIMEOUT_S, on_progress=on_progress
+        )
         if isinstance(answer, Unreachable):
             log.info(
                 'Fleet: no answer from %s (%s).',
--- a/packages/node/src/plantainloft_node/entry/row_exchange.py
+++ b/packages/node/src/plantainloft_node/entry/row_exchange.py
@@ -1,13 +1,15 @@
 """Calls for rows between instances: their encoding, and what an answer contains."""
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Any, NamedTuple
 
 from plantainloft_core.store_eras import StoreReturn
 from plantainloft_core.store_position import UNKNOWN_ERA, StorePosition
+from plantainloft_node.replica.recent_contents import EncodedContent
 from plantainloft_node.replica.store_rows import RowBatch, StoreRow
 
 __all__ = [
+    'EncodeContent',
     'RowsAnswer',
     'RowsRequest',
     'pack_answer',
@@ -16,15 +18,27 @@
     'unpack_request',
 ]
 
-# Builds that know no eras look up their tables only, and skip this key of a request.
+# Other builds look up their tables only, and skip the keys of a request that they don't know.
+OPTION_PREFIX = '@'
 ERA_KEY = '@era'
+# The digests of the contents that the calling instance has. Builds that do not name any are
+# sent whole contents.
+CONTENTS_KEY = '@contents'
+
+# Returns a content as it is sent: encoded for its reader, or as it is.
+EncodeContent = Callable[[bytes], EncodedContent | bytes]
+DecodeContent = Callable[[EncodedContent], bytes]
 
 
 class RowsRequest(NamedTuple):
-    """The newest row that the calling instance has of each table that it read in ``era``."""
+    """The newest row that the calling instance has of each table that it read in ``era``.
+
+    ``known_digests`` are those of contents that it has, ``None`` if it needs whole contents.
+    """
 
     era: int
     position_by_table: Mapping[str, StorePosition]
+    known_digests: frozenset[bytes] | None = None
 
 
 class RowsAnswer(NamedTuple):
@@ -44,51 +58,79 @@
     last_return: StoreReturn | None = None
 
 
-def pack_request(position_by_table: Mapping[str, StorePosition], *, era: int) -> dict[str, int]:
+def _send_as_is(content: bytes) -> bytes:
+    return content
+
+
+def _refuse_encoded(_: EncodedContent) -> bytes:
+    raise TypeError('an encoded content that was not asked for')
+
+
+def pack_request(
+    position_by_table: Mapping[str, StorePosition],
+    *,
+    era: int,
+    known_digests: Collection[bytes] = (),
+) -> dict[str, Any]:
     """Encode a request of an instance in ``era``; positions of other eras are left out."""
     versions = {
         table: position.version
         for table, position in position_by_table.items()
         if position.era == era
     }
-    return {**versions, ERA_KEY: era}
+    return {**versions, ERA_KEY: era, CONTENTS_KEY: list(known_digests)}
 
 
-def unpack_request(raw: Mapping[str, int], *, current_era: int) -> RowsRequest:
+def unpack_request(raw: Mapping[str, Any], *, current_era: int) -> RowsRequest:
     """Decode a request; one that names no era is taken for one of ``current_era``."""
     era = raw.get(ERA_KEY, current_era)
+    digests = raw.get(CONTENTS_KEY)
     return RowsRequest(
-        era, {table: StorePosition(era, raw[table]) for table in raw if table != ERA_KEY}
+        era,
+        {
+            table: StorePosition(era, version)
+            for table, version in raw.items()
+            if not table.startswith(OPTION_PREFIX)
+        },
+        None if digests is None else frozenset(digests),
     )
 
 
-def pack_answer(answer: RowsAnswer, now: float) -> dict[str, Any]:
+def pack_answer(
+    answer: RowsAnswer, now: float, *, encode_content: EncodeContent = _send_as_is
+) -> dict[str, Any]:
     """Encode an answer; times are sent as ages."""
     listed = [row for listing in answer.listing_by_table.values() for row in listing.rows]
     last_return = answer.last_return
     return {
         'era': answer.era,
-        'rows': [_pack_row(row) for row in (*answer.changed, *listed)],
+        'rows': [_pack_row(row, encode_content) for row in (*answer.changed, *listed)],
         'whole': {
             table: listing.position.version for table, listing in answer.listing_by_table.items()
         },
         'left_out': answer.left_out,
         'store_served_s': answer.store_available_for_s,
-        'held': [[row.position.era, *_pack_row(row)] for row in answer.held],
+        'held': [[row.position.era, *_pack_row(row, encode_content)] for row in answer.held],
         'returned': None
         if last_return is None
         else [last_return.era, now - last_return.noticed_at, last_return.first_version],
     }
 
 
-def unpack_answer(raw: Mapping[str, Any], now: float, *, default_era: int) -> RowsAnswer:
+def unpack_answer(
+    raw: Mapping[str, Any],
+    now: float,
+    *,
+    default_era: int,
+    decode_content: DecodeContent = _refuse_encoded,
+) -> RowsAnswer:
     """Decode an answer; rows of one that names no era are of ``default_era``.
 
     Raises ``KeyError``, ``TypeError``, ``ValueError`` or ``AttributeError`` if ``raw`` is
     malformed.
     """
     era = _integer(raw.get('era', default_era))
-    rows = [_unpack_row(era, *fields) for fields in raw['rows']]
+    rows = [_unpack_row(decode_content, era, *fields) for fields in raw['rows']]
     version_by_listed_table: Mapping[str, int] = raw.get('whole', {})
     returned = raw.get('returned')
     return RowsAnswer(
@@ -103,16 +145,21 @@
         },
         left_out=tuple(str(table) for table in raw.get('left_out', ())),
         store_available_for_s=raw.get('store_served_s'),
-        held=[_unpack_row(*fields) for fields in raw.get('held', ())],
+        held=[_unpack_row(decode_content, *fields) for fields in raw.get('held', ())],
         last_return=None if returned is None else _unpack_return(now, *returned),
     )
 
 
-def _pack_row(row: StoreRow) -> list[Any]:
-    return [row.table, row.key, row.position.version, row.content]
+def _pack_row(row: StoreRow, encode_content: EncodeContent) -> list[Any]:
+    content = None if row.content is None else encode_content(row.content)
+    return [row.table, row.key, row.position.version, content]
 
 
-def _unpack_row(era: Any, table: Any, key: Any, version: Any, content: Any) -> StoreRow:
+def _unpack_row(
+    decode_content: DecodeContent, era: Any, table: Any, key: Any, version: Any, content: Any
+) -> StoreRow:
+    if isinstance(content, list | tuple):
+        content = decode_content(EncodedContent(*content))
     if content is not None and not isinstance(content, bytes):
         raise TypeError(f'content of row {key}: {type(content).__name__}')
     position = StorePosition(_integer(era), _integer(version))
--- a/packages/node/src/plantainloft_node/entry/row_replication.py
+++ b/packages/node/src/plantainloft_node/entry/row_replication.py
@@ -15,7 +15,7 @@
 from anyio.abc import TaskGroup
 
 from plantainloft_core.outcomes import Unreachable
-from plantainloft_core.store_position import UNKNOWN_ERA
+from plantainloft_node.entry.missing_rows import MissingRows
 from plantainloft_node.entry.peer_calls import PeerCalls
 from plantainloft_node.entry.replicated_state import ReplicatedState
 from plantainloft_node.entry.row_exchange import (
@@ -31,19 +31,14 @@
 
 log = logging.getLogger(__name__)
 
-# An instance's own poll usually returns a change within a few milliseconds; only
-# rows that are still missing after this delay are requested from a peer.
-PEER_FETCH_DELAY_S = 0.35
-# A large configuration takes longer to read from the store.
-LARGE_FETCH_DELAY_S = 2.0
-# A peer that is unreachable or hangs does not answer; after this time another
-# peer may be asked.
+# A large table that a relay would have to send whole is first left to this instance's own poll.
+LARGE_FETCH_DELAY_S = 0.8
+# A peer that is unreachable or hangs does not answer; after this time without progress
+# another peer may be asked.
 FETCH_RETRY_AFTER_S = 0.8
 ROWS_CALL = 'news'
 SMALL_ROWS_CALL = 'small_news'
 MEMBERS_CALL = 'members'
-# Peers asked in each era for the rows that they hold. One may have missed a change.
-HELD_ROWS_SOURCES = 2
 _MALFORMED = (KeyError, TypeError, ValueError, AttributeError)
 
 
@@ -65,14 +60,12 @@
         self._updates = replicated_state.updates
         self._eras = replicated_state.store.eras
         self._routing_state = replicated_state.routing_state
-        # The era of the last request for held rows, and the peers that answered one.
-        self._held_era = UNKNOWN_ERA
-        self._held_sources: set[str] = set()
+        self._missing = MissingRows(replicated_state=replicated_state)
         self._pollers = replicated_state.pollers
         self._tasks = tasks
         self._fetches_in_progress = 0
         self._large_fetch_scheduled = False
-        self._last_fetch_at = 0.0
+        self._last_progress_at = 0.0
 
     def on_heartbeat(self, heartbeat: Heartbeat) -> None:
         """Request the rows that are missing here from the sender of a heartbeat."""
@@ -85,31 +78,35 @@
         """Request rows and instances that are missing here from a peer that has them."""
         now = anyio.current_time()
         for table, position in hint.position_by_table.items():
-            if self._lacks_table(hint, table):
+            if self._missing.lacks_table(hint, table):
                 self._updates.lag.record_announcement(
                     table, position, peer=hint.member.name, now=now
                 )
         if hint.relay_heartbeat is not None:
             self._record_peer_uptime(hint.member, hint.relay_heartbeat.store_available_for_s, now)
-        is_waiting = self._fetches_in_progress and now - self._last_fetch_at < FETCH_RETRY_AFTER_S
+        is_waiting = (
+            self._fetches_in_progress and now - self._last_progress_at < FETCH_RETRY_AFTER_S
+        )
         if not is_waiting and (
-            self._lacks_rows(hint)
-            or self._lacks_held_rows(hint)
+            self._missing.lacks_rows(hint)
+            or self._missing.lacks_held_rows(hint)
             or _lacks_members(self._members, hint)
         ):
             self._fetches_in_progress += 1
-            self._last_fetch_at = now
+            self._last_progress_at = now
             self._tasks.start_soon(self._fetch_missing, hint)
 
     async def _fetch_missing(self, hint: UpdateHint) -> None:
-        if not (self._replicated_state.delegates_polling() and self._lacks_table(hint, ENDPOINTS)):
-            await anyio.sleep(PEER_FETCH_DELAY_S)
-        if self._lacks_rows(hint) or self._lacks_held_rows(hint):
+        await anyio.sleep(self._missing.own_poll_time_s(hint))
+        if self._missing.lacks_rows(hint) or self._missing.lacks_held_rows(hint):
             await self._fetch_rows(hint.member)
         if _lacks_members(self._members, hint):
             await self._fetch_members(hint.member)
         self._fetches_in_progress -= 1
 
+    def _record_progress(self) -> None:
+        self._last_progress_at = anyio.current_time()
+
     def _record_peer_uptime(
         self, member: FleetMember, available_for_s: float | None, now: float
     ) -> None:
@@ -123,7 +120,9 @@
         if not self._replicated_state.delegates_polling():
             await self._fetch_all_rows(member)
             return
-        answer = await self._calls.call(member, SMALL_ROWS_CALL, self._request())
+        answer = await self._calls.call(
+            member, SMALL_ROWS_CALL, self._request(), on_progress=self._record_progress
+        )
         if isinstance(answer, Unreachable):
             self._poll_store((ENDPOINTS,))
             return
@@ -146,18 +145,29 @@
         self._large_fetch_scheduled = False
 
     async def _fetch_all_rows(self, member: FleetMember) -> None:
-        answer = await self._calls.call(member, ROWS_CALL, self._request())
+        answer = await self._calls.call(
+            member, ROWS_CALL, self._request(), on_progress=self._record_progress
+        )
         if not isinstance(answer, Unreachable):
             self._apply_answer(member, answer)
 
-    def _request(self) -> dict[str, int]:
-        return pack_request(self._rows.position_by_table, era=self._eras.current)
+    def _request(self) -> dict[str, Any]:
+        return pack_request(
+            self._rows.position_by_table,
+            era=self._eras.current,
+            known_digests=self._rows.recent_contents.digests(),
+        )
 
     def _apply_answer(self, member: FleetMember, raw_answer: Any) -> tuple[str, ...]:
         """Apply the rows of an answer; return the tables that it leaves out."""
         now = anyio.current_time()
         try:
-            answer = unpack_answer(raw_answer, now, default_era=self._era_of_other_builds())
+            answer = unpack_answer(
+                raw_answer,
+                now,
+                default_era=self._missing.era_of_other_builds(),
+                decode_content=self._rows.recent_contents.decode,
+            )
         except _MALFORMED as exc:
             _log_malformed(member, exc)
             return ()
@@ -178,46 +188,12 @@
             ):
                 changed.add(table)
         self._updates.apply_held(answer.held, answer.last_return, now, source=member.name)
-        self._record_held_source(member.name)
+        self._missing.record_held_source(member.name)
         for table, poller in self._pollers.items():
             if table in changed:
                 poller.restart_poll()
         return answer.left_out
 
-    def _era_of_other_builds(self) -> int:
-        """Return the era of rows from builds that name none.
-
-        They are not believed once the store has returned from a copy.
-        """
-        return UNKNOWN_ERA if self._eras.return_count else self._eras.current
-
-    def _record_held_source(self, name: str) -> None:
-        if self._held_era != self._eras.current:
-            self._held_era = self._eras.current
-            self._held_sources.clear()
-        self._held_sources.add(name)
-
-    def _lacks_held_rows(self, hint: UpdateHint) -> bool:
-        if not hint.holds_rows or any(
-            position.era != self._eras.current for position in hint.position_by_table.values()
-        ):
-            return False
-        if self._held_era != self._eras.current:
-            return True
-        is_known = hint.member.name in self._held_sources
-        return not is_known and len(self._held_sources) < HELD_ROWS_SOURCES
-
-    def _lacks_rows(self, hint: UpdateHint) -> bool:
-        return any(self._lacks_table(hint, table) for table in hint.position_by_table)
-
-    def _lacks_table(self, hint: UpdateHint, table: str) -> bool:
-        position = hint.position_by_table.get(table)
-        if position is None:
-            return False
-        if position.era == UNKNOWN_ERA:
-            position = position._replace(era=self._era_of_other_builds())
-        return position.supersedes(self._rows.position_by_table.get(table))
-
     def _poll_store(self, tables: Iterable[str]) -> None:
         """Poll the store once for tables that peers do not send."""
         for table in tables:
--- a/packages/node/src/plantainloft_node/replica/row_replica.py
+++ b/packages/node/src/plantainloft_node/replica/row_replica.py
@@ -5,6 +5,7 @@
 import anyio
 
 from plantainloft_core.store_position import StorePosition
+from plantainloft_node.replica.recent_contents import RecentContents
 from plantainloft_node.replica.store_rows import RowBatch, StoreRow
 
 __all__ = ['RowReplica']
@@ -29,6 +30,7 @@
         self.row_by_key: dict[tuple[str, str], StoreRow] = {}
         # The newest row of each table.
         self.position_by_table: dict[str, StorePosition] = {}
+        self.recent_contents = RecentContents()
         self._changed = anyio.Event()
         # Keys of tombstones, oldest first.
         self._tombstones: dict[tuple[str, str], None] = {}
@@ -148,6 +150,7 @@
     def _put(self, row: StoreRow) -> None:
         key = (row.table, row.key)
         self.row_by_key[key] = row
+        self.recent_contents.record(row.content)
         self._tombstones.pop(key, None)
         if row.content is None:
             self._tombstones[key] = None
--- a/packages/node/src/plantainloft_node/streams/connections.py
+++ b/packages/node/src/plantainloft_node/streams/connections.py
@@ -8,6 +8,7 @@
 
 import itertools
 import logging
+from collections.abc import Callable
 from typing import Any
 
 import anyio
@@ -32,12 +33,17 @@
 MAX_PEER_CONNECTIONS = 64
 
 
+def _ignore_progress() -> None:
+    """Serve as the default of ``on_progress``."""
+
+
 class _PendingCall:
-    def __init__(self, *, timeout_s: float) -> None:
+    def __init__(self, *, timeout_s: float, on_progress: Callable[[], None]) -> None:
         self.timeout = TransferTimeout(start_s=timeout_s, stall_s=timeout_s)
         self.finished = anyio.Event()
         self.content: Any = None
         self.connection_lost = False
+        self._on_progress = on_progress
         self._parts: list[bytes] = []
 
     def receive(self, frame: Frame) -> None:
@@ -47,6 +53,7 @@
             return
         self._parts.append(frame['content'])
         self.timeout.record(len(frame['content']))
+        self._on_progress()
         if frame['kind'] == LAST_PART:
             self._finish(msgpack.unpackb(b''.join(self._parts)))
 
@@ -67,13 +74,21 @@
         self._call_ids = itertools.count(1)
         self._pending_by_call_id: dict[int, _PendingCall] = {}
 
-    async def call(self, kind: str, content: Any, *, timeout_s: float) -> Any | Unreachable:
+    async def call(
+        self,
+        kind: str,
+        content: Any,
+        *,
+        timeout_s: float,
+        on_progress: Callable[[], None] = _ignore_progress,
+    ) -> Any | Unreachable:
         """Call the peer and return the content of its answer, or ``Unreachable``.
 
         ``timeout_s`` limits the time to the start of the answer, and each stall of a large one.
+        ``on_progress`` is called whenever a part of a large one has arrived.
         """
         call_id = next(self._call_ids)
-        pending = _PendingCall(timeout_s=timeout_s)
+        pending = _PendingCall(timeout_s=timeout_s, on_progress=on_progress)
         self._pending_by_call_id[call_id] = pending
         stream = None
         received_before = 0
@@ -146,9 +161,15 @@
         self._connection_by_address: dict[str, PeerConnection] = {}
 
     async def call(
-        self, address: str, kind: str, content: Any, *, timeout_s: float
+        self,
+        address: str,
+        kind: str,
+        content: Any,
+        *,
+        timeout_s: float,
+        on_progress: Callable[[], None] = _ignore_progress,
     ) -> Any | Unreachable:
-        """Call the peer at ``address``."""
+        """Call the peer at ``address``, see ``PeerConnection.call``."""
         connection = self._connection_by_address.pop(address, None)
         if connection is None:
             connection = PeerConnection(
@@ -158,4 +179,4 @@
         while len(self._connection_by_address) > MAX_PEER_CONNECTIONS:
             least_recent = next(iter(self._connection_by_address))
             await self._connection_by_address.pop(least_recent).close()
-        return await connection.call(kind, content, timeout_s=timeout_s)
+        return await connection.call(kind, content, timeout_s=timeout_s, on_progress=on_progress)
--- a/packages/standins/src/plantainloft_standins/replicating_instance.py
+++ b/packages/standins/src/plantainloft_standins/replicating_instance.py
@@ -5,6 +5,7 @@
 """
 
 import random
+from collections.abc import Callable
 from typing import Any, NamedTuple
 
 import anyio
@@ -36,9 +37,15 @@
 __all__ = ['Cut', 'NetworkShape', 'ReplicatingInstance', 'SimulatedNetwork', 'fleet_members']
 
 CALL_TIMEOUT_S = 1.5
+# How often the transfer of a large answer reports its progress.
+PROGRESS_INTERVAL_S = 0.1
 STORE_REGION = 'r0'
 
 
+def _ignore_progress() -> None:
+    """Serve as the default of ``on_progress``."""
+
+
 class NetworkShape(NamedTuple):
     """Round-trip times, the time of a byte on an instance's link, and datagram loss (0..1)."""
 
@@ -99,7 +106,7 @@
     def transmission_s(self, answer: Any) -> float:
         """Return how long an answer occupies the link of the answering instance."""
         rows = answer['rows'] if isinstance(answer, dict) else ()
-        return self.byte_s * sum(len(row[-1] or b'') for row in rows)
+        return self.byte_s * sum(_sent_bytes(row[-1]) for row in rows)
 
     def store_rtt_s(self, member: FleetMember) -> float:
         """Return the round-trip time to the store, which runs in ``STORE_REGION``."""
@@ -124,6 +131,10 @@
             self.instance_by_name[name].receive(datagram.packed, sender.name)
 
 
+def _sent_bytes(content: Any) -> int:
+    return len(content[-1] if isinstance(content, tuple) else content or b'')
+
+
 class _SimulatedCalls(PeerCalls):
     """Calls of one instance over the simulated network."""
 
@@ -132,7 +143,14 @@
         self._network = network
         self._uplink_lock_by_name = network.uplink_lock_by_name
 
-    async def call(self, member: FleetMember, kind: str, content: Any) -> Any | Unreachable:
+    async def call(
+        self,
+        member: FleetMember,
+        kind: str,
+        content: Any,
+        *,
+        on_progress: Callable[[], None] = _ignore_progress,
+    ) -> Any | Unreachable:
         one_way_s = self._network.one_way_s(self._local_member, member)
         with anyio.move_on_after(CALL_TIMEOUT_S):
             await anyio.sleep(one_way_s)
@@ -140,17 +158,23 @@
                 await anyio.sleep_forever()
             answer = await self._network.handler_by_call[(member.name, kind)](content)
             await anyio.sleep(one_way_s)
-            return await self._transfer(member, answer)
+            return await self._transfer(member, answer, on_progress)
         return Unreachable(reason=f'{kind}: no answer')
 
-    async def _transfer(self, member: FleetMember, answer: Any) -> Any:
+    async def _transfer(
+        self, member: FleetMember, answer: Any, on_progress: Callable[[], None]
+    ) -> Any:
         """Return ``answer`` once its last byte has arrived.
 
         The time limit of a call counts from the last progress of its answer.
         """
         with anyio.CancelScope(shield=True):
             async with self._uplink_lock_by_name.setdefault(member.name, anyio.Lock()):
-                await anyio.sleep(self._network.transmission_s(answer))
+                left_s = self._network.transmission_s(answer)
+                while left_s > 0:
+                    await anyio.sleep(min(left_s, PROGRESS_INTERVAL_S))
+                    left_s -= PROGRESS_INTERVAL_S
+                    on_progress()
         return answer
 
 
--- a/packages/standins/src/plantainloft_standins/simulated_store.py
+++ b/packages/standins/src/plantainloft_standins/simulated_store.py
@@ -7,6 +7,7 @@
 another era: its versions go back and are given out again.
 """
 
+import random
 from collections.abc import Callable, Sequence
 from enum import Enum
 from typing import NamedTuple
@@ -81,8 +82,8 @@
         self._changed = anyio.Event()
 
     def put(self, table: str, key: str, *, size: int = 1, content: bytes = b'') -> None:
-        """Write a row with ``content``, or one of ``size`` bytes."""
-        self._write(table, key, content or bytes(size))
+        """Write a row with ``content``, or one of ``size`` bytes that cannot be compressed."""
+        self._write(table, key, content or random.Random(self.version).randbytes(size))
 
     def remove(self, table: str, key: str) -> None:
         """Remove a row."""
