--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -3,6 +3,7 @@
 import base64
 import json
 import os
+import re
 import signal
 import socket
 import subprocess
@@ -225,11 +226,14 @@
 
 
 def make_configuration(
-    version: int, *, service: str = 'desk', timeout: str = '1500ms'
+    version: int, *, service: str = 'desk', timeout: str = '1500ms', further_routes: int = 0
 ) -> dict[str, Any]:
-    """Return a configuration with an idempotent and a non-idempotent route to ``service``."""
+    """Return a configuration with an idempotent and a non-idempotent route to ``service``.
 
-    def route_resource(name: str, kind: str) -> dict[str, Any]:
+    It has ``further_routes`` to the service ``desk`` besides, which nobody uses.
+    """
+
+    def route_resource(name: str, kind: str, service: str) -> dict[str, Any]:
         return {
             'resource_type': 'routes',
             'metadata': {'name': name},
@@ -270,11 +274,15 @@
     return {
         'version': version,
         'resources': [
-            route_resource('files', 'idempotent'),
-            route_resource('notices', 'non_idempotent'),
+            route_resource('files', 'idempotent', service),
+            route_resource('notices', 'non_idempotent', service),
             service_resource('desk'),
             service_resource('other'),
             {'resource_type': 'limits', 'metadata': {}, 'spec': limits},
+            *(
+                route_resource(f'further-{number}', 'idempotent', 'desk')
+                for number in range(further_routes)
+            ),
         ],
     }
 
@@ -571,6 +579,13 @@
     return len(json.loads(body)['addresses']) if body else 0
 
 
+async def configuration_version(entry: EntryProcessHandle) -> int:
+    """Return the version of the configuration in force at ``entry``."""
+    metrics = await http_get(entry.metrics_address, '/metrics')
+    found = re.search(rb'^plantainloft_configuration_version (\d+)', metrics, re.MULTILINE)
+    return int(found.group(1)) if found else 0
+
+
 async def follows_declarations(entry: EntryProcessHandle) -> bool:
     """Return whether ``entry`` reports that it follows the store's declarations."""
     metrics = await http_get(entry.metrics_address, '/metrics')
--- a/tests/test_content_delta.py
+++ b/tests/test_content_delta.py
@@ -28,21 +28,10 @@
 ).map(b''.join)
 
 
-def large_configuration(version: int) -> dict[str, Any]:
-    """Return a configuration of ``ROUTES`` routes; its version changes one of them."""
-    document = make_configuration(version)
-    template = document['resources'][0]
-    for number in range(ROUTES):
-        spec = {**template['spec'], 'prefix': f'/{number}/'}
-        document['resources'].append(
-            {**template, 'metadata': {'name': f'route-{number}'}, 'spec': spec}
-        )
-    document['resources'][2 + version]['spec']['timeout'] = f'{version}s'
-    return document
-
-
 def encoded_configuration(version: int) -> bytes:
-    return json.dumps(large_configuration(version)).encode()
+    """Return a configuration of many routes; its version changes two of them."""
+    document = make_configuration(version, service=f's{version}', further_routes=ROUTES)
+    return json.dumps(document).encode()
 
 
 @given(CONTENTS, CONTENTS)
