Soak of the store: large configurations, storms of changes, slow links

The soak of signals, restarts and returns of the store can draw configurations of 10 to 3,000 routes, links of 1 to 100 Mbit/s for all that an instance receives, storms of twelve changes and losses of history.

--- a/tests/store_soak.py
+++ b/tests/store_soak.py
@@ -1,15 +1,18 @@
 """A randomized soak: a store that returns from copies, beside signals and restarts.
 
-Run by hand with more seeds: ``python tests/store_soak.py FIRST_SEED COUNT``.
+Run by hand with more seeds: ``python tests/store_soak.py FIRST_SEED COUNT``; with ``large`` at
+the end, configurations are large and change in storms, and links are slow.
 """
 
 import itertools
+import json
 import random
 import signal
 import sys
 import time
 from collections import Counter
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import NamedTuple
 
@@ -47,6 +50,15 @@
 LEAVING_S = 1.0
 WARM_UP_S = 2.0
 SETTLE_S = 8.0
+STORM_CHANGES = 12
+STORM_GAP_S = 0.33
+# Draws for a soak of large configurations: the routes, and the links of instances in bytes a
+# second. Two instances have fast links: over the others alone, the store may send a
+# configuration for longer than changes may take.
+FURTHER_ROUTES = (10, 300, 1400, 3000)
+SLOW_LINKS = (125_000, 250_000, 625_000, 1_250_000)
+FAST_LINK = 12_500_000
+FAST_INSTANCES = 2
 REQUEST_TIMEOUT_S = 4.0
 
 
@@ -145,8 +157,14 @@
     """The store, its writers, the instances and what endpoints have seen."""
 
     def __init__(
-        self, *, store: StoreStandin, entries: list[EntryProcessHandle], rng: random.Random
+        self,
+        *,
+        store: StoreStandin,
+        entries: list[EntryProcessHandle],
+        rng: random.Random,
+        further_routes: int = 0,
     ) -> None:
+        self._further_routes = further_routes
         self.store = store
         self.entries = entries
         self.rng = rng
@@ -173,7 +191,9 @@
     def declare(self) -> None:
         """Declare the next configuration, which routes to the other service."""
         version = 3 + len(self._changes)
-        document = make_configuration(version, service=SERVICES[version % 2])
+        document = make_configuration(
+            version, service=SERVICES[version % 2], further_routes=self._further_routes
+        )
         self._write(OPERATOR_TABLE, 'config', document)
         self._changes.append(_Change(version, time.monotonic()))
 
@@ -201,12 +221,23 @@
             self._reload,
             lambda: self._replace_endpoint(tasks),
         ]
+        if self._further_routes:
+            events += [self._declare_storm, self._lose_history]
         ends_at = time.monotonic() + duration_s
         async with anyio.create_task_group() as event_tasks:
             while time.monotonic() < ends_at:
                 event_tasks.start_soon(self.rng.choice(events))  # type: ignore[arg-type]
                 await anyio.sleep(self.rng.uniform(0.5, 4.0))
 
+    async def _declare_storm(self) -> None:
+        for _ in range(STORM_CHANGES):
+            if not self._is_away():
+                self.declare()
+            await anyio.sleep(STORM_GAP_S)
+
+    async def _lose_history(self) -> None:
+        self.store.oldest_history_version = self.store.version
+
     async def _answer(self, endpoint: _Endpoint, connection: ScriptedConnection) -> None:
         while True:
             request = await connection.read_request()
@@ -324,18 +355,42 @@
         await self.rng.choice(self.entries).reload()
 
 
+def _write_links(work_dir: Path, rng: random.Random) -> None:
+    """Draw the rate of each instance's link, for ``paced_entry_process``."""
+    fast = rng.sample(range(INSTANCES), FAST_INSTANCES)
+    for number in range(INSTANCES):
+        rate = FAST_LINK if number in fast else rng.choice(SLOW_LINKS)
+        (work_dir / f'links-{number + 1}.json').write_text(json.dumps(rate))
+
+
 async def run_store_soak(
-    seed: int, work_dir: Path, entry_processes: list[EntryProcessHandle], *, duration_s: float
+    seed: int,
+    work_dir: Path,
+    entry_processes: list[EntryProcessHandle],
+    *,
+    duration_s: float,
+    is_large: bool = False,
 ) -> StoreSoakResult:
-    """Run one soak; ``entry_processes`` gets the processes that it starts."""
+    """Run one soak; ``entry_processes`` gets the processes that it starts.
+
+    ``is_large``: configurations are large and change in storms, and links are slow.
+    """
     rng = random.Random(seed)
+    further_routes = rng.choice(FURTHER_ROUTES) if is_large else 0
+    if is_large:
+        _write_links(work_dir, rng)
     async with running_store() as (store, tasks):
-        soak = _StoreSoak(store=store, entries=entry_processes, rng=rng)
+        soak = _StoreSoak(
+            store=store, entries=entry_processes, rng=rng, further_routes=further_routes
+        )
         for service in SERVICES * ENDPOINTS_PER_SERVICE:
             await soak.add_endpoint(service, tasks)
         soak.declare()
         await start_entry_processes(
-            entry_processes, store_addresses=[store.address] * INSTANCES, work_dir=work_dir
+            entry_processes,
+            store_addresses=[store.address] * INSTANCES,
+            work_dir=work_dir,
+            module='paced_entry_process' if is_large else 'plantainloft_platform',
         )
         callers = [_Caller(soak=soak, number=number) for number in range(CALLERS)]
         async with anyio.create_task_group() as soak_tasks:
@@ -374,10 +429,11 @@
 
 
 async def _run_long(
-    seed: int, work_dir: Path, entry_processes: list[EntryProcessHandle]
+    seed: int, work_dir: Path, entry_processes: list[EntryProcessHandle], *, is_large: bool
 ) -> StoreSoakResult:
-    return await run_store_soak(seed, work_dir, entry_processes, duration_s=25.0)
+    return await run_store_soak(seed, work_dir, entry_processes, duration_s=25.0, is_large=is_large)
 
 
 if __name__ == '__main__':
-    run_seeds(_run_long, int(sys.argv[1]), int(sys.argv[2]))
+    first_seed, count, *options = sys.argv[1:]
+    run_seeds(partial(_run_long, is_large='large' in options), int(first_seed), int(count))
--- a/tests/test_store_soak.py
+++ b/tests/test_store_soak.py
@@ -1,4 +1,4 @@
-"""Short, seeded runs of the soak of a store that returns from copies."""
+"""Short, seeded runs of the soaks of a store that returns from copies."""
 
 from pathlib import Path
 
@@ -18,3 +18,15 @@
     assert not result.sent_to_left
     assert not result.defects
     assert result.served_at_end == 1.0
+
+
+@pytest.mark.anyio
+@pytest.mark.parametrize('seed', [1, 2])
+async def test_large_configurations_over_slow_links_are_in_force_in_time(
+    entry_processes: list[EntryProcessHandle], tmp_path: Path, seed: int
+) -> None:
+    result = await run_store_soak(seed, tmp_path, entry_processes, duration_s=18.0, is_large=True)
+    assert not result.outdated
+    assert not result.sent_to_left
+    assert not result.defects
+    assert result.served_at_end == 1.0
