--- a/packages/node/src/plantainloft_node/engine/http_client.py
+++ b/packages/node/src/plantainloft_node/engine/http_client.py
@@ -43,7 +43,8 @@
     a late response cannot be taken for that of the next request.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, *, connect_timeout_s: float = CONNECT_TIMEOUT_S) -> None:
+        self._connect_timeout_s = connect_timeout_s
         self._pool = ConnectionPool()
 
     async def send(
@@ -63,7 +64,7 @@
         connection = await self._pool.acquire(address, anyio.current_time())
         if connection is None:
             try:
-                with anyio.fail_after(CONNECT_TIMEOUT_S):
+                with anyio.fail_after(self._connect_timeout_s):
                     connection = await connect(address)
             except (OSError, TimeoutError) as exc:
                 return NotSent(reason=type(exc).__name__)
--- a/tests/test_large_answers.py
+++ b/tests/test_large_answers.py
@@ -5,7 +5,7 @@
 
 import anyio
 import pytest
-from anyio.abc import TaskGroup
+from anyio.abc import SocketStream, TaskGroup
 from entry_fixtures import ScriptedConnection, ScriptedEndpoint
 
 from plantainloft_core.outcomes import Unreachable
@@ -81,3 +81,25 @@
 
     outcome = await poll_store_that_sends(tasks, stall)
     assert isinstance(outcome, Unreachable)
+
+
+async def test_a_connection_to_the_store_over_a_full_link_is_waited_for(
+    tasks: TaskGroup, monkeypatch: pytest.MonkeyPatch
+) -> None:
+    """Guards against a store that counts as lost whenever a poll begins again on a busy link."""
+
+    async def answer(connection: ScriptedConnection) -> None:
+        await connection.read_request()
+        body = feed_body()
+        await connection.send(b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % len(body) + body)
+
+    connect_tcp = anyio.connect_tcp
+
+    async def connect_late(host: str, port: int) -> SocketStream:
+        await anyio.sleep(CALL_TIMEOUT_S / 2)
+        return await connect_tcp(host, port)
+
+    endpoint = ScriptedEndpoint(script=answer)
+    await tasks.start(lambda *, task_status: endpoint.run(task_status=task_status))
+    monkeypatch.setattr(anyio, 'connect_tcp', connect_late)
+    assert await PlatformStore(address=endpoint.address).probe() is None
