Row exchange: requests name four digests at most, and malformed ones are skipped

Names of tables in a request that begin with '@' are options. tests/test_content_delta.py draws malformed digests.

--- a/packages/node/src/plantainloft_node/entry/row_exchange.py
+++ b/packages/node/src/plantainloft_node/entry/row_exchange.py
@@ -84,7 +84,6 @@
 def unpack_request(raw: Mapping[str, Any], *, current_era: int) -> RowsRequest:
     """Decode a request; one that names no era is taken for one of ``current_era``."""
     era = raw.get(ERA_KEY, current_era)
-    digests = raw.get(CONTENTS_KEY)
     return RowsRequest(
         era,
         {
@@ -92,10 +91,17 @@
             for table, version in raw.items()
             if not table.startswith(OPTION_PREFIX)
         },
-        None if digests is None else frozenset(digests),
+        _known_digests(raw),
     )
 
 
+def _known_digests(raw: Mapping[str, Any]) -> frozenset[bytes] | None:
+    digests = raw.get(CONTENTS_KEY)
+    if not isinstance(digests, list | tuple):
+        return None
+    return frozenset(digest for digest in digests if isinstance(digest, bytes))
+
+
 def pack_answer(
     answer: RowsAnswer, now: float, *, encode_content: EncodeContent = _send_as_is
 ) -> dict[str, Any]:
--- a/packages/node/src/plantainloft_node/replica/recent_contents.py
+++ b/packages/node/src/plantainloft_node/replica/recent_contents.py
@@ -13,6 +13,8 @@
 # A reader that has none of the contents kept is sent the row whole, compressed.
 MAX_CONTENTS = 16
 MAX_CONTENTS_BYTES = 8_000_000
+# Digests that a request names. A peer that has none of these contents is far behind.
+MAX_NAMED_DIGESTS = 4
 # Peers at a few different contents ask for the same one at about the same time.
 MAX_CACHED_DELTAS = 8
 
@@ -46,8 +48,8 @@
             self._remove(next(iter(self._content_by_digest)))
 
     def digests(self) -> list[bytes]:
-        """Return the digests of all contents that are kept."""
-        return list(self._content_by_digest)
+        """Return the digests of the newest contents, for a request."""
+        return list(self._content_by_digest)[-MAX_NAMED_DIGESTS:]
 
     def encode(self, content: bytes, known_digests: Collection[bytes]) -> EncodedContent:
         """Encode ``content`` for a reader that has contents with ``known_digests``."""
--- a/tests/test_content_delta.py
+++ b/tests/test_content_delta.py
@@ -12,15 +12,21 @@
 from platform_standin import make_configuration
 
 from plantainloft_core.store_position import StorePosition
-from plantainloft_node.entry.row_exchange import RowsAnswer, pack_answer, unpack_answer
-from plantainloft_node.replica.content_delta import apply_delta, encode_delta
+from plantainloft_node.entry.row_exchange import (
+    RowsAnswer,
+    pack_answer,
+    unpack_answer,
+    unpack_request,
+)
+from plantainloft_node.replica.content_delta import apply_delta, content_digest, encode_delta
 from plantainloft_node.replica.recent_contents import (
     ENCODED_CONTENT_BYTES,
     MAX_CONTENTS,
+    MAX_CONTENTS_BYTES,
     EncodedContent,
     RecentContents,
 )
-from plantainloft_node.replica.store_rows import DECLARATIONS, StoreRow
+from plantainloft_node.replica.store_rows import DECLARATIONS, ENDPOINTS, StoreRow
 
 ROUTES = 1400
 CONTENTS = st.lists(
@@ -92,12 +98,23 @@
 def test_the_contents_kept_are_limited_in_number_and_size() -> None:
     """Guards against memory that grows with each change of a large row."""
     contents = RecentContents()
-    for number in range(3 * MAX_CONTENTS):
+    first = b'0' * ENCODED_CONTENT_BYTES
+    contents.record(first)
+    for number in range(1, MAX_CONTENTS):
         contents.record(b'%d' % number * ENCODED_CONTENT_BYTES)
-    assert len(contents.digests()) == MAX_CONTENTS
-    for number in range(4):
-        contents.record(b'%d' % number * 6_000_000)
-    assert len(contents.digests()) == 1
+    assert contents.encode(first, [content_digest(first)]).base_digest
+    contents.record(b'x' * ENCODED_CONTENT_BYTES)
+    assert not contents.encode(first, [content_digest(first)]).base_digest
+    contents.record(b'0' * MAX_CONTENTS_BYTES)
+    contents.record(b'1' * MAX_CONTENTS_BYTES)
+    assert contents.digests() == [content_digest(b'1' * MAX_CONTENTS_BYTES)]
+
+
+@pytest.mark.parametrize('named', [3, 'digest', {}, [3, []]])
+def test_a_request_with_malformed_digests_is_answered(named: object) -> None:
+    request = unpack_request({ENDPOINTS: 5, '@contents': named}, current_era=4)
+    assert not request.known_digests
+    assert request.position_by_table == {ENDPOINTS: StorePosition(4, 5)}
 
 
 STEPS = st.recursive(
