Lag of tables: rows that came without a change end it

record_applied was called for tables with new rows only, so after a listing of what an instance had already, table_behind_seconds went on counting. The position of the replica decides now. tests/test_table_lag.py: 10.0 s before.

--- a/packages/node/src/plantainloft_node/replica/table_lag.py
+++ b/packages/node/src/plantainloft_node/replica/table_lag.py
@@ -25,21 +25,21 @@
     def __init__(self, *, position_by_table: Mapping[str, StorePosition]) -> None:
         """``position_by_table`` are the positions of the replica, which change."""
         self._position_by_table = position_by_table
-        self._missing_by_table: dict[str, _Announcement] = {}
+        self._announced_by_table: dict[str, _Announcement] = {}
 
     def record_announcement(
         self, table: str, position: StorePosition, *, peer: str, now: float
     ) -> None:
         """Record that ``peer`` has ``position`` of ``table``, which is missing here."""
-        if table not in self._missing_by_table:
-            self._missing_by_table[table] = _Announcement(position, peer, now)
+        if self._missing(table) is None:
+            self._announced_by_table[table] = _Announcement(position, peer, now)
 
     def record_applied(self, table: str, now: float, *, source: str) -> None:
         """Record that newer rows of ``table`` came from ``source``."""
-        announced = self._missing_by_table.get(table)
-        if announced is None or announced.position.supersedes(self._position_by_table.get(table)):
+        announced = self._announced_by_table.get(table)
+        if announced is None or self._missing(table) is not None:
             return
-        self._missing_by_table.pop(table)
+        self._announced_by_table.pop(table)
         log.info(
             'Replica: %s of %s are here, %.2f s after they were announced.',
             table,
@@ -59,5 +59,13 @@
 
     def behind_s(self, table: str, now: float) -> float:
         """Return for how many seconds rows of ``table`` have been missing, 0 if none are."""
-        announced = self._missing_by_table.get(table)
-        return 0.0 if announced is None else now - announced.at
+        missing = self._missing(table)
+        return 0.0 if missing is None else now - missing.at
+
+    def _missing(self, table: str) -> _Announcement | None:
+        """Return the announcement whose rows are still missing, if any."""
+        announced = self._announced_by_table.get(table)
+        if announced is None:
+            return None
+        is_missing = announced.position.supersedes(self._position_by_table.get(table))
+        return announced if is_missing else None
--- a/tests/test_table_lag.py
+++ b/tests/test_table_lag.py
@@ -33,6 +33,17 @@
     }
 
 
+def test_rows_that_came_without_a_change_end_the_lag() -> None:
+    """Guards against an instance that seems behind for ever after a listing of what it has."""
+    positions = {DECLARATIONS: StorePosition(1, 4)}
+    lag = TableLag(position_by_table=positions)
+    lag.record_announcement(DECLARATIONS, StorePosition(1, 5), peer='e2', now=10.0)
+    positions[DECLARATIONS] = StorePosition(1, 5)
+    assert lag.behind_s(DECLARATIONS, 20.0) == 0.0
+    lag.record_announcement(DECLARATIONS, StorePosition(1, 6), peer='e2', now=30.0)
+    assert lag.behind_s(DECLARATIONS, 31.0) == 1.0
+
+
 def test_the_status_names_the_slowest_instance() -> None:
     text = 'plantainloft_configuration_version 4\n'
     behind = f'{text}plantainloft_table_behind_seconds{{table="declarations"}} 2.5\n'
