Peer calls: a call that may have been sent in part ends its connection

Since a call that times out leaves a connection open on which something arrives, the rest of a frame that was cut while being sent could be taken for the next one. Found by reading; with asyncio, which buffers what is sent, it does not show. ignore_progress stands in one place.

--- a/packages/node/src/plantainloft_node/entry/peer_calls.py
+++ b/packages/node/src/plantainloft_node/entry/peer_calls.py
@@ -9,7 +9,7 @@
 from plantainloft_core.outcomes import Unreachable
 from plantainloft_node.entry.settings import EntrySettings
 from plantainloft_node.fleet.membership import FleetMember
-from plantainloft_node.streams.connections import PeerConnections
+from plantainloft_node.streams.connections import PeerConnections, ignore_progress
 from plantainloft_node.streams.frames import PeerTrafficCounter
 from plantainloft_node.streams.listener import FrameHandler, serve_peers
 
@@ -20,10 +20,6 @@
 CALL_TIMEOUT_S = 1.5
 
 
-def _ignore_progress() -> None:
-    """Serve as the default of ``on_progress``."""
-
-
 class PeerCalls:
     """Calls other instances and serves their calls."""
 
@@ -38,7 +34,7 @@
         kind: str,
         content: Any,
         *,
-        on_progress: Callable[[], None] = _ignore_progress,
+        on_progress: Callable[[], None] = ignore_progress,
     ) -> Any | Unreachable:
         """Call ``member`` and return the content of its answer, or ``Unreachable``.
 
--- a/packages/node/src/plantainloft_node/streams/connections.py
+++ b/packages/node/src/plantainloft_node/streams/connections.py
@@ -26,14 +26,14 @@
 )
 from plantainloft_node.transfer_timeout import TransferTimeout
 
-__all__ = ['PeerConnection', 'PeerConnections']
+__all__ = ['PeerConnection', 'PeerConnections', 'ignore_progress']
 
 log = logging.getLogger(__name__)
 
 MAX_PEER_CONNECTIONS = 64
 
 
-def _ignore_progress() -> None:
+def ignore_progress() -> None:
     """Serve as the default of ``on_progress``."""
 
 
@@ -80,7 +80,7 @@
         content: Any,
         *,
         timeout_s: float,
-        on_progress: Callable[[], None] = _ignore_progress,
+        on_progress: Callable[[], None] = ignore_progress,
     ) -> Any | Unreachable:
         """Call the peer and return the content of its answer, or ``Unreachable``.
 
@@ -91,6 +91,7 @@
         pending = _PendingCall(timeout_s=timeout_s, on_progress=on_progress)
         self._pending_by_call_id[call_id] = pending
         stream = None
+        is_sent = False
         received_before = 0
         try:
             with pending.timeout:
@@ -99,6 +100,7 @@
                 await stream.send(
                     Frame(kind=kind, call=call_id, content=content, accepts_parts=True)
                 )
+                is_sent = True
                 await pending.finished.wait()
         except STREAM_ERRORS as exc:
             await self._disconnect(stream)
@@ -110,10 +112,11 @@
         if pending.finished.is_set():
             return pending.content
         received_bytes = stream.received_bytes - received_before if stream else 0
-        if not received_bytes:
+        if not (is_sent and received_bytes):
             # An established connection can stop delivering data while new ones work,
             # for example when a middlebox lost its state. Every call on it would time
-            # out, so it is closed and the next call opens a new one.
+            # out, so it is closed and the next call opens a new one. So is one on which
+            # a call may have been sent in part.
             await self._disconnect(stream)
         state = f'{received_bytes} bytes received' if stream else 'not connected'
         return Unreachable(reason=f'{kind}: timed out, {state}')
@@ -167,7 +170,7 @@
         content: Any,
         *,
         timeout_s: float,
-        on_progress: Callable[[], None] = _ignore_progress,
+        on_progress: Callable[[], None] = ignore_progress,
     ) -> Any | Unreachable:
         """Call the peer at ``address``, see ``PeerConnection.call``."""
         connection = self._connection_by_address.pop(address, None)
--- a/packages/standins/src/plantainloft_standins/replicating_instance.py
+++ b/packages/standins/src/plantainloft_standins/replicating_instance.py
@@ -30,7 +30,7 @@
 from plantainloft_node.fleet.report_receiver import ReportReceiver
 from plantainloft_node.fleet.report_timings import report_timings
 from plantainloft_node.quarantine.crash_registry import CrashRegistry
-from plantainloft_node.streams.listener import FrameHandler
+from plantainloft_node.streams import FrameHandler, ignore_progress
 from plantainloft_standins.fleet_simulation import SETTLING_S
 from plantainloft_standins.simulated_store import ModelStore, StoreClient
 
@@ -42,10 +42,6 @@
 STORE_REGION = 'r0'
 
 
-def _ignore_progress() -> None:
-    """Serve as the default of ``on_progress``."""
-
-
 class NetworkShape(NamedTuple):
     """Round-trip times, the time of a byte on an instance's link, and datagram loss (0..1)."""
 
@@ -149,7 +145,7 @@
         kind: str,
         content: Any,
         *,
-        on_progress: Callable[[], None] = _ignore_progress,
+        on_progress: Callable[[], None] = ignore_progress,
     ) -> Any | Unreachable:
         one_way_s = self._network.one_way_s(self._local_member, member)
         with anyio.move_on_after(CALL_TIMEOUT_S):
