Soak of the store: what was lost is written again once the store is back

The logs show why: the store returned from a copy with the endpoint's row, and was away again when the soak wrote anew what was lost, so that it wrote nothing, then or later. The row stayed for 10 s, as that of a living endpoint, and instances went by it from then on, as they are to (a silent endpoint's row is removed after 4.5 s). Operators and endpoints write when the store is back; so does the soak now. Its checks are unchanged. A return also ends a loss of history of later versions in the stand-in, as in the simulated store.

--- a/tests/platform_standin.py
+++ b/tests/platform_standin.py
@@ -90,6 +90,7 @@
         """Lose what was written since ``copy``; its versions are given out again."""
         self.rows = dict(copy.rows)
         self.version = copy.version
+        self.oldest_history_version = min(self.oldest_history_version, self.version)
         self.era += 1
         self._notify_waiters()
 
--- a/tests/store_soak.py
+++ b/tests/store_soak.py
@@ -277,6 +277,8 @@
         self._copies = [(at, copy) for at, copy in self._copies if at <= taken_by]
         await self._end_absence()
         await anyio.sleep(self.rng.uniform(*REWRITE_S))
+        while self._is_away():
+            await anyio.sleep(0.1)
         self._write_again()
 
     async def _refuse(self) -> None:
@@ -304,8 +306,6 @@
 
     def _write_again(self) -> None:
         """Write what the store has lost, as operators and endpoints do."""
-        if self._is_away():
-            return
         for (table, key), document in self._written.items():
             is_stored = (table, key) in self.store.rows
             if document is not None or is_stored:
