--- a/packages/node/src/plantainloft_node/replica/recent_contents.py
+++ b/packages/node/src/plantainloft_node/replica/recent_contents.py
@@ -61,10 +61,10 @@
         """Return the content; raises ``ValueError`` or ``TypeError`` if that is not possible."""
         base = self._content_by_digest.get(encoded.base_digest, b'')
         if encoded.base_digest and not base:
-            raise ValueError('a content that is encoded for a reader of another one')
+            raise ValueError('encoded for a reader of another content')
         content = apply_delta(base, encoded.delta)
         if content_digest(content) != encoded.digest:
-            raise ValueError('a content that differs from the encoded one')
+            raise ValueError('the decoded content has another digest')
         return content
 
     def _is_too_large(self) -> bool:
--- a/packages/node/src/plantainloft_node/replica/table_lag.py
+++ b/packages/node/src/plantainloft_node/replica/table_lag.py
@@ -5,6 +5,7 @@
 from typing import NamedTuple
 
 from plantainloft_core.store_position import StorePosition
+from plantainloft_node.replica.store_rows import DECLARATIONS
 
 __all__ = ['TableLag']
 
@@ -40,8 +41,10 @@
         if announced is None or self._missing(table) is not None:
             return
         self._announced_by_table.pop(table)
-        log.info(
-            'Replica: %s of %s are here, %.2f s after they were announced.',
+        # Endpoints change every second.
+        log.log(
+            logging.INFO if table == DECLARATIONS else logging.DEBUG,
+            'Replica: %s caught up from %s, %.2f s after the announcement.',
             table,
             source,
             now - announced.at,
--- a/tests/test_content_delta.py
+++ b/tests/test_content_delta.py
@@ -87,11 +87,11 @@
     sender, reader = RecentContents(), RecentContents()
     sender.record(encoded_configuration(4))
     encoded = sender.encode(encoded_configuration(5), sender.digests())
-    with pytest.raises(ValueError, match='another one'):
+    with pytest.raises(ValueError, match='another content'):
         reader.decode(encoded)
     reader.record(encoded_configuration(4))
     assert reader.decode(encoded) == encoded_configuration(5)
-    with pytest.raises(ValueError, match='differs'):
+    with pytest.raises(ValueError, match='another digest'):
         reader.decode(encoded._replace(digest=b'x'))
 
 
