Own interface: nodes that start at the same moment know of each other at once

The logs show one node (all four, in the other case) that nobody knew of until the processes were stopped.

Cause: a node read the rows of the members, then wrote its own, and read again a third of a lease later, after 20 s. Nodes that start within the same milliseconds all read before any of them writes; one that none of the others has read is not asked by anybody either.

A node now reads the rows right after it has written its own, with the same number of calls: the one that writes last knows all, and gossip tells the others. tests/test_joining.py: 1 of 3 known before.

--- a/packages/node/src/plantainloft_node/membership.py
+++ b/packages/node/src/plantainloft_node/membership.py
@@ -58,9 +58,11 @@
         self.has_joined = True
         while True:
             await self._write_row()
+            # Nodes that start together have all read before any of them wrote. The one
+            # that writes last now reads the rows of the others.
+            await self._read_rows()
             self._gossip.wake()
             await anyio.sleep(self._lease_s / RENEWALS_PER_LEASE)
-            await self._read_rows()
 
     async def leave(self) -> None:
         """Announce that this node is leaving and wait until the peers know.
