--- a/packages/node/src/plantainloft_node/replica/recent_contents.py
+++ b/packages/node/src/plantainloft_node/replica/recent_contents.py
@@ -1,4 +1,4 @@
-"""The contents that large rows had lately, so that peers can be sent what changed since."""
+"""The contents that large rows had recently, so that peers can be sent what changed since."""
 
 from collections.abc import Collection
 from functools import lru_cache
