--- a/review/7/case.py
+++ b/review/7/case.py
@@ -1,4 +1,4 @@
-"""Instances are stopped and started in turn while the endpoints of a service are replaced."""
+"""All instances are killed at the same moment while the endpoints of a service are replaced."""
 
 import asyncio
 import random
@@ -48,7 +48,8 @@
 CALLERS_PER_ENTRY = 10
 KEYS = 400
 TRAFFIC_AT_S, END_S = 5.0, 95.0
-ROLL_GAP_S = 1.0
+# herd_kill of all instances, which start again after a short delay; then the next one.
+RESTART_S, KILL_EVERY_S = 0.5, (11.0, 13.0)
 
 
 class Machine:
@@ -126,10 +127,17 @@
             replaced = random.sample(desk, int(SHARE * DESK_ENDPOINTS))
             for start in range(0, len(replaced), AT_ONCE):
                 for old in replaced[start : start + AT_ONCE]:
-                    desk.append(await new_endpoint('desk', old.zone))
-                    desk.remove(old)
-                    soon(leave(old))
+                    soon(replace(old))
                 await asyncio.sleep(GAP_S)
+            # The last ones are replaced within the gap.
+            await asyncio.sleep(GAP_S)
+
+    async def replace(old):
+        """Start a new endpoint at some moment of the gap, and let the old one leave."""
+        await asyncio.sleep(random.uniform(0.0, GAP_S))
+        desk.append(await new_endpoint('desk', old.zone))
+        desk.remove(old)
+        await leave(old)
 
     async def call(machine):
         caller = Caller(machine.entry.front)
@@ -148,18 +156,21 @@
             answers[status] += 1
             record(f'{request_id}: sent to {machine.entry.name}, answered {status}')
 
-    async def roll(machines):
+    async def kill_all(machines):
         while True:
             for machine in machines:
                 machine.is_stopping = True
-                record(f'{machine.entry.name}: SIGTERM')
-                machine.entry.process.terminate()
-                await machine.entry.process.wait()
-                await machine.entry.start()
-                machine.started_at = time.monotonic()
-                await machine.entry.wait_ready()
-                machine.is_stopping = False
-                await asyncio.sleep(ROLL_GAP_S)
+                machine.entry.kill()
+            await asyncio.gather(*(machine.entry.process.wait() for machine in machines))
+            await asyncio.sleep(RESTART_S)
+            await asyncio.gather(*(start_again(machine) for machine in machines))
+            await asyncio.sleep(random.uniform(*KILL_EVERY_S))
+
+    async def start_again(machine):
+        await machine.entry.start()
+        machine.started_at = time.monotonic()
+        await machine.entry.wait_ready()
+        machine.is_stopping = False
 
     late = Counter()
 
@@ -187,7 +198,7 @@
                 soon(call(machine))
         soon(release())
         if trouble():
-            soon(roll(machines))
+            soon(kill_all(machines))
         checked = 0
         while time.monotonic() - began < END_S:
             await asyncio.sleep(0.2)
